Serve callers: chain of filters, OpenAI's protocol, forwarding to services

Cause: the whole path needs its caller side first. Ruled out: passing engines' bytes through unread (a crossed, doubled or cut answer would go unseen); net/http's pooled connections for calls that may run once (the library repeats a request with an Idempotency-Key on its own). Change: call (Call, Chain, Writer), caller (front and filters), openai (parsing, attempts with token numbers checked and resumed, answers, errors), service (forwarding). Conclusion: ready to be joined with keys, limits and placement.

--- /dev/null
+++ b/openai/error.go
@@ -0,0 +1,109 @@
+// Package openai speaks OpenAI's published protocol: to callers as a server, to
+// model engines as a client.
+package openai
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hawthornway/call"
+	"hawthornway/outcome"
+)
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+// statuses maps reasons to HTTP statuses. A reason that is missing is 503.
+var statuses = map[outcome.Reason]int{
+	outcome.ReasonBadRequest:   http.StatusBadRequest,
+	outcome.ReasonNoKey:        http.StatusUnauthorized,
+	outcome.ReasonKeyWithdrawn: http.StatusUnauthorized,
+	outcome.ReasonNotAllowed:   http.StatusForbidden,
+	outcome.ReasonUnknownModel: http.StatusNotFound,
+	outcome.ReasonUnknownRoute: http.StatusNotFound,
+	outcome.ReasonTooLarge:     http.StatusRequestEntityTooLarge,
+	outcome.ReasonRate:         http.StatusTooManyRequests,
+	outcome.ReasonQueueFull:    http.StatusTooManyRequests,
+	outcome.ReasonClaimed:      http.StatusConflict,
+	outcome.ReasonTargetFailed: http.StatusBadGateway,
+	outcome.ReasonWrongAnswer:  http.StatusBadGateway,
+	outcome.ReasonShortAnswer:  http.StatusBadGateway,
+}
+
+// Status returns the HTTP status for a reason.
+func Status(reason outcome.Reason) int {
+	if status, ok := statuses[reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusForbidden:
+		return "permission_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// WriteOutcome tells the caller how a call ended that was not served. If the
+// answer has begun, it ends the stream with an error event.
+func WriteOutcome(w *call.Writer, ended outcome.Outcome) {
+	switch o := ended.(type) {
+	case outcome.Served:
+	case outcome.NotRun:
+		writeRetryAfter(w, o.RetryAfter)
+		writeError(w, ended, o.Reason, o.Detail)
+	case outcome.Unknown:
+		writeError(w, ended, o.Reason, o.Detail)
+	}
+}
+
+func writeRetryAfter(w *call.Writer, wait time.Duration) {
+	if wait <= 0 || w.Begun() {
+		return
+	}
+	seconds := int64(math.Ceil(wait.Seconds()))
+	w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	w.Header().Set("Retry-After-Ms", strconv.FormatInt(wait.Milliseconds()+1, 10))
+}
+
+func writeError(w *call.Writer, ended outcome.Outcome, reason outcome.Reason, detail string) {
+	status := Status(reason)
+	if detail == "" {
+		detail = string(reason)
+	}
+	body := errorBody{Error: errorDetail{Message: detail, Type: errorType(status), Code: string(reason)}}
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic("an error body can't be encoded: " + err.Error())
+	}
+	w.Header().Set(call.HeaderOutcome, ended.Header())
+	if w.Begun() {
+		writeEvent(w, text)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.Header().Del("Trailer")
+	w.WriteHeader(status)
+	_, _ = w.Write(text) // the caller may have left
+}
--- /dev/null
+++ b/openai/event.go
@@ -0,0 +1,130 @@
+package openai
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"hawthornway/call"
+)
+
+// maxEventBytes bounds one event of an engine's stream.
+const maxEventBytes = 1 << 20
+
+var endOfStream = []byte("[DONE]")
+
+// eventID says which token of which attempt an event carries.
+type eventID struct {
+	Request call.RequestID
+	Attempt call.Attempt
+	Token   int
+}
+
+// String returns the id as "REQUEST/ATTEMPT/TOKEN".
+func (e eventID) String() string {
+	return fmt.Sprintf("%s/%d/%d", e.Request, e.Attempt, e.Token)
+}
+
+func parseEventID(text string) (eventID, error) {
+	parts := strings.Split(text, "/")
+	if len(parts) != 3 {
+		return eventID{}, fmt.Errorf("event id %q does not have three parts", text)
+	}
+	attempt, err := strconv.Atoi(parts[1])
+	if err != nil {
+		return eventID{}, fmt.Errorf("event id %q has a bad attempt", text)
+	}
+	token, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return eventID{}, fmt.Errorf("event id %q has a bad token number", text)
+	}
+	return eventID{Request: call.RequestID(parts[0]), Attempt: call.Attempt(attempt), Token: token}, nil
+}
+
+// event is one server-sent event.
+type event struct {
+	ID   string
+	Data []byte
+}
+
+// eventReader reads server-sent events.
+type eventReader struct {
+	reader *bufio.Reader
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 16<<10)}
+}
+
+// Next returns the next event with data, or io.ErrUnexpectedEOF when the stream
+// ends inside an event, or io.EOF between two.
+func (r *eventReader) Next() (event, error) {
+	var next event
+	for {
+		line, err := r.line(len(next.Data))
+		if errors.Is(err, io.EOF) && len(next.Data) > 0 {
+			return event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return event{}, err
+		}
+		if len(line) == 0 {
+			if len(next.Data) > 0 {
+				return next, nil
+			}
+			continue
+		}
+		next.add(line)
+	}
+}
+
+func (e *event) add(line []byte) {
+	field, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(field) {
+	case "id":
+		e.ID = string(value)
+	case "data":
+		if len(e.Data) > 0 {
+			e.Data = append(e.Data, '\n')
+		}
+		e.Data = append(e.Data, value...)
+	}
+}
+
+func (r *eventReader) line(sofar int) ([]byte, error) {
+	var whole []byte
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		whole = append(whole, part...)
+		if sofar+len(whole) > maxEventBytes {
+			return nil, fmt.Errorf("event is larger than %d bytes", maxEventBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(whole) > 0 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		return bytes.TrimRight(whole, "\r\n"), nil
+	}
+}
+
+// writeEvent writes one event to the caller and flushes it.
+func writeEvent(w *call.Writer, data []byte) error {
+	whole := make([]byte, 0, len(data)+8)
+	whole = append(whole, "data: "...)
+	whole = append(whole, data...)
+	whole = append(whole, "\n\n"...)
+	if _, err := w.Write(whole); err != nil {
+		return err
+	}
+	return w.Flush()
+}
