--- /dev/null
+++ b/standin/kvstore/handler.go
@@ -0,0 +1,242 @@
+package kvstore
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hawthornway/platform"
+)
+
+// maxWatchWait bounds the time that a watch may ask for.
+const maxWatchWait = 10 * time.Minute
+
+type wireEntry struct {
+	Key      string            `json:"key"`
+	Value    []byte            `json:"value"`
+	Revision platform.Revision `json:"revision"`
+	Deleted  bool              `json:"deleted,omitempty"`
+}
+
+type wireList struct {
+	Entries  []wireEntry       `json:"entries"`
+	Revision platform.Revision `json:"revision"`
+}
+
+type wireEvents struct {
+	Events   []wireEntry       `json:"events"`
+	Revision platform.Revision `json:"revision"`
+}
+
+type wireRevision struct {
+	Revision platform.Revision `json:"revision"`
+}
+
+type wireConflict struct {
+	Current platform.Revision `json:"current"`
+}
+
+type wireLease struct {
+	Lease LeaseID `json:"lease"`
+}
+
+// Handler returns the store's HTTP handler.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv", s.serveGet)
+	mux.HandleFunc("PUT /v1/kv", s.serveSwap)
+	mux.HandleFunc("DELETE /v1/kv", s.serveDelete)
+	mux.HandleFunc("GET /v1/list", s.serveList)
+	mux.HandleFunc("GET /v1/watch", s.serveWatch)
+	mux.HandleFunc("POST /v1/lease", s.serveGrant)
+	mux.HandleFunc("PUT /v1/lease/{id}", s.serveRenew)
+	mux.HandleFunc("DELETE /v1/lease/{id}", s.serveRevoke)
+	mux.HandleFunc("PUT /faults", s.serveFaults)
+	mux.HandleFunc("GET /counts", s.serveCounts)
+	return mux
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+	entry, err := s.Get(r.Context(), r.FormValue("key"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, newWireEntry(entry, false))
+}
+
+func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
+	entries, revision, err := s.List(r.Context(), r.FormValue("prefix"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	wire := wireList{Entries: []wireEntry{}, Revision: revision}
+	for _, e := range entries {
+		wire.Entries = append(wire.Entries, newWireEntry(e, false))
+	}
+	writeJSON(w, http.StatusOK, wire)
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, err := parseNumber(r, "after")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ms, err := parseNumber(r, "wait-ms")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	wait := min(time.Duration(ms)*time.Millisecond, maxWatchWait)
+	events, next, err := s.watch(r.Context(), r.FormValue("prefix"), platform.Revision(after), wait)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	wire := wireEvents{Events: []wireEntry{}, Revision: next}
+	for _, e := range events {
+		wire.Events = append(wire.Events, newWireEntry(e.Entry, e.Deleted))
+	}
+	writeJSON(w, http.StatusOK, wire)
+}
+
+func (s *Store) serveSwap(w http.ResponseWriter, r *http.Request) {
+	expected, err := parseNumber(r, "expected")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id, err := parseNumber(r, "lease")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	// ParseForm would take a body of form values, so the key is read from the
+	// query alone.
+	key := r.URL.Query().Get("key")
+	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(value) > platform.MaxValueBytes {
+		http.Error(w, "value is over the bound", http.StatusRequestEntityTooLarge)
+		return
+	}
+	revision, err := s.SwapWithLease(r.Context(), key, platform.Revision(expected), value, LeaseID(id))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, wireRevision{Revision: revision})
+}
+
+func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
+	expected, err := parseNumber(r, "expected")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.Delete(r.Context(), r.URL.Query().Get("key"), platform.Revision(expected)); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
+	ms, err := parseNumber(r, "ttl-ms")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id, err := s.Grant(r.Context(), time.Duration(ms)*time.Millisecond)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, wireLease{Lease: id})
+}
+
+func (s *Store) serveRenew(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.Renew(r.Context(), LeaseID(id)); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, wireLease{Lease: LeaseID(id)})
+}
+
+func (s *Store) serveRevoke(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.Revoke(r.Context(), LeaseID(id)); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, wireLease{Lease: LeaseID(id)})
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var wire wireFaults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&wire); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(wire.faults())
+	writeJSON(w, http.StatusOK, wire)
+}
+
+func (s *Store) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Counts())
+}
+
+// writeError answers with the status of the error. A lost answer ends the
+// connection.
+func writeError(w http.ResponseWriter, err error) {
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusConflict, wireConflict{Current: conflict.Current})
+	case errors.Is(err, platform.ErrNotFound), errors.Is(err, ErrNoLease):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, platform.ErrUnknown):
+		panic(http.ErrAbortHandler)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller has gone if this fails.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func newWireEntry(entry platform.Entry, deleted bool) wireEntry {
+	return wireEntry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Deleted: deleted}
+}
+
+// parseNumber returns a number of the query, or zero without one.
+func parseNumber(r *http.Request, name string) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(text, 10, 64)
+}
--- /dev/null
+++ b/standin/kvstore/store.go
@@ -0,0 +1,367 @@
+// Package kvstore is a stand-in for the platform's key-value service. It runs
+// within a test as a platform.Store, or behind HTTP.
+package kvstore
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+
+	"hawthornway/platform"
+)
+
+// Store is an in-memory key-value service with faults.
+type Store struct {
+	clock     clockwork.Clock
+	watchWait time.Duration
+	writes    *rate.Limiter
+	reads     *rate.Limiter
+
+	mu        sync.Mutex
+	revision  platform.Revision
+	records   map[string]record
+	leases    map[LeaseID]*lease
+	nextLease LeaseID
+	waiters   map[*waiter]struct{}
+	faults    Faults
+	draw      *rand.Rand
+	counts    Counts
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// record is the last write to a key; a deleted key keeps its record, so that
+// watches see the change.
+type record struct {
+	platform.Event
+	lease LeaseID
+}
+
+// waiter is a watch that waits for a change.
+type waiter struct {
+	prefix string
+	wake   chan struct{}
+}
+
+// New returns a new Store without entries.
+func New(opts ...Option) *Store {
+	s := &Store{
+		clock:     clockwork.NewRealClock(),
+		watchWait: DefaultWatchWait,
+		writes:    newLimiter(0),
+		reads:     newLimiter(0),
+		records:   make(map[string]record),
+		leases:    make(map[LeaseID]*lease),
+		waiters:   make(map[*waiter]struct{}),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// SetFaults replaces the faults. An outage ends the waiting watches.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.draw = rand.New(rand.NewPCG(faults.Seed, 0))
+	if faults.Outage {
+		s.wakeAll()
+	}
+}
+
+// Counts returns the calls taken so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Get returns the entry of key, or an error that wraps platform.ErrNotFound.
+func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	var entry platform.Entry
+	err := s.read(ctx, func(c *Counts) *int64 { return &c.Gets }, func() error {
+		r, found := s.records[key]
+		if !found || r.Deleted {
+			return fmt.Errorf("get %q: %w", key, platform.ErrNotFound)
+		}
+		entry = r.Entry
+		return nil
+	})
+	return copyEntry(entry), err
+}
+
+// List returns all entries under prefix in the order of their keys.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+	var entries []platform.Entry
+	var revision platform.Revision
+	err := s.read(ctx, func(c *Counts) *int64 { return &c.Lists }, func() error {
+		entries = s.entries(prefix)
+		revision = s.revision
+		return nil
+	})
+	return entries, revision, err
+}
+
+func (s *Store) entries(prefix string) []platform.Entry {
+	var entries []platform.Entry
+	for key, r := range s.records {
+		if strings.HasPrefix(key, prefix) && !r.Deleted {
+			entries = append(entries, copyEntry(r.Entry))
+		}
+	}
+	slices.SortFunc(entries, func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return entries
+}
+
+// Swap writes value if the key's revision is expected.
+func (s *Store) Swap(ctx context.Context, key string, expected platform.Revision, value []byte) (platform.Revision, error) {
+	return s.SwapWithLease(ctx, key, expected, value, 0)
+}
+
+// SwapWithLease is Swap for a key that goes when its lease ends. Lease zero
+// keeps the key for good.
+func (s *Store) SwapWithLease(ctx context.Context, key string, expected platform.Revision, value []byte, id LeaseID) (platform.Revision, error) {
+	if len(value) > platform.MaxValueBytes {
+		return 0, fmt.Errorf("swap %q: value of %d bytes is over the bound of %d", key, len(value), platform.MaxValueBytes)
+	}
+	var revision platform.Revision
+	err := s.write(ctx, func(c *Counts) *int64 { return &c.Swaps }, func() error {
+		if err := s.check(key, expected); err != nil {
+			return err
+		}
+		if _, live := s.leases[id]; id != 0 && !live {
+			return fmt.Errorf("swap %q: %w", key, ErrNoLease)
+		}
+		event := platform.Event{Entry: platform.Entry{Key: key, Value: slices.Clone(value)}}
+		revision = s.put(event, id)
+		return nil
+	})
+	return revision, err
+}
+
+// Delete removes the key if its revision is expected.
+func (s *Store) Delete(ctx context.Context, key string, expected platform.Revision) error {
+	return s.write(ctx, func(c *Counts) *int64 { return &c.Deletes }, func() error {
+		if err := s.check(key, expected); err != nil {
+			return err
+		}
+		if expected != 0 {
+			s.remove(key)
+		}
+		return nil
+	})
+}
+
+// check returns a *platform.ConflictError unless the key is at expected.
+func (s *Store) check(key string, expected platform.Revision) error {
+	r := s.records[key]
+	current := r.Revision
+	if r.Deleted {
+		current = 0
+	}
+	if current == expected {
+		return nil
+	}
+	return &platform.ConflictError{Key: key, Expected: expected, Current: current}
+}
+
+// put stores the event under the next revision and wakes its watches.
+func (s *Store) put(event platform.Event, id LeaseID) platform.Revision {
+	s.revision++
+	event.Revision = s.revision
+	s.records[event.Key] = record{Event: event, lease: id}
+	for w := range s.waiters {
+		if strings.HasPrefix(event.Key, w.prefix) {
+			s.wake(w)
+		}
+	}
+	return s.revision
+}
+
+func (s *Store) remove(key string) {
+	s.put(platform.Event{Entry: platform.Entry{Key: key}, Deleted: true}, 0)
+}
+
+// Watch returns the last change after a revision of each key under prefix, in
+// the order of the changes. It waits for one.
+func (s *Store) Watch(ctx context.Context, prefix string, after platform.Revision) ([]platform.Event, platform.Revision, error) {
+	return s.watch(ctx, prefix, after, s.watchWait)
+}
+
+func (s *Store) watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+	var events []platform.Event
+	var next platform.Revision
+	var w *waiter
+	err := s.read(ctx, func(c *Counts) *int64 { return &c.Watches }, func() error {
+		events, next = s.changes(prefix, after)
+		if len(events) == 0 {
+			w = s.addWaiter(prefix)
+		}
+		return nil
+	})
+	if err != nil || w == nil {
+		return events, next, err
+	}
+	return s.await(ctx, w, after, wait)
+}
+
+// await returns the changes once the waiter is woken, or none after wait.
+func (s *Store) await(ctx context.Context, w *waiter, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+	timer := s.clock.NewTimer(wait)
+	defer timer.Stop()
+	var ended error
+	select {
+	case <-w.wake:
+	case <-timer.Chan():
+	case <-ctx.Done():
+		ended = fmt.Errorf("watch %q: %w: %w", w.prefix, platform.ErrUnavailable, ctx.Err())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, w)
+	if ended != nil {
+		return nil, after, ended
+	}
+	if s.faults.Outage {
+		return nil, after, fmt.Errorf("watch %q: %w", w.prefix, platform.ErrUnavailable)
+	}
+	events, next := s.changes(w.prefix, after)
+	return events, next, nil
+}
+
+func (s *Store) changes(prefix string, after platform.Revision) ([]platform.Event, platform.Revision) {
+	var events []platform.Event
+	for key, r := range s.records {
+		if r.Revision > after && strings.HasPrefix(key, prefix) {
+			events = append(events, platform.Event{Entry: copyEntry(r.Entry), Deleted: r.Deleted})
+		}
+	}
+	slices.SortFunc(events, func(a, b platform.Event) int { return cmp.Compare(a.Revision, b.Revision) })
+	return events, max(after, s.revision)
+}
+
+func (s *Store) addWaiter(prefix string) *waiter {
+	w := &waiter{prefix: prefix, wake: make(chan struct{})}
+	s.waiters[w] = struct{}{}
+	return w
+}
+
+func (s *Store) wake(w *waiter) {
+	delete(s.waiters, w)
+	close(w.wake)
+}
+
+func (s *Store) wakeAll() {
+	for w := range s.waiters {
+		s.wake(w)
+	}
+}
+
+// read runs f under the lock, within the faults and the rate of reads.
+func (s *Store) read(ctx context.Context, count func(*Counts) *int64, f func() error) error {
+	delay, err := s.admit(s.reads, count)
+	if err != nil {
+		return err
+	}
+	if err := s.sleep(ctx, delay/2); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	if err := s.apply(f); err != nil {
+		return err
+	}
+	if err := s.sleep(ctx, delay-delay/2); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return nil
+}
+
+// write runs f under the lock, within the faults and the rate of writes. A
+// caller that stops waiting can't know whether f ran.
+func (s *Store) write(ctx context.Context, count func(*Counts) *int64, f func() error) error {
+	delay, err := s.admit(s.writes, count)
+	if err != nil {
+		return err
+	}
+	if err := s.sleep(ctx, delay/2); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+	}
+	lost, effect := s.drawLoss()
+	if effect {
+		err = s.apply(f)
+	}
+	if lost {
+		return platform.ErrUnknown
+	}
+	if sleepErr := s.sleep(ctx, delay-delay/2); sleepErr != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, sleepErr)
+	}
+	return err
+}
+
+// admit counts a call and returns how long it takes.
+func (s *Store) admit(limiter *rate.Limiter, count func(*Counts) *int64) (time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*count(&s.counts)++
+	if s.faults.Outage {
+		return 0, fmt.Errorf("%w: outage", platform.ErrUnavailable)
+	}
+	if !limiter.AllowN(s.clock.Now(), 1) {
+		s.counts.Limited++
+		return 0, fmt.Errorf("%w: over the rate", platform.ErrUnavailable)
+	}
+	return s.faults.Delay, nil
+}
+
+// drawLoss returns whether the answer of a write is lost, and whether the write
+// has effect.
+func (s *Store) drawLoss() (lost, effect bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return false, true
+	}
+	s.faults.LoseAnswers--
+	return true, s.faults.Seed == 0 || s.draw.IntN(2) == 0
+}
+
+func (s *Store) apply(f func() error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return fmt.Errorf("%w: outage", platform.ErrUnavailable)
+	}
+	return f()
+}
+
+func (s *Store) sleep(ctx context.Context, d time.Duration) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if d <= 0 {
+		return nil
+	}
+	timer := s.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func copyEntry(e platform.Entry) platform.Entry {
+	e.Value = slices.Clone(e.Value)
+	return e
+}
