--- /dev/null
+++ b/peer/options.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"hawthornway/fleet"
+)
+
+// The times and bounds of links.
+const (
+	heartbeatEvery  = time.Second
+	silenceDeadline = 3 * time.Second
+	idleDeadline    = 30 * time.Second
+	maxRedialWait   = 5 * time.Second
+	sendQueueFrames = 1024
+	maxServing      = 256
+	linksPerDomain  = 2
+)
+
+// Option sets one part of a Links.
+type Option func(*Links)
+
+// WithSelf sets this host's own membership.
+func WithSelf(self fleet.Member) Option {
+	return func(l *Links) { l.self = self }
+}
+
+// WithSecret sets the secret that all hosts of the cluster share.
+func WithSecret(secret []byte) Option {
+	return func(l *Links) { l.secret = secret }
+}
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(l *Links) { l.clock = clock }
+}
+
+// WithLogger sets the logger.
+func WithLogger(log *slog.Logger) Option {
+	return func(l *Links) { l.log = log }
+}
