--- /dev/null
+++ b/retry/call_test.go
@@ -0,0 +1,94 @@
+package retry
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"hawthornway/outcome"
+)
+
+func TestCallDecides(t *testing.T) {
+	err := errors.New("connection reset")
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		results    []Result
+		want       Decision
+	}{
+		{"answered", false, []Result{Answered{Status: 200}}, Finish{}},
+		{"not sent is tried again", false, []Result{NotSent{Err: err}}, Again{}},
+		{"refused is tried again", false, []Result{RefusedNotRun{Refusal: RefusalLeaving}}, Again{}},
+		{
+			"sent without answer stops", false,
+			[]Result{SentNoAnswer{Err: err}},
+			Stop{outcome.Unknown{Reason: outcome.ReasonTargetFailed, Detail: "The target may have run the request."}},
+		},
+		{"sent without answer is repeated if idempotent", true, []Result{SentNoAnswer{Err: err}}, Again{}},
+		{"broken stream resumes", true, []Result{Broken{NextToken: 7}}, Again{ResumeFrom: 7}},
+		{"resume point never goes back", true, []Result{Broken{NextToken: 7}, NotSent{Err: err}}, Again{ResumeFrom: 7}},
+		{
+			"unknown stays unknown after a refusal", true,
+			[]Result{SentNoAnswer{Err: err}, NotSent{Err: err}, NotSent{Err: err}, NotSent{Err: err}},
+			Stop{outcome.Unknown{Reason: outcome.ReasonTargetFailed, Detail: "An attempt may have run the request."}},
+		},
+		{
+			"tries end", false,
+			[]Result{NotSent{Err: err}, NotSent{Err: err}, NotSent{Err: err}, RefusedNotRun{Refusal: RefusalQueueFull, RetryAfter: 3 * time.Second}},
+			Stop{outcome.NotRun{Reason: outcome.ReasonQueueFull, RetryAfter: 3 * time.Second, Detail: "No target ran the request."}},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			var opts []CallOption
+			if c.idempotent {
+				opts = append(opts, WithIdempotent())
+			}
+			call := NewCall(clock, NewBudget(clock), clock.Now().Add(time.Minute), opts...)
+			var got Decision
+			for _, result := range c.results {
+				got = call.Next(result)
+			}
+			must.Eq(t, c.want, got)
+		})
+	}
+}
+
+func TestCallStopsAtDeadline(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	call := NewCall(clock, NewBudget(clock), clock.Now().Add(time.Second))
+	clock.Advance(time.Second)
+	stop, ok := call.Next(NotSent{}).(Stop)
+	must.True(t, ok)
+	must.Eq(t, "not-run", stop.Outcome.Header())
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		requests int
+		want     int
+	}{
+		{"floor", 0, 3},
+		{"floor under few requests", 20, 3},
+		{"tenth of many requests", 200, 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			b := NewBudget(clock)
+			for range c.requests {
+				b.Request()
+			}
+			got := 0
+			for b.Take() {
+				got++
+			}
+			must.Eq(t, c.want, got)
+			clock.Advance(10 * time.Second)
+			must.True(t, b.Take())
+		})
+	}
+}
