Let the caller side decide retries by package retry

Cause: openai and service had endings of their own beside retry's results. Ruled out: mapping between the two at the border. Change: attempts end with a retry.Result; retry.Call decides what follows. Conclusion: one place decides on retries.

--- a/call/call.go
+++ b/call/call.go
@@ -36,7 +36,18 @@
 	// Presented is the caller's key. It is never logged or passed on.
 	Presented string
 	Subject   Subject
-	Trace     Trace
+	// Answer is what a plain service answered, as far as it is kept.
+	Answer Answer
+	Trace  Trace
+}
+
+// Answer is the answer of a plain service.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Whole says that Body is the whole body.
+	Whole bool
 }
 
 // Subject is what a call asks for: one of *Generation, *Service and *Listing.
--- a/openai/attempt.go
+++ b/openai/attempt.go
@@ -11,8 +11,11 @@
 	"strconv"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"hawthornway/call"
 	"hawthornway/outcome"
+	"hawthornway/retry"
 )
 
 const (
@@ -32,14 +35,15 @@
 	gen    *call.Generation
 	answer *answer
 	place  Place
+	clock  clockwork.Clock
 	number call.Attempt
 	// priority is passed to the engine; higher goes first.
 	priority int
 }
 
-// result is how an attempt ended, and why.
+// result is how an attempt ended, and why, in words for the caller.
 type result struct {
-	ending Ending
+	retry  retry.Result
 	reason outcome.Reason
 	detail string
 }
@@ -50,12 +54,12 @@
 func (a *attempt) run(ctx context.Context, client *http.Client) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := time.AfterFunc(acceptTimeout, func() { cancel(errSilent) })
+	watch := a.clock.AfterFunc(acceptTimeout, func() { cancel(errSilent) })
 	defer watch.Stop()
 
 	request, err := a.request(ctx)
 	if err != nil {
-		return result{EndingNotSent, outcome.ReasonTargetFailed, err.Error()}
+		return result{retry.NotSent{Err: err}, outcome.ReasonTargetFailed, err.Error()}
 	}
 	response, err := client.Do(request)
 	if err != nil {
@@ -66,16 +70,16 @@
 		return a.refusal(response)
 	}
 	if err := a.checkHeaders(response.Header); err != nil {
-		return result{EndingBroken, outcome.ReasonWrongAnswer, err.Error()}
+		return a.broken(outcome.ReasonWrongAnswer, err.Error())
 	}
-	watch.Reset(time.Until(a.firstTokenLimit()))
+	watch.Reset(a.clock.Until(a.firstTokenLimit()))
 	return a.read(ctx, newEventReader(response.Body), watch)
 }
 
 // firstTokenLimit returns when the first event must have come.
 func (a *attempt) firstTokenLimit() time.Time {
 	if a.answer.next > 0 {
-		return time.Now().Add(stallTimeout)
+		return a.clock.Now().Add(stallTimeout)
 	}
 	return a.call.Deadline
 }
@@ -99,12 +103,12 @@
 
 func (a *attempt) sendFailure(ctx context.Context, err error) result {
 	if left := callerLeft(ctx); left {
-		return result{EndingCancelled, outcome.ReasonCallerLeft, "the caller left"}
+		return cancelled("the caller left")
 	}
 	if isDialError(err) {
-		return result{EndingNotSent, outcome.ReasonTargetFailed, "the engine can't be reached"}
+		return result{retry.NotSent{Err: err}, outcome.ReasonTargetFailed, "the engine can't be reached"}
 	}
-	return result{EndingBroken, outcome.ReasonTargetFailed, "the engine did not answer"}
+	return result{retry.SentNoAnswer{Err: err}, outcome.ReasonTargetFailed, "the engine did not answer"}
 }
 
 // callerLeft reports whether the context ended for another reason than a
@@ -119,16 +123,39 @@
 	var body errorBody
 	_ = json.Unmarshal(text, &body) // a refusal without a body is one all the same
 	switch response.StatusCode {
-	case http.StatusNotFound, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return result{EndingRefused, outcome.ReasonNoTarget, body.Error.Message}
+	case http.StatusNotFound:
+		return refused(retry.RefusalNotLoaded, body.Error.Message)
+	case http.StatusTooManyRequests:
+		return refused(retry.RefusalQueueFull, body.Error.Message)
+	case http.StatusServiceUnavailable:
+		return refused(retry.RefusalLeaving, body.Error.Message)
 	case http.StatusBadRequest:
-		return result{EndingRefused, outcome.ReasonBadRequest, body.Error.Message}
+		return result{retry.Answered{Status: response.StatusCode}, outcome.ReasonBadRequest, body.Error.Message}
 	default:
 		detail := fmt.Sprintf("the engine answered with status %d", response.StatusCode)
-		return result{EndingBroken, outcome.ReasonTargetFailed, detail}
+		return a.broken(outcome.ReasonTargetFailed, detail)
 	}
 }
 
+func refused(refusal retry.Refusal, detail string) result {
+	return result{retry.RefusedNotRun{Refusal: refusal}, outcome.ReasonNoTarget, detail}
+}
+
+func cancelled(detail string) result {
+	return result{retry.Cancelled{}, outcome.ReasonCallerLeft, detail}
+}
+
+// broken says that the answer ended before its finish.
+func (a *attempt) broken(reason outcome.Reason, detail string) result {
+	return result{
+		retry:  retry.Broken{NextToken: a.answer.next, Err: errors.New(detail)},
+		reason: reason,
+		detail: detail,
+	}
+}
+
+func ended(r result) *result { return &r }
+
 func (a *attempt) checkHeaders(header http.Header) error {
 	if got := header.Get("X-Request-Id"); got != string(a.call.ID) {
 		return fmt.Errorf("the engine answered request %q instead of %q", got, a.call.ID)
@@ -140,7 +167,7 @@
 }
 
 // read passes events on until the stream ends.
-func (a *attempt) read(ctx context.Context, events *eventReader, watch *time.Timer) result {
+func (a *attempt) read(ctx context.Context, events *eventReader, watch clockwork.Timer) result {
 	for {
 		next, err := events.Next()
 		if err != nil {
@@ -158,29 +185,29 @@
 
 func (a *attempt) readFailure(ctx context.Context, err error) result {
 	if callerLeft(ctx) {
-		return result{EndingCancelled, outcome.ReasonCallerLeft, "the caller left"}
+		return cancelled("the caller left")
 	}
-	return result{EndingBroken, outcome.ReasonShortAnswer, "the engine's answer broke off: " + err.Error()}
+	return a.broken(outcome.ReasonShortAnswer, "the engine's answer broke off: "+err.Error())
 }
 
 // take checks one event and passes it on. It returns nil to read on.
 func (a *attempt) take(next event) *result {
 	c, err := parseChunk(next.Data)
 	if err != nil {
-		return &result{EndingBroken, outcome.ReasonWrongAnswer, err.Error()}
+		return ended(a.broken(outcome.ReasonWrongAnswer, err.Error()))
 	}
 	if c.Error != nil {
-		return &result{EndingBroken, outcome.ReasonTargetFailed, c.Error.Message}
+		return ended(a.broken(outcome.ReasonTargetFailed, c.Error.Message))
 	}
-	now := time.Now()
+	now := a.clock.Now()
 	if c.text() != "" {
 		if err := a.checkToken(next.ID); err != nil {
-			return &result{EndingBroken, outcome.ReasonWrongAnswer, err.Error()}
+			return ended(a.broken(outcome.ReasonWrongAnswer, err.Error()))
 		}
 		a.answer.token(now)
 	}
 	if err := a.answer.add(&c); err != nil {
-		return &result{EndingCancelled, outcome.ReasonCallerLeft, "the caller stopped reading"}
+		return ended(cancelled("the caller stopped reading"))
 	}
 	return nil
 }
@@ -200,14 +227,14 @@
 // finish ends a whole answer. One without a finish reason is not whole.
 func (a *attempt) finish() result {
 	if a.answer.reason == "" {
-		return result{EndingBroken, outcome.ReasonShortAnswer, "the engine's answer has no finish reason"}
+		return a.broken(outcome.ReasonShortAnswer, "the engine's answer has no finish reason")
 	}
 	if u := a.answer.usage; u != nil && int(u.CompletionTokens) != a.answer.next {
 		detail := fmt.Sprintf("the engine counted %d tokens and sent %d", u.CompletionTokens, a.answer.next)
-		return result{EndingBroken, outcome.ReasonShortAnswer, detail}
+		return a.broken(outcome.ReasonShortAnswer, detail)
 	}
 	if err := a.answer.end(); err != nil {
-		return result{EndingCancelled, outcome.ReasonCallerLeft, "the caller stopped reading"}
+		return cancelled("the caller stopped reading")
 	}
-	return result{ending: EndingServed}
+	return result{retry: retry.Answered{Status: http.StatusOK}}
 }
--- a/openai/generator.go
+++ b/openai/generator.go
@@ -7,15 +7,19 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"hawthornway/call"
 	"hawthornway/outcome"
+	"hawthornway/retry"
 	"hawthornway/target"
 )
 
 const (
-	// maxAttempts bounds the sendings of one generation.
-	maxAttempts = 4
 	dialTimeout = 500 * time.Millisecond
+	// resumeBound is the time after the deadline in which an answer that broke
+	// off may be resumed.
+	resumeBound = 5 * time.Minute
 )
 
 // Generator serves generations by sending them to engines.
@@ -26,13 +30,15 @@
 
 type generator struct {
 	placer Placer
+	budget retry.Budget
+	clock  clockwork.Clock
 	client *http.Client
 	// priority returns the engine priority of a call.
 	priority func(c *call.Call) int
 }
 
 // NewGenerator returns a new Generator that places attempts with placer.
-func NewGenerator(placer Placer, priority func(c *call.Call) int) Generator {
+func NewGenerator(placer Placer, budget retry.Budget, clock clockwork.Clock, priority func(c *call.Call) int) Generator {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 64,
@@ -41,6 +47,8 @@
 	}
 	return &generator{
 		placer:   placer,
+		budget:   budget,
+		clock:    clock,
 		client:   &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 		priority: priority,
 	}
@@ -52,66 +60,90 @@
 // served it to its end. Each goes on where the one before broke off.
 func (g *generator) Generate(ctx context.Context, c *call.Call) outcome.Outcome {
 	gen := c.Subject.(*call.Generation)
-	whole := newAnswer(c, gen, time.Now())
+	attempts := retry.NewCall(g.clock, g.budget, g.retryUntil(c), retry.WithIdempotent())
+	whole := newAnswer(c, gen, g.clock.Now())
 	var tried []target.ID
-	last := result{ending: EndingNotSent}
-	ran := false
-	for number := call.Attempt(1); number <= maxAttempts; number++ {
+	var last result
+	for number := call.Attempt(1); ; number++ {
 		place, refused := g.placer.Place(ctx, c, gen, tried)
 		if refused != nil {
-			return afterRefusal(ran, last, *refused)
+			return g.placeRefused(ctx, last, *refused)
 		}
 		c.Trace.Sent(place.Target, place.Domain, number, place.Cold)
 		one := &attempt{
-			call: c, gen: gen, answer: whole,
+			call: c, gen: gen, answer: whole, clock: g.clock,
 			place: place, number: number, priority: g.priority(c),
 		}
 		last = one.run(ctx, g.client)
-		place.Done(last.ending)
-		ran = ran || last.mayHaveRun()
-		tried = append(tried, place.Target)
-		if last.final() || !g.placer.Retry(c, last.ending) {
-			break
+		place.Done(last.retry)
+		if end := g.next(ctx, attempts, last); end != nil {
+			return end
 		}
+		tried = append(tried, place.Target)
 	}
-	return ended(ctx, ran, last)
 }
 
-func (r result) mayHaveRun() bool {
-	return r.ending != EndingNotSent && r.ending != EndingRefused
+// retryUntil returns until when attempts may begin. An answer that has begun is
+// resumed after the deadline as well, since that bounds its first token only.
+func (g *generator) retryUntil(c *call.Call) time.Time {
+	return c.Deadline.Add(resumeBound)
 }
 
-// final reports whether no other replica could do better.
-func (r result) final() bool {
-	switch r.ending {
-	case EndingServed, EndingCancelled:
-		return true
+// next returns the outcome after an attempt, or nil to try once more.
+func (g *generator) next(ctx context.Context, attempts *retry.Call, last result) outcome.Outcome {
+	switch r := last.retry.(type) {
+	case retry.Cancelled:
+		return cancelledOutcome(ctx, last)
+	case retry.Answered:
+		if r.Status == http.StatusOK {
+			return outcome.Served{}
+		}
+		return outcome.NotRun{Reason: last.reason, Detail: last.detail}
+	}
+	switch decision := attempts.Next(last.retry).(type) {
+	case retry.Stop:
+		return explain(decision.Outcome, last)
 	default:
-		return r.reason == outcome.ReasonBadRequest
+		return nil
 	}
 }
 
-func afterRefusal(ran bool, last result, refused outcome.NotRun) outcome.Outcome {
-	if !ran {
+// placeRefused ends a call for which no further replica was found.
+func (g *generator) placeRefused(ctx context.Context, last result, refused outcome.NotRun) outcome.Outcome {
+	if ctx.Err() != nil {
+		return cancelledOutcome(ctx, last)
+	}
+	switch last.retry.(type) {
+	case nil, retry.NotSent, retry.RefusedNotRun:
 		return refused
+	default:
+		return outcome.Unknown{Reason: last.reason, Detail: last.detail}
 	}
-	return outcome.Unknown{Reason: last.reason, Detail: last.detail}
 }
 
-func ended(ctx context.Context, ran bool, last result) outcome.Outcome {
-	if last.ending == EndingServed {
-		return outcome.Served{}
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		var revoked *call.RevokedError
-		if errors.As(cause, &revoked) {
-			last.reason, last.detail = outcome.ReasonKeyWithdrawn, revoked.Error()
+// explain adds the engine's own words to an outcome.
+func explain(ended outcome.Outcome, last result) outcome.Outcome {
+	switch o := ended.(type) {
+	case outcome.Unknown:
+		o.Reason, o.Detail = last.reason, last.detail
+		return o
+	case outcome.NotRun:
+		if last.detail != "" {
+			o.Detail = last.detail
 		}
+		return o
+	default:
+		return ended
 	}
-	if ran {
-		return outcome.Unknown{Reason: last.reason, Detail: last.detail}
+}
+
+// cancelledOutcome tells a withdrawn key from a caller that left.
+func cancelledOutcome(ctx context.Context, last result) outcome.Outcome {
+	var revoked *call.RevokedError
+	if errors.As(context.Cause(ctx), &revoked) {
+		return outcome.Unknown{Reason: outcome.ReasonKeyWithdrawn, Detail: revoked.Error()}
 	}
-	return outcome.NotRun{Reason: last.reason, Detail: last.detail, RetryAfter: time.Second}
+	return outcome.Unknown{Reason: outcome.ReasonCallerLeft, Detail: last.detail}
 }
 
 func isDialError(err error) bool {
--- a/service/forward.go
+++ b/service/forward.go
@@ -13,15 +13,16 @@
 	"strconv"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"hawthornway/call"
 	"hawthornway/fleet"
 	"hawthornway/outcome"
+	"hawthornway/retry"
 	"hawthornway/target"
 )
 
 const (
-	// maxAttempts bounds the sendings of one call.
-	maxAttempts = 3
 	dialTimeout = 500 * time.Millisecond
 	// MaxAnswerBytes bounds an answer that is kept whole for a claim.
 	MaxAnswerBytes = 64 << 10
@@ -34,28 +35,14 @@
 	Domain  fleet.DomainID
 	Address string
 	// Done takes the end of the attempt, exactly once.
-	Done func(Ending)
+	Done func(retry.Result)
 }
 
-// Ending is how one attempt ended.
-type Ending int
-
-// The endings of an attempt.
-const (
-	EndingServed Ending = iota
-	EndingNotSent
-	EndingRefused
-	EndingBroken
-	EndingCancelled
-)
-
 // Placer finds a service for each attempt.
 type Placer interface {
 	// Place returns a service of the route's pool. Tried lists the targets that
 	// failed this call.
 	Place(ctx context.Context, c *call.Call, route *call.Service, tried []target.ID) (Place, *outcome.NotRun)
-	// Retry reports whether another attempt may be made after an ending.
-	Retry(c *call.Call, ending Ending) bool
 }
 
 // Forwarder passes calls on to plain services.
@@ -66,6 +53,8 @@
 
 type forwarder struct {
 	placer Placer
+	budget retry.Budget
+	clock  clockwork.Clock
 	// pooled reuses connections; it serves idempotent calls only, since the
 	// HTTP library may repeat a request on its own when a reused connection
 	// breaks.
@@ -76,9 +65,11 @@
 }
 
 // NewForwarder returns a new Forwarder that places attempts with placer.
-func NewForwarder(placer Placer) Forwarder {
+func NewForwarder(placer Placer, budget retry.Budget, clock clockwork.Clock) Forwarder {
 	return &forwarder{
 		placer: placer,
+		budget: budget,
+		clock:  clock,
 		pooled: newClient(false),
 		fresh:  newClient(true),
 	}
@@ -102,59 +93,66 @@
 	route := c.Subject.(*call.Service)
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
+	attempts := f.attempts(c, route)
 	var tried []target.ID
-	var last outcome.Outcome
-	for number := call.Attempt(1); number <= maxAttempts; number++ {
+	var last sent
+	for number := call.Attempt(1); ; number++ {
 		place, refused := f.placer.Place(ctx, c, route, tried)
 		if refused != nil {
-			return firstOf(last, *refused)
+			return last.orElse(*refused)
 		}
 		c.Trace.Sent(place.Target, place.Domain, number, false)
-		ending, ended := f.send(ctx, c, route, place, number)
-		place.Done(ending)
-		last = worse(last, ended)
-		if !again(route, ending) || !f.placer.Retry(c, ending) {
-			return last
+		last = f.send(ctx, c, route, place, number)
+		place.Done(last.result)
+		if end := next(attempts, last); end != nil {
+			return end
 		}
 		tried = append(tried, place.Target)
 	}
-	return last
 }
 
-// firstOf prefers what an earlier attempt left over a refusal.
-func firstOf(last outcome.Outcome, refused outcome.NotRun) outcome.Outcome {
-	if _, ok := last.(outcome.Unknown); ok {
-		return last
+func (f *forwarder) attempts(c *call.Call, route *call.Service) *retry.Call {
+	if route.Route.Idempotent {
+		return retry.NewCall(f.clock, f.budget, c.Deadline, retry.WithIdempotent())
 	}
-	return refused
+	return retry.NewCall(f.clock, f.budget, c.Deadline)
 }
 
-// worse keeps an unknown outcome of an earlier attempt, unless a later one was
-// served.
-func worse(last, ended outcome.Outcome) outcome.Outcome {
-	_, wasUnknown := last.(outcome.Unknown)
-	_, isNotRun := ended.(outcome.NotRun)
-	if wasUnknown && isNotRun {
-		return last
+// sent is how one sending ended.
+type sent struct {
+	result  retry.Result
+	outcome outcome.Outcome
+}
+
+// orElse prefers what an earlier sending left over a refusal.
+func (s sent) orElse(refused outcome.NotRun) outcome.Outcome {
+	if unknown, ok := s.outcome.(outcome.Unknown); ok {
+		return unknown
 	}
-	return ended
+	return refused
 }
 
-func again(route *call.Service, ending Ending) bool {
-	switch ending {
-	case EndingNotSent, EndingRefused:
-		return true
-	case EndingBroken:
-		return route.Route.Idempotent
-	default:
-		return false
+// next returns the outcome after a sending, or nil to try once more.
+func next(attempts *retry.Call, last sent) outcome.Outcome {
+	switch last.result.(type) {
+	case retry.Answered, retry.Cancelled:
+		return last.outcome
 	}
+	stop, ok := attempts.Next(last.result).(retry.Stop)
+	if !ok {
+		return nil
+	}
+	_, unknown := last.outcome.(outcome.Unknown)
+	if _, stopUnknown := stop.Outcome.(outcome.Unknown); stopUnknown == unknown {
+		return last.outcome
+	}
+	return stop.Outcome
 }
 
-func (f *forwarder) send(ctx context.Context, c *call.Call, route *call.Service, place Place, number call.Attempt) (Ending, outcome.Outcome) {
+func (f *forwarder) send(ctx context.Context, c *call.Call, route *call.Service, place Place, number call.Attempt) sent {
 	request, err := newRequest(ctx, c, place, number)
 	if err != nil {
-		return EndingNotSent, outcome.NotRun{Reason: outcome.ReasonBadRequest, Detail: err.Error()}
+		return sent{retry.NotSent{Err: err}, outcome.NotRun{Reason: outcome.ReasonBadRequest, Detail: err.Error()}}
 	}
 	client := f.fresh
 	if route.Route.Idempotent {
@@ -167,11 +165,17 @@
 	defer func() { _ = response.Body.Close() }()
 	if got := response.Header.Get("X-Request-Id"); got != "" && got != string(c.ID) {
 		detail := fmt.Sprintf("target %q answered request %q instead of %q", place.Target, got, c.ID)
-		return EndingBroken, outcome.Unknown{Reason: outcome.ReasonWrongAnswer, Detail: detail}
+		return sent{
+			retry.Broken{Err: errors.New(detail)},
+			outcome.Unknown{Reason: outcome.ReasonWrongAnswer, Detail: detail},
+		}
 	}
 	if response.Header.Get("Hawthornway-Not-Run") == "true" {
 		detail := fmt.Sprintf("target %q refused the call", place.Target)
-		return EndingRefused, outcome.NotRun{Reason: outcome.ReasonNoTarget, Detail: detail}
+		return sent{
+			retry.RefusedNotRun{Refusal: retry.RefusalLeaving},
+			outcome.NotRun{Reason: outcome.ReasonNoTarget, Detail: detail},
+		}
 	}
 	return answer(c, response, place)
 }
@@ -195,44 +199,52 @@
 	return request, nil
 }
 
-func sendFailure(ctx context.Context, place Place, err error) (Ending, outcome.Outcome) {
+func sendFailure(ctx context.Context, place Place, err error) sent {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		detail := fmt.Sprintf("target %q can't be reached", place.Target)
-		return EndingNotSent, outcome.NotRun{Reason: outcome.ReasonNoTarget, Detail: detail}
+		return sent{retry.NotSent{Err: err}, outcome.NotRun{Reason: outcome.ReasonNoTarget, Detail: detail}}
 	}
 	detail := fmt.Sprintf("target %q did not answer; it may have run the call", place.Target)
 	unknown := outcome.Unknown{Reason: outcome.ReasonTargetFailed, Detail: detail}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return EndingCancelled, unknown
+		return sent{retry.Cancelled{}, unknown}
 	}
-	return EndingBroken, unknown
+	return sent{retry.SentNoAnswer{Err: err}, unknown}
 }
 
 // answer reads a short answer whole before it passes it on, so that a truncated
 // one is never shown as whole. A longer one is passed on as it comes, and the
 // caller's connection is broken off when it ends early.
-func answer(c *call.Call, response *http.Response, place Place) (Ending, outcome.Outcome) {
+func answer(c *call.Call, response *http.Response, place Place) sent {
 	start, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
 	if err != nil {
-		return EndingBroken, brokenOff(place)
+		return sent{retry.Broken{Err: err}, brokenOff(place)}
 	}
-	c.Trace.FirstToken = time.Now()
-	header := c.Writer.Header()
-	copyHeader(header, response.Header)
-	header.Set(call.HeaderOutcome, outcome.Served{}.Header())
-	c.Writer.WriteHeader(response.StatusCode)
-	if _, err := c.Writer.Write(start); err != nil {
-		return EndingCancelled, outcome.Unknown{Reason: outcome.ReasonCallerLeft}
+	whole := len(start) <= MaxAnswerBytes
+	c.Answer = call.Answer{Status: response.StatusCode, Whole: whole, Body: start, Header: http.Header{}}
+	copyHeader(c.Answer.Header, response.Header)
+	if err := writeAnswer(c); err != nil {
+		return sent{retry.Cancelled{}, outcome.Unknown{Reason: outcome.ReasonCallerLeft}}
 	}
-	if len(start) <= MaxAnswerBytes {
-		return EndingServed, outcome.Served{}
+	answered := sent{retry.Answered{Status: response.StatusCode}, outcome.Served{}}
+	if whole {
+		return answered
 	}
 	if _, err := io.CopyBuffer(c.Writer, response.Body, make([]byte, copyBytes)); err != nil {
 		c.Writer.Break()
-		return EndingBroken, brokenOff(place)
+		return sent{retry.Cancelled{}, brokenOff(place)}
 	}
-	return EndingServed, outcome.Served{}
+	return answered
+}
+
+func writeAnswer(c *call.Call) error {
+	header := c.Writer.Header()
+	copyHeader(header, c.Answer.Header)
+	header.Set(call.HeaderOutcome, outcome.Served{}.Header())
+	c.Writer.WriteHeader(c.Answer.Status)
+	_, err := c.Writer.Write(c.Answer.Body)
+	return err
 }
 
 func brokenOff(place Place) outcome.Unknown {
