--- /dev/null
+++ b/claim/decision.go
@@ -0,0 +1,76 @@
+package claim
+
+import (
+	"net/http"
+
+	"hawthornway/outcome"
+)
+
+// Decision is one of Run, Replay and Refuse.
+type Decision interface{ sealed() }
+
+// Run says that the call may be sent, and by nobody else.
+type Run struct{ Claim Claim }
+
+// Replay says that an earlier call of the same content has ended with an
+// answer, which is to be given again.
+type Replay struct{ Answer Answer }
+
+// Refuse says that this call must not be sent.
+type Refuse struct {
+	// Status is the HTTP status for the caller: 409, 422 or 503.
+	Status  int
+	Outcome outcome.Outcome
+}
+
+func (Run) sealed()    {}
+func (Replay) sealed() {}
+func (Refuse) sealed() {}
+
+// Answer is a target's whole answer.
+type Answer struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+}
+
+func refuseUnsafe() Refuse {
+	return Refuse{
+		Status: http.StatusServiceUnavailable,
+		Outcome: outcome.NotRun{
+			Reason:     outcome.ReasonClaimUnsafe,
+			RetryAfter: longestPause,
+			Detail:     "the call was not sent, since it could not be claimed",
+		},
+	}
+}
+
+func refuseRunning() Refuse {
+	return Refuse{
+		Status: http.StatusConflict,
+		Outcome: outcome.Unknown{
+			Reason: outcome.ReasonClaimed,
+			Detail: "an earlier call with this Idempotency-Key has not ended, or its end is not known",
+		},
+	}
+}
+
+func refuseOther() Refuse {
+	return Refuse{
+		Status: http.StatusUnprocessableEntity,
+		Outcome: outcome.NotRun{
+			Reason: outcome.ReasonClaimed,
+			Detail: "the Idempotency-Key was used with another request",
+		},
+	}
+}
+
+func refuseUnstored() Refuse {
+	return Refuse{
+		Status: http.StatusConflict,
+		Outcome: outcome.Unknown{
+			Reason: outcome.ReasonClaimed,
+			Detail: "an earlier call with this Idempotency-Key was answered; its answer was too large to be kept",
+		},
+	}
+}
--- /dev/null
+++ b/fair/fair.go
@@ -0,0 +1,2 @@
+// Package fair orders waiting requests by what each team is owed.
+package fair
