--- a/openai/error.go
+++ b/openai/error.go
@@ -36,6 +36,7 @@
 	outcome.ReasonRate:         http.StatusTooManyRequests,
 	outcome.ReasonQueueFull:    http.StatusTooManyRequests,
 	outcome.ReasonClaimed:      http.StatusConflict,
+	outcome.ReasonKeyReused:    http.StatusUnprocessableEntity,
 	outcome.ReasonTargetFailed: http.StatusBadGateway,
 	outcome.ReasonWrongAnswer:  http.StatusBadGateway,
 	outcome.ReasonShortAnswer:  http.StatusBadGateway,
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -57,6 +57,7 @@
 	ReasonStarting      Reason = "starting"
 	ReasonTooLarge      Reason = "too-large"
 	ReasonLedgerMissing Reason = "ledger-missing"
+	ReasonKeyReused     Reason = "key-reused"
 )
 
 // Header returns "served".
