--- /dev/null
+++ b/service/client.go
@@ -0,0 +1,50 @@
+// Package service reads the load reports of plain services. Callers' requests
+// don't pass through it.
+package service
+
+import (
+	"context"
+	"time"
+
+	"hawthornway/jsonhttp"
+)
+
+// DefaultTimeout bounds a call.
+const DefaultTimeout = time.Second
+
+// Report is a plain service's load.
+type Report struct {
+	Running int
+	Slots   int
+	Leaving bool
+}
+
+// Client reads a service's load.
+type Client interface {
+	// Report returns the load. It fails with jsonhttp.ErrNotSent,
+	// jsonhttp.ErrUnanswered or a *jsonhttp.StatusError.
+	Report(ctx context.Context) (Report, error)
+}
+
+type client struct {
+	caller *jsonhttp.Caller
+}
+
+// NewClient returns a new Client of the service at address, an IP number and
+// port.
+func NewClient(address string) Client {
+	return &client{caller: jsonhttp.NewCaller(address)}
+}
+
+type wireReport struct {
+	Running int  `json:"running"`
+	Slots   int  `json:"slots"`
+	Leaving bool `json:"leaving"`
+}
+
+// Report returns the load.
+func (c *client) Report(ctx context.Context) (Report, error) {
+	var wire wireReport
+	err := c.caller.Get(ctx, "/report", nil, DefaultTimeout, &wire)
+	return Report(wire), err
+}
