--- a/service/client.go
+++ b/service/client.go
@@ -1,5 +1,3 @@
-// Package service reads the load reports of plain services. Callers' requests
-// don't pass through it.
 package service
 
 import (
