Carry messages between hosts over WebSocket and CBOR

Cause: peer.New had no links. Ruled out: two links a pair (twice the heartbeats); a reader that waits for handlers (an answer could wait behind a call in the other direction). Change: links with handshake (HMAC over both hellos), heartbeats, deadlines, call numbers, bounded queues, on-demand dials; tests run the real WebSocket stack over in-memory connections in virtual time. Conclusion: ErrNotSent is given only for frames that the writer never took.

--- /dev/null
+++ b/peer/choose.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornway/fleet"
+)
+
+// chooseLinks returns the members that a host keeps links to: all of its own
+// domain, all addresses whose host isn't known yet, and a few of each other
+// domain by rendezvous hashing, so that a host's links don't grow with the
+// hosts of other domains.
+func chooseLinks(self fleet.Member, members []fleet.Member) []fleet.Member {
+	var chosen []fleet.Member
+	far := map[fleet.DomainID][]fleet.Member{}
+	for _, m := range members {
+		switch {
+		case m.Host == self.Host || m.PeerAddress == self.PeerAddress:
+		case m.Host == "" || m.Domain == self.Domain:
+			chosen = append(chosen, m)
+		default:
+			far[m.Domain] = append(far[m.Domain], m)
+		}
+	}
+	for _, there := range far {
+		slices.SortFunc(there, func(a, b fleet.Member) int {
+			return cmp.Compare(linkScore(self.Host, b.Host), linkScore(self.Host, a.Host))
+		})
+		chosen = append(chosen, there[:min(linksPerDomain, len(there))]...)
+	}
+	return chosen
+}
+
+func linkScore(from, to fleet.HostID) uint64 {
+	return xxhash.Sum64String(string(from) + "\x00" + string(to))
+}
--- /dev/null
+++ b/peer/count.go
@@ -0,0 +1,43 @@
+package peer
+
+import "sync/atomic"
+
+// Counts is the traffic of a host's links since its start.
+type Counts struct {
+	SentFrames     int64
+	SentBytes      int64
+	ReceivedFrames int64
+	ReceivedBytes  int64
+	// UnmatchedAnswers counts answers that came too late or to no call.
+	UnmatchedAnswers int64
+	// DroppedNotices counts notices that came faster than they were handled.
+	DroppedNotices int64
+}
+
+type counter struct {
+	sentFrames, sentBytes         atomic.Int64
+	receivedFrames, receivedBytes atomic.Int64
+	unmatchedAnswers              atomic.Int64
+	droppedNotices                atomic.Int64
+}
+
+func (c *counter) sent(size int) {
+	c.sentFrames.Add(1)
+	c.sentBytes.Add(int64(size))
+}
+
+func (c *counter) received(size int) {
+	c.receivedFrames.Add(1)
+	c.receivedBytes.Add(int64(size))
+}
+
+func (c *counter) counts() Counts {
+	return Counts{
+		SentFrames:       c.sentFrames.Load(),
+		SentBytes:        c.sentBytes.Load(),
+		ReceivedFrames:   c.receivedFrames.Load(),
+		ReceivedBytes:    c.receivedBytes.Load(),
+		UnmatchedAnswers: c.unmatchedAnswers.Load(),
+		DroppedNotices:   c.droppedNotices.Load(),
+	}
+}
--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/coder/websocket"
+	"github.com/gravitational/trace"
+
+	"hawthornway/fleet"
+)
+
+// protocolVersion numbers the protocol between hosts. A host understands its
+// own version and both neighbours.
+type protocolVersion uint
+
+const version protocolVersion = 1
+
+const nonceBytes = 32
+
+// understands reports whether a host of this version can speak with one of the
+// other.
+func (v protocolVersion) understands(other protocolVersion) bool {
+	return other+1 >= v && other <= v+1
+}
+
+// side tells the two ends of a link apart in their proofs, so that neither can
+// be answered with its own.
+type side string
+
+const (
+	sideDialler  side = "hawthornway-dialler"
+	sideAcceptor side = "hawthornway-acceptor"
+)
+
+// handshake exchanges hellos and proofs of the cluster's secret over a new
+// connection, and returns the member at its other end.
+type handshake struct {
+	conn   *websocket.Conn
+	self   fleet.Member
+	secret []byte
+}
+
+// dial shakes hands as the end that opened the connection.
+func (h handshake) dial(ctx context.Context) (fleet.Member, error) {
+	mine, err := h.sendHello(ctx)
+	if err != nil {
+		return fleet.Member{}, trace.Wrap(err)
+	}
+	theirs, peer, err := h.readHello(ctx)
+	if err != nil {
+		return fleet.Member{}, trace.Wrap(err)
+	}
+	if err := h.check(ctx, sideAcceptor, mine, theirs); err != nil {
+		return fleet.Member{}, trace.Wrap(err)
+	}
+	return peer, trace.Wrap(h.prove(ctx, sideDialler, mine, theirs))
+}
+
+// accept shakes hands as the end that was dialled.
+func (h handshake) accept(ctx context.Context) (fleet.Member, error) {
+	theirs, peer, err := h.readHello(ctx)
+	if err != nil {
+		return fleet.Member{}, trace.Wrap(err)
+	}
+	mine, err := h.sendHello(ctx)
+	if err != nil {
+		return fleet.Member{}, trace.Wrap(err)
+	}
+	if err := h.prove(ctx, sideAcceptor, theirs, mine); err != nil {
+		return fleet.Member{}, trace.Wrap(err)
+	}
+	return peer, trace.Wrap(h.check(ctx, sideDialler, theirs, mine))
+}
+
+func (h handshake) sendHello(ctx context.Context) ([]byte, error) {
+	nonce := make([]byte, nonceBytes)
+	if _, err := rand.Read(nonce); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	frame, err := encodeFrame(hello{Version: version, Member: wireMember(h.self), Nonce: nonce})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return frame, trace.Wrap(h.conn.Write(ctx, websocket.MessageBinary, frame))
+}
+
+func (h handshake) readHello(ctx context.Context) ([]byte, fleet.Member, error) {
+	frame, m, err := h.read(ctx)
+	if err != nil {
+		return nil, fleet.Member{}, trace.Wrap(err)
+	}
+	theirs, ok := m.(hello)
+	if !ok {
+		return nil, fleet.Member{}, trace.BadParameter("first frame is not a hello")
+	}
+	if !version.understands(theirs.Version) {
+		return nil, fleet.Member{}, trace.BadParameter("protocol version %d is not a neighbour of %d", theirs.Version, version)
+	}
+	if len(theirs.Nonce) != nonceBytes || theirs.Member.Host == "" {
+		return nil, fleet.Member{}, trace.BadParameter("hello lacks a host or a nonce")
+	}
+	return frame, fleet.Member(theirs.Member), nil
+}
+
+func (h handshake) prove(ctx context.Context, by side, dialler, acceptor []byte) error {
+	frame, err := encodeFrame(proof{mac: h.mac(by, dialler, acceptor)})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(h.conn.Write(ctx, websocket.MessageBinary, frame))
+}
+
+func (h handshake) check(ctx context.Context, by side, dialler, acceptor []byte) error {
+	_, m, err := h.read(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	theirs, ok := m.(proof)
+	if !ok || !hmac.Equal(theirs.mac, h.mac(by, dialler, acceptor)) {
+		return trace.AccessDenied("peer doesn't know the cluster's secret")
+	}
+	return nil
+}
+
+func (h handshake) read(ctx context.Context) ([]byte, message, error) {
+	_, frame, err := h.conn.Read(ctx)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	m, err := decodeFrame(frame)
+	return frame, m, trace.Wrap(err)
+}
+
+// mac covers the side and both hellos, and with them both nonces and members.
+func (h handshake) mac(by side, dialler, acceptor []byte) []byte {
+	mac := hmac.New(sha256.New, h.secret)
+	mac.Write([]byte(by))
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(dialler)))
+	mac.Write(size[:])
+	mac.Write(dialler)
+	mac.Write(acceptor)
+	return mac.Sum(nil)
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,372 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/gravitational/trace"
+
+	"hawthornway/fleet"
+)
+
+// link is one connection to a peer after the handshake.
+type link struct {
+	links *Links
+	conn  *websocket.Conn
+	peer  fleet.Member
+	// dialled says that this host opened the connection.
+	dialled bool
+	wake    chan struct{}
+	notices chan notice
+	serving chan struct{}
+	stop    context.CancelFunc
+	done    chan struct{}
+
+	mu       sync.Mutex
+	closed   bool
+	queue    []outgoing
+	calls    map[callNumber]*call
+	number   callNumber
+	heardAt  time.Time
+	lastUsed time.Time
+}
+
+// outgoing is one frame that waits to be written. Call is nil for all frames
+// but requests.
+type outgoing struct {
+	frame []byte
+	call  *call
+}
+
+// call waits for its answer.
+type call struct {
+	kind Kind
+	// taken says that the writer took the frame, so that the peer may get it.
+	taken bool
+	// given up says that the caller left before the frame was taken.
+	givenUp  bool
+	answered chan answered
+}
+
+type answered struct {
+	body []byte
+	err  error
+}
+
+func newLink(links *Links, conn *websocket.Conn, peer fleet.Member, dialled bool) *link {
+	now := links.clock.Now()
+	return &link{
+		links:    links,
+		conn:     conn,
+		peer:     peer,
+		dialled:  dialled,
+		wake:     make(chan struct{}, 1),
+		notices:  make(chan notice, noticeQueue),
+		serving:  make(chan struct{}, maxServing),
+		done:     make(chan struct{}),
+		calls:    map[callNumber]*call{},
+		heardAt:  now,
+		lastUsed: now,
+	}
+}
+
+// start runs the link until its connection ends or stop is called.
+func (ln *link) start(ctx context.Context) {
+	ctx, ln.stop = context.WithCancel(ctx)
+	go ln.run(ctx)
+}
+
+func (ln *link) run(ctx context.Context) {
+	defer close(ln.done)
+	var running sync.WaitGroup
+	running.Go(func() { ln.write(ctx) })
+	running.Go(func() { ln.beat(ctx) })
+	running.Go(func() { ln.takeNotices(ctx) })
+	ln.read(ctx)
+	ln.stop()
+	_ = ln.conn.CloseNow()
+	ln.close()
+	running.Wait()
+	ln.links.drop(ln)
+}
+
+// beat sends heartbeats and stops the link when the peer is silent, or when
+// nobody needs the link any more.
+func (ln *link) beat(ctx context.Context) {
+	defer ln.stop()
+	ticker := ln.links.clock.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		if ln.silentFor() >= silenceDeadline || ln.isIdle() {
+			return
+		}
+		_ = ln.send(heartbeat{}, nil)
+	}
+}
+
+func (ln *link) silentFor() time.Duration {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.links.clock.Since(ln.heardAt)
+}
+
+// isIdle reports whether this host dialled the link for a call only, and has
+// made none for a while.
+func (ln *link) isIdle() bool {
+	if !ln.dialled || ln.links.wants(ln.peer.Host) {
+		return false
+	}
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return len(ln.calls) == 0 && ln.links.clock.Since(ln.lastUsed) >= idleDeadline
+}
+
+// send queues a frame, or fails with ErrNotSent.
+func (ln *link) send(m message, c *call) error {
+	frame, err := encodeFrame(m)
+	if err != nil {
+		return trace.Wrap(ErrNotSent, err.Error())
+	}
+	if len(frame) > maxFrameBytes {
+		return trace.Wrap(ErrNotSent, "frame of %d bytes is over %d", len(frame), maxFrameBytes)
+	}
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.closed || len(ln.queue) >= sendQueueFrames {
+		return trace.Wrap(ErrNotSent)
+	}
+	ln.queue = append(ln.queue, outgoing{frame: frame, call: c})
+	select {
+	case ln.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (ln *link) write(ctx context.Context) {
+	defer ln.stop()
+	for {
+		frame, ok := ln.take()
+		if !ok {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ln.wake:
+			}
+			continue
+		}
+		if err := ln.conn.Write(ctx, websocket.MessageBinary, frame); err != nil {
+			return
+		}
+		ln.links.count.sent(len(frame))
+	}
+}
+
+// take removes the next frame from the queue and passes over the requests whose
+// callers have left.
+func (ln *link) take() ([]byte, bool) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	for len(ln.queue) > 0 {
+		next := ln.queue[0]
+		ln.queue[0] = outgoing{}
+		ln.queue = ln.queue[1:]
+		if next.call == nil {
+			return next.frame, true
+		}
+		if next.call.givenUp {
+			continue
+		}
+		next.call.taken = true
+		return next.frame, true
+	}
+	ln.queue = nil
+	return nil, false
+}
+
+func (ln *link) read(ctx context.Context) {
+	for {
+		_, frame, err := ln.conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		ln.heard()
+		ln.links.count.received(len(frame))
+		m, err := decodeFrame(frame)
+		if err != nil {
+			ln.links.log.Warn("peer: frame refused, link closed", "peer", ln.peer, "error", err)
+			return
+		}
+		ln.receive(ctx, m)
+	}
+}
+
+func (ln *link) heard() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.heardAt = ln.links.clock.Now()
+}
+
+func (ln *link) receive(ctx context.Context, m message) {
+	switch m := m.(type) {
+	case request:
+		ln.serve(ctx, m)
+	case answer:
+		ln.answer(m.number, m.kind, answered{body: m.body})
+	case refusal:
+		err := &RemoteError{Host: ln.peer.Host, Kind: m.kind, Message: m.reason}
+		ln.answer(m.number, m.kind, answered{err: err})
+	case notice:
+		ln.queueNotice(m)
+	default:
+	}
+}
+
+// answer ends the call that an answer belongs to. An answer to no call, or of
+// another kind than its call, is dropped and counted.
+func (ln *link) answer(number callNumber, kind Kind, a answered) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	c := ln.calls[number]
+	if c == nil || c.kind != kind || !c.taken {
+		ln.links.count.unmatchedAnswers.Add(1)
+		return
+	}
+	delete(ln.calls, number)
+	c.answered <- a
+}
+
+// call sends a request and waits for its answer.
+func (ln *link) call(ctx context.Context, kind Kind, body []byte) ([]byte, error) {
+	c := &call{kind: kind, answered: make(chan answered, 1)}
+	number := ln.register(c)
+	r := request{number: number, kind: kind, remaining: remaining(ctx), body: body}
+	if err := ln.send(r, c); err != nil {
+		ln.forget(number)
+		return nil, trace.Wrap(err)
+	}
+	select {
+	case a := <-c.answered:
+		return a.body, a.err
+	case <-ctx.Done():
+		return nil, trace.Wrap(ln.giveUp(number, c))
+	}
+}
+
+func remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return defaultCallDeadline
+	}
+	return max(time.Until(deadline), time.Millisecond)
+}
+
+func (ln *link) register(c *call) callNumber {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.number++
+	ln.calls[ln.number] = c
+	ln.lastUsed = ln.links.clock.Now()
+	return ln.number
+}
+
+func (ln *link) forget(number callNumber) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	delete(ln.calls, number)
+}
+
+// giveUp leaves a call. A request that was not yet taken is not sent any more.
+func (ln *link) giveUp(number callNumber, c *call) error {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	delete(ln.calls, number)
+	if !c.taken {
+		c.givenUp = true
+		return ErrNotSent
+	}
+	return ErrUnanswered
+}
+
+// close ends all calls: those that were never taken as not sent.
+func (ln *link) close() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.closed = true
+	ln.queue = nil
+	for number, c := range ln.calls {
+		delete(ln.calls, number)
+		if c.taken {
+			c.answered <- answered{err: ErrUnanswered}
+			continue
+		}
+		c.answered <- answered{err: ErrNotSent}
+	}
+}
+
+// serve runs the handler of a request and answers it.
+func (ln *link) serve(ctx context.Context, r request) {
+	select {
+	case ln.serving <- struct{}{}:
+	default:
+		_ = ln.send(refusal{r.number, r.kind, "too many calls at once"}, nil)
+		return
+	}
+	ln.links.serving.Go(func() {
+		defer func() { <-ln.serving }()
+		ctx, cancel := context.WithTimeout(ctx, r.remaining)
+		defer cancel()
+		_ = ln.send(ln.reply(ctx, r), nil)
+	})
+}
+
+func (ln *link) reply(ctx context.Context, r request) message {
+	result, err := ln.links.handle(ctx, ln.peer, r.kind, r.body)
+	if err != nil {
+		return refusal{r.number, r.kind, trace.UserMessage(err)}
+	}
+	body, err := Encode(result)
+	if err != nil {
+		return refusal{r.number, r.kind, "answer can't be encoded"}
+	}
+	return answer{r.number, r.kind, body}
+}
+
+// queueNotice keeps notices in order without holding up the reader. It drops
+// and counts those beyond the queue.
+func (ln *link) queueNotice(m notice) {
+	select {
+	case ln.notices <- m:
+	default:
+		ln.links.count.droppedNotices.Add(1)
+	}
+}
+
+func (ln *link) takeNotices(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-ln.notices:
+			_, err := ln.links.handle(ctx, ln.peer, m.kind, m.body)
+			if err != nil {
+				ln.links.log.Debug("peer: notice refused", "peer", ln.peer, "kind", m.kind, "error", err)
+			}
+		}
+	}
+}
+
+// dialler returns the host that opened the link.
+func (ln *link) dialler() fleet.HostID {
+	if ln.dialled {
+		return ln.links.self.Host
+	}
+	return ln.peer.Host
+}
--- a/peer/links.go
+++ b/peer/links.go
@@ -1,66 +1,247 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
+	"sync"
 
+	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
 	"hawthornway/fleet"
 )
 
+// Path is the path of the peer listener that takes links.
+const Path = "/peer"
+
 // Links is the set of WebSocket links of this host. It implements Mesh.
 type Links struct {
 	self   fleet.Member
 	secret []byte
 	clock  clockwork.Clock
 	log    *slog.Logger
+	client *http.Client
+	count  counter
+
+	// ctx ends when Run returns; links and dials live under it.
+	ctx     context.Context
+	end     context.CancelFunc
+	serving sync.WaitGroup
+	wake    chan struct{}
+
+	mu       sync.Mutex
+	handlers map[Kind]Handler
+	links    map[fleet.HostID]*link
+	members  []fleet.Member
+	wanted   []fleet.Member
+	dials    map[string]*dial
+	redials  map[string]redial
 }
 
 // New returns a new Links. WithSelf and WithSecret are required.
 func New(opts ...Option) *Links {
 	l := &Links{
-		clock: clockwork.NewRealClock(),
-		log:   slog.Default(),
+		clock:    clockwork.NewRealClock(),
+		log:      slog.Default(),
+		client:   http.DefaultClient,
+		wake:     make(chan struct{}, 1),
+		handlers: map[Kind]Handler{},
+		links:    map[fleet.HostID]*link{},
+		dials:    map[string]*dial{},
+		redials:  map[string]redial{},
 	}
 	for _, opt := range opts {
 		opt(l)
 	}
+	l.ctx, l.end = context.WithCancel(context.Background())
 	return l
 }
 
 // Run keeps the links until the context ends.
 func (l *Links) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	ticker := l.clock.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		l.dialWanted()
+		select {
+		case <-ctx.Done():
+			l.shutDown()
+			return nil
+		case <-ticker.Chan():
+		case <-l.wake:
+		}
+	}
 }
 
-// ServeHTTP takes the links that other hosts dial. It is mounted at /peer.
-func (l *Links) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	http.Error(w, "no links yet", http.StatusServiceUnavailable)
+func (l *Links) shutDown() {
+	l.end()
+	l.mu.Lock()
+	links := make([]*link, 0, len(l.links))
+	for _, ln := range l.links {
+		links = append(links, ln)
+	}
+	l.mu.Unlock()
+	for _, ln := range links {
+		<-ln.done
+	}
+	l.serving.Wait()
 }
 
-// SetPeers replaces the members that links are kept to. A member without a host
-// is an address to dial first.
-func (l *Links) SetPeers(_ []fleet.Member) {}
+// ServeHTTP takes the links that other hosts dial. It is mounted at Path and
+// returns when the link ends.
+func (l *Links) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		l.log.Info("peer: connection refused", "error", err)
+		return
+	}
+	conn.SetReadLimit(maxFrameBytes)
+	ln, err := l.accept(conn)
+	if err != nil {
+		l.log.Warn("peer: link refused", "from", r.RemoteAddr, "error", err)
+		_ = conn.CloseNow()
+		return
+	}
+	<-ln.done
+}
+
+func (l *Links) accept(conn *websocket.Conn) (*link, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, dialDeadline)
+	defer cancel()
+	member, err := handshake{conn, l.self, l.secret}.accept(ctx)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return l.adopt(newLink(l, conn, member, false))
+}
+
+// adopt makes a link the one to its peer. A link to an older incarnation of
+// the peer is refused. Of two links that both hosts dialled at once, that of
+// the host first in order stays; any other new link replaces the old one.
+func (l *Links) adopt(ln *link) (*link, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ln.peer.Host == l.self.Host {
+		return nil, trace.BadParameter("peer has this host's own name")
+	}
+	if l.ctx.Err() != nil {
+		return nil, trace.Wrap(l.ctx.Err())
+	}
+	old := l.links[ln.peer.Host]
+	if old != nil && old.outranks(ln) {
+		return nil, trace.AlreadyExists("link to %v exists", ln.peer)
+	}
+	if old != nil {
+		old.stop()
+	}
+	l.links[ln.peer.Host] = ln
+	delete(l.redials, ln.peer.PeerAddress)
+	ln.start(l.ctx)
+	return ln, nil
+}
+
+// outranks reports whether the link stays when another to the same peer comes.
+func (ln *link) outranks(other *link) bool {
+	if ln.peer.Incarnation != other.peer.Incarnation {
+		return ln.peer.Incarnation > other.peer.Incarnation
+	}
+	fresh := ln.silentFor() < 2*heartbeatEvery
+	return fresh && ln.dialler() < other.dialler()
+}
+
+// drop forgets a link that has ended.
+func (l *Links) drop(ln *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.links[ln.peer.Host] == ln {
+		delete(l.links, ln.peer.Host)
+	}
+	l.poke()
+}
+
+func (l *Links) poke() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
 
 // Self returns this host's own membership.
 func (l *Links) Self() fleet.Member { return l.self }
 
 // Handle registers the handler of a kind, before Run.
-func (l *Links) Handle(_ Kind, _ Handler) {}
+func (l *Links) Handle(kind Kind, handler Handler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handlers[kind] = handler
+}
+
+func (l *Links) handle(ctx context.Context, from fleet.Member, kind Kind, body []byte) (any, error) {
+	l.mu.Lock()
+	handler := l.handlers[kind]
+	l.mu.Unlock()
+	if handler == nil {
+		return nil, trace.NotFound("kind %q is unknown", kind)
+	}
+	return handler(ctx, from, body)
+}
 
-// Call sends a request to a peer and decodes its answer into response.
-func (l *Links) Call(_ context.Context, _ fleet.HostID, _ Kind, _, _ any) error {
-	return trace.Wrap(ErrNotSent)
+// Call sends a request to a peer and decodes its answer into response. It dials
+// a peer that it has no link to.
+func (l *Links) Call(ctx context.Context, to fleet.HostID, kind Kind, request, response any) error {
+	ctx, cancel := context.WithTimeout(ctx, defaultCallDeadline)
+	defer cancel()
+	body, err := Encode(request)
+	if err != nil {
+		return trace.Wrap(ErrNotSent, err.Error())
+	}
+	ln, err := l.linkTo(ctx, to)
+	if err != nil {
+		return trace.Wrap(ErrNotSent, err.Error())
+	}
+	answer, err := ln.call(ctx, kind, body)
+	if err != nil || response == nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(Decode(answer, response))
 }
 
-// Notify sends a one-way message.
-func (l *Links) Notify(_ fleet.HostID, _ Kind, _ any) error {
-	return trace.Wrap(ErrNotSent)
+// Notify sends a one-way message over a live link.
+func (l *Links) Notify(to fleet.HostID, kind Kind, message any) error {
+	body, err := Encode(message)
+	if err != nil {
+		return trace.Wrap(ErrNotSent, err.Error())
+	}
+	ln := l.link(to)
+	if ln == nil {
+		return trace.Wrap(ErrNotSent)
+	}
+	return trace.Wrap(ln.send(notice{kind, body}, nil))
 }
 
 // Peers returns the peers with a live link, ordered by host.
-func (l *Links) Peers() []Peer { return nil }
+func (l *Links) Peers() []Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	peers := make([]Peer, 0, len(l.links))
+	for _, ln := range l.links {
+		ln.mu.Lock()
+		peers = append(peers, Peer{Member: ln.peer, LastHeard: ln.heardAt})
+		ln.mu.Unlock()
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Host, b.Host) })
+	return peers
+}
+
+// Counts returns the traffic of this host's links since its start.
+func (l *Links) Counts() Counts { return l.count.counts() }
+
+func (l *Links) link(host fleet.HostID) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[host]
+}
--- /dev/null
+++ b/peer/links_test.go
@@ -0,0 +1,247 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"hawthornway/fleet"
+)
+
+var (
+	hostA = fleet.Member{Host: "a", Domain: "d", Incarnation: 1, PeerAddress: "10.0.0.1:7000"}
+	hostB = fleet.Member{Host: "b", Domain: "d", Incarnation: 1, PeerAddress: "10.0.0.2:7000"}
+)
+
+func echo(l *Links) {
+	l.Handle("echo", func(_ context.Context, _ fleet.Member, body []byte) (any, error) {
+		var text string
+		err := Decode(body, &text)
+		return text, err
+	})
+	l.Handle("slow", func(ctx context.Context, _ fleet.Member, _ []byte) (any, error) {
+		<-ctx.Done()
+		return "late", nil
+	})
+	l.Handle("refuse", func(context.Context, fleet.Member, []byte) (any, error) {
+		return nil, errors.New("not today")
+	})
+}
+
+// pair runs a test in virtual time over two hosts that know each other.
+func pair(t *testing.T, test func(t *testing.T, w *wires, a, b *Links)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWires()
+		a := w.host(t, hostA, "secret", echo)
+		b := w.host(t, hostB, "secret", echo)
+		a.SetPeers([]fleet.Member{hostA, hostB})
+		b.SetPeers([]fleet.Member{hostA, hostB})
+		synctest.Wait()
+		must.Len(t, 1, a.Peers())
+		must.Len(t, 1, b.Peers())
+		test(t, w, a, b)
+	})
+}
+
+func TestCallEnds(t *testing.T) {
+	cases := []struct {
+		name  string
+		kind  Kind
+		fault func(*wires)
+		check func(*testing.T, string, error)
+	}{
+		{"answered", "echo", func(*wires) {}, func(t *testing.T, text string, err error) {
+			must.NoError(t, err)
+			must.Eq(t, "hello", text)
+		}},
+		{"refused", "refuse", func(*wires) {}, func(t *testing.T, _ string, err error) {
+			var remote *RemoteError
+			must.True(t, errors.As(err, &remote))
+			must.Eq(t, "not today", remote.Message)
+		}},
+		{"unknown kind", "nothing", func(*wires) {}, func(t *testing.T, _ string, err error) {
+			var remote *RemoteError
+			must.True(t, errors.As(err, &remote))
+		}},
+		{"deadline", "slow", func(*wires) {}, func(t *testing.T, _ string, err error) {
+			must.ErrorIs(t, err, ErrUnanswered)
+		}},
+		{"silent link", "echo", (*wires).silence, func(t *testing.T, _ string, err error) {
+			must.ErrorIs(t, err, ErrUnanswered)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			pair(t, func(t *testing.T, w *wires, a, _ *Links) {
+				c.fault(w)
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				var text string
+				err := a.Call(ctx, "b", c.kind, "hello", &text)
+				c.check(t, text, err)
+			})
+		})
+	}
+}
+
+func TestLateAnswerIsDroppedAndCounted(t *testing.T) {
+	pair(t, func(t *testing.T, _ *wires, a, _ *Links) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		must.ErrorIs(t, a.Call(ctx, "b", "slow", "", nil), ErrUnanswered)
+		<-time.After(10 * time.Second)
+		must.Eq(t, 1, a.Counts().UnmatchedAnswers)
+	})
+}
+
+func TestCallToUnknownHostIsNotSent(t *testing.T) {
+	pair(t, func(t *testing.T, _ *wires, a, _ *Links) {
+		must.ErrorIs(t, a.Call(t.Context(), "z", "echo", "", nil), ErrNotSent)
+		must.ErrorIs(t, a.Notify("z", "echo", ""), ErrNotSent)
+	})
+}
+
+func TestSilentLinkIsClosedAndDialledAnew(t *testing.T) {
+	pair(t, func(t *testing.T, w *wires, a, b *Links) {
+		w.silence()
+		<-time.After(silenceDeadline + 2*heartbeatEvery)
+		var text string
+		must.NoError(t, a.Call(t.Context(), "b", "echo", "x", &text))
+		must.NoError(t, b.Call(t.Context(), "a", "echo", "x", &text))
+	})
+}
+
+func TestCutClosesLinkAndHealRestoresIt(t *testing.T) {
+	pair(t, func(t *testing.T, w *wires, a, b *Links) {
+		w.setRefuse(true)
+		w.silence()
+		<-time.After(silenceDeadline + heartbeatEvery)
+		must.Len(t, 0, a.Peers())
+		must.Len(t, 0, b.Peers())
+		must.ErrorIs(t, a.Call(t.Context(), "b", "echo", "x", nil), ErrNotSent)
+		w.setRefuse(false)
+		<-time.After(maxRedialWait + heartbeatEvery)
+		must.Len(t, 1, a.Peers())
+		must.Len(t, 1, b.Peers())
+	})
+}
+
+func TestNewerIncarnationReplacesOlder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWires()
+		a := w.host(t, hostA, "secret", echo)
+		older, newer := hostB, hostB
+		newer.Incarnation = 2
+		newer.PeerAddress = "10.0.0.3:7000"
+		for _, b := range []fleet.Member{newer, older} {
+			links := w.host(t, b, "secret", echo)
+			links.SetPeers([]fleet.Member{hostA})
+			<-time.After(2 * heartbeatEvery)
+			must.Len(t, 1, a.Peers())
+			must.Eq(t, newer.Incarnation, a.Peers()[0].Incarnation)
+		}
+	})
+}
+
+func TestHandshakeRefuses(t *testing.T) {
+	cases := []struct {
+		name   string
+		self   fleet.Member
+		secret string
+	}{
+		{"another secret", hostB, "other"},
+		{"no secret", hostB, ""},
+		{"no host", fleet.Member{PeerAddress: "10.0.0.2:7000"}, "secret"},
+		{"own name", fleet.Member{Host: "a", Domain: "d", PeerAddress: "10.0.0.2:7000"}, "secret"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWires()
+				a := w.host(t, hostA, "secret", echo)
+				b := w.host(t, c.self, c.secret, echo)
+				b.SetPeers([]fleet.Member{{PeerAddress: hostA.PeerAddress}})
+				<-time.After(2 * heartbeatEvery)
+				must.Len(t, 0, a.Peers())
+				must.Len(t, 0, b.Peers())
+			})
+		})
+	}
+}
+
+func TestCallDialsOnDemandAndClosesIdleLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWires()
+		far := []fleet.Member{hostA}
+		for _, host := range []fleet.HostID{"x", "y", "z"} {
+			m := fleet.Member{Host: host, Domain: "e", PeerAddress: string(host) + ":7000"}
+			far = append(far, m)
+			w.host(t, m, "secret", echo)
+		}
+		a := w.host(t, hostA, "secret", echo)
+		a.SetPeers(far)
+		synctest.Wait()
+		must.Len(t, linksPerDomain, a.Peers())
+		for _, m := range far[1:] {
+			must.NoError(t, a.Call(t.Context(), m.Host, "echo", "x", nil))
+		}
+		must.Len(t, 3, a.Peers())
+		<-time.After(idleDeadline + 2*heartbeatEvery)
+		must.Len(t, linksPerDomain, a.Peers())
+	})
+}
+
+func TestNoticesKeepTheirOrder(t *testing.T) {
+	pair(t, func(t *testing.T, _ *wires, a, b *Links) {
+		var got []int
+		b.Handle("count", func(_ context.Context, _ fleet.Member, body []byte) (any, error) {
+			var n int
+			err := Decode(body, &n)
+			got = append(got, n)
+			return nil, err
+		})
+		for n := range 100 {
+			must.NoError(t, a.Notify("b", "count", n))
+		}
+		synctest.Wait()
+		must.Len(t, 100, got)
+		for n := range got {
+			must.Eq(t, n, got[n])
+		}
+	})
+}
+
+func TestFullQueueRefusesWithNotSent(t *testing.T) {
+	pair(t, func(t *testing.T, _ *wires, a, _ *Links) {
+		ln := a.link("b")
+		ln.mu.Lock()
+		for range sendQueueFrames {
+			ln.queue = append(ln.queue, outgoing{call: &call{givenUp: true}})
+		}
+		ln.mu.Unlock()
+		must.ErrorIs(t, a.Notify("b", "echo", "x"), ErrNotSent)
+		must.ErrorIs(t, a.Call(t.Context(), "b", "echo", "x", nil), ErrNotSent)
+	})
+}
+
+func TestVersionsOfNeighboursAreUnderstood(t *testing.T) {
+	cases := []struct {
+		mine, theirs protocolVersion
+		understood   bool
+	}{
+		{1, 1, true},
+		{1, 2, true},
+		{2, 1, true},
+		{3, 1, false},
+		{1, 3, false},
+		{0, 1, true},
+	}
+	for _, c := range cases {
+		must.Eq(t, c.understood, c.mine.understands(c.theirs), must.Sprintf("%d and %d", c.mine, c.theirs))
+	}
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,186 @@
+package peer
+
+import (
+	"math"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"hawthornway/fleet"
+)
+
+// callNumber matches an answer to its call on one link.
+type callNumber uint64
+
+// message is what one frame holds: hello, proof, heartbeat, request, answer,
+// refusal or notice.
+type message interface {
+	message()
+}
+
+type (
+	hello struct {
+		Version protocolVersion `cbor:"version"`
+		Member  wireMember      `cbor:"member"`
+		Nonce   []byte          `cbor:"nonce"`
+	}
+	proof     struct{ mac []byte }
+	heartbeat struct{}
+	request   struct {
+		number callNumber
+		kind   Kind
+		// remaining is the time left until the call's deadline.
+		remaining time.Duration
+		body      []byte
+	}
+	answer struct {
+		number callNumber
+		kind   Kind
+		body   []byte
+	}
+	refusal struct {
+		number callNumber
+		kind   Kind
+		reason string
+	}
+	notice struct {
+		kind Kind
+		body []byte
+	}
+)
+
+func (hello) message()     {}
+func (proof) message()     {}
+func (heartbeat) message() {}
+func (request) message()   {}
+func (answer) message()    {}
+func (refusal) message()   {}
+func (notice) message()    {}
+
+type wireMember struct {
+	Host        fleet.HostID      `cbor:"host"`
+	Domain      fleet.DomainID    `cbor:"domain"`
+	Incarnation fleet.Incarnation `cbor:"incarnation"`
+	PeerAddress string            `cbor:"peer-address"`
+}
+
+// frameType is the first element of a frame.
+type frameType uint8
+
+const (
+	frameHello frameType = iota + 1
+	frameProof
+	frameHeartbeat
+	frameRequest
+	frameAnswer
+	frameRefusal
+	frameNotice
+)
+
+// encodeFrame returns the CBOR array of a message.
+func encodeFrame(m message) ([]byte, error) {
+	switch m := m.(type) {
+	case hello:
+		return Encode([]any{frameHello, m})
+	case proof:
+		return Encode([]any{frameProof, m.mac})
+	case heartbeat:
+		return Encode([]any{frameHeartbeat})
+	case request:
+		return Encode([]any{frameRequest, m.number, m.kind, m.remaining.Milliseconds(), cbor.RawMessage(m.body)})
+	case answer:
+		return Encode([]any{frameAnswer, m.number, m.kind, cbor.RawMessage(m.body)})
+	case refusal:
+		return Encode([]any{frameRefusal, m.number, m.kind, m.reason})
+	case notice:
+		return Encode([]any{frameNotice, m.kind, cbor.RawMessage(m.body)})
+	default:
+		return nil, trace.BadParameter("message %T has no frame", m)
+	}
+}
+
+// decodeFrame reads one frame. Elements after the known ones are skipped. It
+// returns nil without an error for a type that only a newer version knows.
+func decodeFrame(data []byte) (message, error) {
+	var parts []cbor.RawMessage
+	if err := Decode(data, &parts); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p := parser{parts: parts}
+	var kind frameType
+	p.next(&kind)
+	m := p.message(kind)
+	return m, trace.Wrap(p.err)
+}
+
+// parser reads the elements of a frame one after the other.
+type parser struct {
+	parts []cbor.RawMessage
+	err   error
+}
+
+func (p *parser) message(kind frameType) message {
+	switch kind {
+	case frameHello:
+		var m hello
+		p.next(&m)
+		return m
+	case frameProof:
+		var m proof
+		p.next(&m.mac)
+		return m
+	case frameHeartbeat:
+		return heartbeat{}
+	case frameRequest:
+		return request{p.number(), p.kind(), p.duration(), p.raw()}
+	case frameAnswer:
+		return answer{p.number(), p.kind(), p.raw()}
+	case frameRefusal:
+		m := refusal{number: p.number(), kind: p.kind()}
+		p.next(&m.reason)
+		return m
+	case frameNotice:
+		return notice{p.kind(), p.raw()}
+	default:
+		return nil
+	}
+}
+
+func (p *parser) next(into any) {
+	part := p.raw()
+	if p.err == nil {
+		p.err = Decode(part, into)
+	}
+}
+
+func (p *parser) raw() []byte {
+	if p.err != nil {
+		return nil
+	}
+	if len(p.parts) == 0 {
+		p.err = trace.BadParameter("frame has too few elements")
+		return nil
+	}
+	part := p.parts[0]
+	p.parts = p.parts[1:]
+	return part
+}
+
+func (p *parser) number() callNumber {
+	var number callNumber
+	p.next(&number)
+	return number
+}
+
+func (p *parser) kind() Kind {
+	var kind Kind
+	p.next(&kind)
+	return kind
+}
+
+func (p *parser) duration() time.Duration {
+	var milliseconds uint64
+	p.next(&milliseconds)
+	return time.Duration(min(milliseconds, math.MaxInt64/uint64(time.Millisecond))) * time.Millisecond
+}
--- a/peer/options.go
+++ b/peer/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -11,13 +12,16 @@
 
 // The times and bounds of links.
 const (
-	heartbeatEvery  = time.Second
-	silenceDeadline = 3 * time.Second
-	idleDeadline    = 30 * time.Second
-	maxRedialWait   = 5 * time.Second
-	sendQueueFrames = 1024
-	maxServing      = 256
-	linksPerDomain  = 2
+	heartbeatEvery      = time.Second
+	silenceDeadline     = 3 * time.Second
+	dialDeadline        = 3 * time.Second
+	defaultCallDeadline = 10 * time.Second
+	idleDeadline        = 30 * time.Second
+	maxRedialWait       = 4 * time.Second
+	sendQueueFrames     = 1024
+	noticeQueue         = 1024
+	maxServing          = 256
+	linksPerDomain      = 2
 )
 
 // Option sets one part of a Links.
@@ -42,3 +46,8 @@
 func WithLogger(log *slog.Logger) Option {
 	return func(l *Links) { l.log = log }
 }
+
+// WithHTTPClient sets the client that dials other hosts.
+func WithHTTPClient(client *http.Client) Option {
+	return func(l *Links) { l.client = client }
+}
