--- /dev/null
+++ b/kratoslog.go
@@ -0,0 +1,29 @@
+package hawthornway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"github.com/go-kratos/kratos/v2/log"
+)
+
+// kratosLog passes kratos's lines on to slog.
+type kratosLog struct {
+	log *slog.Logger
+}
+
+func newKratosLog(to *slog.Logger) log.Logger { return &kratosLog{log: to} }
+
+// Log writes one line. Kratos's information is for debugging here.
+func (l *kratosLog) Log(level log.Level, pairs ...any) error {
+	to := slog.LevelDebug
+	switch level {
+	case log.LevelWarn:
+		to = slog.LevelWarn
+	case log.LevelError, log.LevelFatal:
+		to = slog.LevelError
+	}
+	l.log.Log(context.Background(), to, "listener: "+fmt.Sprint(pairs...))
+	return nil
+}
