Prove that a call runs at most once at the forwarder

Cause: net/http sends a request with an Idempotency-Key again by itself when a reused connection breaks before the answer; a booking would run twice. Ruled out: removing the header (services use it). Change: calls to routes that are not idempotent get a connection of their own and a body that can't be read twice; tests of each way in which a service can fail; TestMutationPooledConnections turns both off. Figures: with the mechanism off the service ran the call 2 times, with it on 1.

--- /dev/null
+++ b/scenario/chat_test.go
@@ -0,0 +1,122 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// chatTimeout bounds one chat.
+const chatTimeout = 60 * time.Second
+
+// chat streams one completion with OpenAI's own client and prints its text:
+// chat ADDRESS KEY MODEL PROMPT. With "!" it must be refused.
+func chat(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 4 {
+		ts.Fatalf("usage: chat ADDRESS KEY MODEL PROMPT")
+	}
+	text, err := streamChat(args[0], args[1], args[2], args[3])
+	if neg {
+		if err == nil {
+			ts.Fatalf("chat was served: %s", text)
+		}
+		_, _ = fmt.Fprintln(ts.Stdout(), err)
+		return
+	}
+	ts.Check(err)
+	_, _ = fmt.Fprintln(ts.Stdout(), text)
+}
+
+// streamChat returns the text of a whole streamed answer.
+func streamChat(address, key, model, prompt string) (string, error) {
+	client := openai.NewClient(
+		option.WithBaseURL("http://"+address+"/v1/"),
+		option.WithAPIKey(key),
+		option.WithMaxRetries(0),
+	)
+	ctx, cancel := context.WithTimeout(context.Background(), chatTimeout)
+	defer cancel()
+	stream := client.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
+		Model:         model,
+		Messages:      []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+		MaxTokens:     openai.Int(40),
+		StreamOptions: openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)},
+	})
+	whole := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		whole.AddChunk(stream.Current())
+	}
+	if err := stream.Err(); err != nil {
+		return "", err
+	}
+	if len(whole.Choices) == 0 || whole.Choices[0].FinishReason == "" {
+		return "", fmt.Errorf("the answer has no finish reason")
+	}
+	if whole.Usage.CompletionTokens == 0 {
+		return "", fmt.Errorf("the answer has no usage")
+	}
+	return whole.Choices[0].Message.Content, nil
+}
+
+// chats streams many completions, a number at once, while the script goes on;
+// "chats wait" waits for them. All must be served whole:
+// chats start ADDRESS KEY MODEL COUNT AT-ONCE, chats wait.
+func chats(ts *testscript.TestScript, neg bool, args []string) {
+	switch {
+	case neg || len(args) == 0:
+		ts.Fatalf("usage: chats start ADDRESS KEY MODEL COUNT AT-ONCE | chats wait")
+	case args[0] == "wait":
+		waitChats(ts)
+	case len(args) == 6:
+		count, err := strconv.Atoi(args[4])
+		ts.Check(err)
+		atOnce, err := strconv.Atoi(args[5])
+		ts.Check(err)
+		startChats(ts, args[1], args[2], args[3], count, atOnce)
+	}
+}
+
+// running holds the chats of each script.
+var running sync.Map // of *testscript.TestScript to chan error
+
+func startChats(ts *testscript.TestScript, address, key, model string, count, atOnce int) {
+	results := make(chan error, count)
+	running.Store(ts, results)
+	turns := make(chan int, count)
+	for i := range count {
+		turns <- i
+	}
+	close(turns)
+	var group sync.WaitGroup
+	for range atOnce {
+		group.Go(func() {
+			for i := range turns {
+				_, err := streamChat(address, key, model, fmt.Sprintf("question %d", i))
+				results <- err
+			}
+		})
+	}
+	go func() {
+		group.Wait()
+		close(results)
+	}()
+}
+
+func waitChats(ts *testscript.TestScript) {
+	results, ok := running.LoadAndDelete(ts)
+	if !ok {
+		ts.Fatalf("no chats were started")
+	}
+	served := 0
+	for err := range results.(chan error) {
+		ts.Check(err)
+		served++
+	}
+	_, _ = fmt.Fprintf(ts.Stdout(), "%d chats served whole\n", served)
+}
--- /dev/null
+++ b/servers.go
@@ -0,0 +1,99 @@
+package hawthornway
+
+import (
+	"net"
+	"net/http"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/gravitational/trace"
+
+	"hawthornway/listener"
+)
+
+// servers are the three listeners of a host.
+type servers struct {
+	callers, operators, peers                      *khttp.Server
+	callersAddress, operatorsAddress, peersAddress net.Addr
+}
+
+// operatorBounds bound the listeners of operators and peers.
+var operatorBounds = listener.Bounds{
+	HeaderBytes:   32 << 10,
+	HeaderTimeout: headerTimeout,
+	Connections:   1024,
+}
+
+// late is a handler that is set after its listener was bound.
+type late struct{ handler http.Handler }
+
+// ServeHTTP serves with the handler that was set.
+func (l *late) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.handler.ServeHTTP(w, r) }
+
+// bindPeers binds the peers' listener. Its handler follows with the parts.
+func (h *host) bindPeers() error {
+	config, err := peerTLS(h.settings.TLS.Peers)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	h.peerHandler = &late{}
+	server, address, err := listener.NewServer(h.settings.Listen.Peers, h.peerHandler, operatorBounds, config)
+	h.servers.peers, h.servers.peersAddress = server, address
+	return trace.Wrap(err)
+}
+
+// bindOthers binds the listeners of callers and operators.
+func (h *host) bindOthers() error {
+	h.peerHandler.handler = h.peerRoutes()
+	config, err := operatorTLS(h.settings.TLS.Operators)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	operators, address, err := listener.NewServer(h.settings.Listen.Operators, h.operatorRoutes(), operatorBounds, config)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	h.servers.operators, h.servers.operatorsAddress = operators, address
+	callers, address, err := listener.NewServer(h.settings.Listen.Callers, h.callerRoutes(), h.callerBounds(), nil)
+	h.servers.callers, h.servers.callersAddress = callers, address
+	return trace.Wrap(err)
+}
+
+func (h *host) callerBounds() listener.Bounds {
+	limits := h.settings.Limits
+	return listener.Bounds{
+		HeaderBytes:   int(limits.HeaderBytes),
+		HeaderTimeout: limits.HeaderTimeout,
+		Connections:   limits.Connections,
+		ConnectionAge: limits.ConnectionAge,
+	}
+}
+
+func (h *host) peerRoutes() http.Handler {
+	routes := http.NewServeMux()
+	routes.Handle("/peer", h.parts.links.Handler())
+	return routes
+}
+
+// callerRoutes serves the balancer's checks beside the callers.
+func (h *host) callerRoutes() http.Handler {
+	front := h.parts.front
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/healthz":
+			w.WriteHeader(http.StatusOK)
+		case "/readyz":
+			h.ready.ServeHTTP(w, r)
+		default:
+			front.ServeHTTP(w, r)
+		}
+	})
+}
+
+func (h *host) operatorRoutes() http.Handler {
+	routes := http.NewServeMux()
+	routes.Handle("/metrics", h.parts.metrics.Handler())
+	routes.Handle("/readyz", &h.ready)
+	routes.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	routes.Handle("/", h.parts.admin)
+	return routes
+}
--- a/service/forward.go
+++ b/service/forward.go
@@ -62,6 +62,9 @@
 	// fresh opens a connection for each call, so that a connection that has
 	// gone silent can't swallow a call that may be sent only once.
 	fresh *http.Client
+	// rewindable lets the HTTP library read a body twice. Only mutation tests
+	// set it.
+	rewindable bool
 }
 
 // NewForwarder returns a new Forwarder that places attempts with placer.
@@ -150,7 +153,7 @@
 }
 
 func (f *forwarder) send(ctx context.Context, c *call.Call, route *call.Service, place Place, number call.Attempt) sent {
-	request, err := newRequest(ctx, c, place, number)
+	request, err := f.newRequest(ctx, c, place, number)
 	if err != nil {
 		return sent{retry.NotSent{Err: err}, outcome.NotRun{Reason: outcome.ReasonBadRequest, Detail: err.Error()}}
 	}
@@ -180,7 +183,7 @@
 	return answer(c, response, place)
 }
 
-func newRequest(ctx context.Context, c *call.Call, place Place, number call.Attempt) (*http.Request, error) {
+func (f *forwarder) newRequest(ctx context.Context, c *call.Call, place Place, number call.Attempt) (*http.Request, error) {
 	from := c.Request
 	url := "http://" + place.Address + from.URL.RequestURI()
 	// A reader without GetBody keeps the library from sending the body twice.
@@ -190,6 +193,9 @@
 		return nil, err
 	}
 	request.ContentLength = int64(len(c.Body))
+	if f.rewindable {
+		request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(c.Body)), nil }
+	}
 	if len(c.Body) == 0 {
 		request.Body = http.NoBody
 	}
--- /dev/null
+++ b/service/forward_test.go
@@ -0,0 +1,189 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"hawthornway/call"
+	"hawthornway/config"
+	"hawthornway/outcome"
+	"hawthornway/retry"
+	"hawthornway/target"
+)
+
+// fakePlacer gives the addresses one after the other.
+type fakePlacer struct{ addresses []string }
+
+func (p fakePlacer) Place(_ context.Context, _ *call.Call, _ *call.Service, tried []target.ID) (Place, *outcome.NotRun) {
+	if len(tried) >= len(p.addresses) {
+		return Place{}, &outcome.NotRun{Reason: outcome.ReasonNoTarget}
+	}
+	return Place{
+		Target:  target.ID(fmt.Sprint("service-", len(tried))),
+		Address: p.addresses[len(tried)],
+		Done:    func(retry.Result) {},
+	}, nil
+}
+
+func newCall(idempotent bool, key string) (*call.Call, *httptest.ResponseRecorder) {
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodPost, "/bookings/new?seat=4%2F5", nil)
+	request.Header.Set("Authorization", "Bearer hw_secret")
+	request.Header.Set("Cookie", "session=hw_secret")
+	request.Header.Set("X-Escort", "two")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	return &call.Call{
+		ID: "r1", Writer: call.NewWriter(recorder), Request: request, Body: []byte("child=1"),
+		Deadline: time.Now().Add(5 * time.Second),
+		Subject:  &call.Service{Route: config.Route{Name: "bookings", Idempotent: idempotent}, Key: key},
+	}, recorder
+}
+
+func forward(f Forwarder, c *call.Call) outcome.Outcome {
+	return f.Forward(context.Background(), c)
+}
+
+func newTestForwarder(addresses ...string) *forwarder {
+	clock := clockwork.NewRealClock()
+	return NewForwarder(fakePlacer{addresses}, retry.NewBudget(clock), clock).(*forwarder)
+}
+
+// service counts its executions and does what each case says.
+type countingService struct {
+	*httptest.Server
+	runs atomic.Int32
+}
+
+func newService(t *testing.T, serve func(run int32, w http.ResponseWriter, r *http.Request)) *countingService {
+	s := &countingService{}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		serve(s.runs.Add(1), w, r)
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *countingService) address() string { return s.Listener.Addr().String() }
+
+func answerWell(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Booking", "7")
+	w.WriteHeader(http.StatusCreated)
+	_, _ = w.Write([]byte("booked"))
+}
+
+const nowhere = "127.0.0.1:1" // nothing listens there
+
+func TestCallsRunAtMostOnceUnlessIdempotent(t *testing.T) {
+	die := func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_ = conn.Close()
+	}
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("half"))
+	}
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Hawthornway-Not-Run", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	mixUp := func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Request-Id", "another") }
+	cases := []struct {
+		name       string
+		first      http.HandlerFunc
+		idempotent bool
+		want       outcome.Outcome
+		runs       int32
+	}{
+		{"answered", answerWell, false, outcome.Served{}, 1},
+		{"died, not idempotent", die, false, outcome.Unknown{}, 1},
+		{"died, idempotent", die, true, outcome.Served{}, 2},
+		{"cut, not idempotent", cut, false, outcome.Unknown{}, 1},
+		{"cut, idempotent", cut, true, outcome.Served{}, 2},
+		{"refused as not run", refuse, false, outcome.Served{}, 2},
+		{"crossed, not idempotent", mixUp, false, outcome.Unknown{}, 1},
+		{"crossed, idempotent", mixUp, true, outcome.Served{}, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newService(t, func(run int32, w http.ResponseWriter, r *http.Request) {
+				if run == 1 {
+					tc.first(w, r)
+					return
+				}
+				answerWell(w, r)
+			})
+			c, recorder := newCall(tc.idempotent, "key-1")
+			ended := forward(newTestForwarder(s.address(), s.address()), c)
+			must.EqOp(t, tc.want.Header(), ended.Header())
+			must.EqOp(t, tc.runs, s.runs.Load())
+			if tc.want.Header() == "served" {
+				must.EqOp(t, http.StatusCreated, recorder.Code)
+				must.EqOp(t, "booked", recorder.Body.String())
+				must.EqOp(t, "7", recorder.Header().Get("X-Booking"))
+			}
+		})
+	}
+}
+
+func TestUnreachableServiceIsNotRun(t *testing.T) {
+	c, _ := newCall(false, "")
+	ended := forward(newTestForwarder(nowhere), c)
+	must.EqOp(t, "not-run", ended.Header())
+	s := newService(t, func(_ int32, w http.ResponseWriter, r *http.Request) { answerWell(w, r) })
+	c, _ = newCall(false, "")
+	must.EqOp(t, "served", forward(newTestForwarder(nowhere, s.address()), c).Header())
+	must.EqOp(t, 1, s.runs.Load())
+}
+
+func TestServiceSeesCallWholeButNoKey(t *testing.T) {
+	s := newService(t, func(_ int32, w http.ResponseWriter, r *http.Request) {
+		must.EqOp(t, "/bookings/new?seat=4%2F5", r.URL.RequestURI())
+		must.EqOp(t, "two", r.Header.Get("X-Escort"))
+		for name, values := range r.Header {
+			must.StrNotContains(t, strings.Join(values, " "), "hw_secret", must.Sprint(name))
+		}
+		answerWell(w, r)
+	})
+	c, _ := newCall(false, "")
+	must.EqOp(t, "served", forward(newTestForwarder(s.address()), c).Header())
+}
+
+// TestMutationPooledConnections shows why calls that may run once get a
+// connection of their own: on a reused connection that breaks, the HTTP library
+// sends a request with an Idempotency-Key again by itself.
+func TestMutationPooledConnections(t *testing.T) {
+	runs := func(mutate func(*forwarder)) int32 {
+		s := newService(t, func(run int32, w http.ResponseWriter, r *http.Request) {
+			if run == 2 { // the first call leaves its connection open
+				conn, _, _ := w.(http.Hijacker).Hijack()
+				_ = conn.Close()
+				return
+			}
+			answerWell(w, r)
+		})
+		f := newTestForwarder(s.address())
+		mutate(f)
+		first, _ := newCall(false, "key-1")
+		must.EqOp(t, "served", forward(f, first).Header())
+		second, _ := newCall(false, "key-2")
+		forward(f, second)
+		return s.runs.Load() - 1
+	}
+	must.EqOp(t, 1, runs(func(*forwarder) {}))
+	must.EqOp(t, 2, runs(func(f *forwarder) {
+		f.fresh = f.pooled
+		f.rewindable = true
+	}))
+}
