Limit teams over the fleet: buckets, ledgers, grants, shares

Cause: the request chain needs a limiter that works over several hosts. Ruled out: capacity of burst - rate*2s (wastes that much of every burst; lent tokens now keep their place in the bucket instead); refunds by capacity less the highest level (two overlapping refunds break the bound; see room.go); shares as amounts (a change of rate would need writes by every domain; they are millionths now); moving shares to follow traffic within seconds (hosts ask the ledgers of other domains instead, so shares change seldom). Change: package limit with pure Bucket, Ledger and Shares, and the controllers.

--- /dev/null
+++ b/limit/controller.go
@@ -0,0 +1,238 @@
+package limit
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornway/fleet"
+	"hawthornway/member"
+	"hawthornway/peer"
+	"hawthornway/platform"
+	"hawthornway/team"
+)
+
+// Controller limits the teams' requests at this host and keeps the ledgers of
+// the shards that the host holds.
+type Controller interface {
+	Limiter
+	// Run reports to ledgers and divides limits until the context ends.
+	Run(ctx context.Context) error
+	// Forget gives the shares of a failure domain to the others, for all
+	// teams. The caller warrants that no host of the domain admits requests
+	// any more: one that does still spends what it had. It can be repeated
+	// after an error.
+	Forget(ctx context.Context, domain fleet.DomainID) error
+	// Released reports whether no write for a shard's ledgers is under way. It
+	// is for member.WithRelease.
+	Released(shard member.Shard) bool
+}
+
+// Option changes a setting of a Controller.
+type Option func(*controller)
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(c *controller) { c.clock = clock }
+}
+
+// WithDomains sets the function that returns the configured failure domains.
+// Required.
+func WithDomains(domains func() []fleet.DomainID) Option {
+	return func(c *controller) { c.keeper.domains = domains }
+}
+
+// WithTeams sets the function that returns all configured teams. Their ledgers
+// are opened before the first request. Without it, the first request opens a
+// ledger.
+func WithTeams(teams func() []team.ID) Option {
+	return func(c *controller) { c.keeper.teams = teams }
+}
+
+// WithLogger sets the logger.
+func WithLogger(log *slog.Logger) Option {
+	return func(c *controller) { c.keeper.log = log }
+}
+
+// New returns a new Controller. It registers its handlers at the mesh, so it
+// is made before the mesh runs.
+func New(own Ownership, mesh peer.Mesh, store platform.Store, limits Limits, opts ...Option) Controller {
+	c := &controller{
+		own:    own,
+		mesh:   mesh,
+		limits: limits,
+		clock:  clockwork.NewRealClock(),
+		urgent: make(chan *purse, maxUrgent),
+		keeper: &keeper{
+			own:     own,
+			mesh:    mesh,
+			store:   store,
+			limits:  limits,
+			domains: func() []fleet.DomainID { return nil },
+			teams:   func() []team.ID { return nil },
+			log:     slog.Default(),
+			wake:    make(chan *kept, maxUrgent),
+		},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.keeper.clock = c.clock
+	c.handle()
+	return c
+}
+
+const (
+	// purseShards is the number of parts of the purses, each with its own lock.
+	purseShards = 64
+	// maxUrgent bounds the reports that are sent at once.
+	maxUrgent = 256
+)
+
+type controller struct {
+	own    Ownership
+	mesh   peer.Mesh
+	limits Limits
+	clock  clockwork.Clock
+	keeper *keeper
+	purses [purseShards]purseShard
+	// urgent takes purses whose reports should not wait.
+	urgent chan *purse
+}
+
+type purseShard struct {
+	mu     sync.Mutex
+	purses map[team.ID]*purse
+	// touched holds the purses with something to hold or to report.
+	touched map[*purse]bool
+}
+
+// Reserve implements Limiter.
+func (c *controller) Reserve(ctx context.Context, id team.ID, most team.Tokens) (Charge, *Refusal) {
+	limit, known := c.limits(id)
+	if !known {
+		return nil, refuseUnknown()
+	}
+	if most > limit.Burst {
+		return nil, refuseTooLarge(most, limit.Burst)
+	}
+	p := c.purse(id)
+	need := microOf(most)
+	if charged := c.take(p, need); charged != nil {
+		return charged, nil
+	}
+	if !p.takeTurn(ctx) {
+		return nil, refuseDeadline()
+	}
+	defer p.endTurn()
+	return c.gather(ctx, p, need)
+}
+
+// Run implements Controller.
+func (c *controller) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.keeper.run(ctx)
+	}()
+	ticker := c.clock.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			<-done
+			return nil
+		case <-ticker.Chan():
+			c.reportAll(ctx)
+		case p := <-c.urgent:
+			c.report(ctx, []*purse{p})
+		}
+	}
+}
+
+// Forget implements Controller.
+func (c *controller) Forget(ctx context.Context, domain fleet.DomainID) error {
+	return trace.Wrap(c.keeper.forget(ctx, domain))
+}
+
+// Released implements Controller.
+func (c *controller) Released(shard member.Shard) bool {
+	return c.keeper.released(shard)
+}
+
+func (c *controller) purse(id team.ID) *purse {
+	s := c.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.purses[id]
+	if p != nil {
+		return p
+	}
+	if s.purses == nil {
+		s.purses = make(map[team.ID]*purse)
+		s.touched = make(map[*purse]bool)
+	}
+	p = newPurse(id, c.own.Self().Domain)
+	s.purses[id] = p
+	return p
+}
+
+func (c *controller) take(p *purse, n Micro) *charge {
+	charged := p.take(c.clock.Now(), n)
+	if charged == nil {
+		return nil
+	}
+	charged.touched = c.touch
+	c.touch(p)
+	return charged
+}
+
+// touch marks a purse as one with something to hold or to report.
+func (c *controller) touch(p *purse) {
+	s := c.shard(p.team)
+	s.mu.Lock()
+	s.touched[p] = true
+	s.mu.Unlock()
+}
+
+// handle registers the handlers of messages between hosts.
+func (c *controller) handle() {
+	c.mesh.Handle(kindGrant, func(ctx context.Context, from fleet.Member, body []byte) (any, error) {
+		var request grantRequest
+		if err := peer.Decode(body, &request); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		return c.keeper.serve(ctx, from.Domain, request), nil
+	})
+	c.mesh.Handle(kindSettle, func(ctx context.Context, from fleet.Member, body []byte) (any, error) {
+		var request settleRequest
+		if err := peer.Decode(body, &request); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		return c.keeper.settle(ctx, from.Domain, request), nil
+	})
+	c.mesh.Handle(kindInherit, func(_ context.Context, _ fleet.Member, body []byte) (any, error) {
+		var request inheritRequest
+		if err := peer.Decode(body, &request); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		return c.keeper.inherit(request), nil
+	})
+	c.mesh.Handle(kindRaised, func(_ context.Context, _ fleet.Member, body []byte) (any, error) {
+		var notice raisedNotice
+		if err := peer.Decode(body, &notice); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		c.keeper.noteRaised(notice.Team)
+		return nil, nil
+	})
+}
+
+// timeout bounds a context by the controller's clock.
+func (c *controller) timeout(ctx context.Context, bound time.Duration) (context.Context, context.CancelFunc) {
+	return c.keeper.timeout(ctx, bound)
+}
--- /dev/null
+++ b/limit/gather.go
@@ -0,0 +1,138 @@
+package limit
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"hawthornway/fleet"
+	"hawthornway/team"
+)
+
+// The times of asking ledgers.
+const (
+	askTimeout = 250 * time.Millisecond
+	// extraSpan is the spending that a host borrows ahead.
+	extraSpan = 100 * time.Millisecond
+	// reportEvery is the time between two reports of a host.
+	reportEvery = 250 * time.Millisecond
+)
+
+func (c *controller) shard(id team.ID) *purseShard {
+	return &c.purses[xxhash.Sum64String(string(id))%purseShards]
+}
+
+// gather asks the ledgers for what a request lacks, the own domain's first. The
+// caller holds the purse's turn.
+func (c *controller) gather(ctx context.Context, p *purse, most Micro) (Charge, *Refusal) {
+	if charged := c.take(p, most); charged != nil {
+		return charged, nil
+	}
+	accounts := c.accounts(p)
+	if refusal := c.hopeless(p, accounts, most); refusal != nil {
+		return nil, refusal
+	}
+	for _, a := range accounts {
+		missing := p.missing(c.clock.Now(), most)
+		if missing <= 0 || ctx.Err() != nil {
+			break
+		}
+		if c.worthAsking(p, a) {
+			c.ask(ctx, p, a, missing)
+		}
+	}
+	if charged := c.take(p, most); charged != nil {
+		c.hasten(p, most)
+		return charged, nil
+	}
+	p.giveAllBack()
+	c.touch(p)
+	return nil, c.refuse(p, accounts, most)
+}
+
+// accounts returns the accounts of the ledgers that can be asked: the own
+// domain's, then those with the most to lend.
+func (c *controller) accounts(p *purse) []*account {
+	domains := c.keeper.domains()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, d := range domains {
+		p.account(d)
+	}
+	now := c.clock.Now()
+	others := slices.Clone(p.accounts[1:])
+	slices.SortStableFunc(others, func(a, b *account) int {
+		return cmp.Compare(b.levelAt(now), a.levelAt(now))
+	})
+	return append([]*account{p.accounts[0]}, others...)
+}
+
+// hopeless refuses a request if what the host knows of all ledgers says that
+// they have too little.
+func (c *controller) hopeless(p *purse, accounts []*account, most Micro) *Refusal {
+	p.mu.Lock()
+	now := c.clock.Now()
+	sum := float64(p.held(now))
+	for _, a := range accounts {
+		level, known := a.expected(now)
+		if !known && c.own.Reachable(a.domain) {
+			p.mu.Unlock()
+			return nil
+		}
+		sum += level
+	}
+	p.mu.Unlock()
+	if sum >= float64(most) {
+		return nil
+	}
+	return c.refuse(p, accounts, most)
+}
+
+func (c *controller) worthAsking(p *purse, a *account) bool {
+	if !c.own.Reachable(a.domain) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	level, known := a.expected(c.clock.Now())
+	return !known || level >= 1
+}
+
+// ask asks one ledger for tokens, and reports to it.
+func (c *controller) ask(ctx context.Context, p *purse, a *account, need Micro) {
+	ctx, cancel := c.timeout(ctx, askTimeout)
+	defer cancel()
+	asked := c.clock.Now()
+	p.mu.Lock()
+	extra := Micro(p.spending.rate(asked) * extraSpan.Seconds())
+	request := grantRequest{Team: p.team, Epoch: a.epoch, Need: need, Extra: extra}
+	var sent *batch
+	request.Report, sent = a.report()
+	p.mu.Unlock()
+	answer, err := c.callLedger(ctx, a.domain, request)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		a.failed(c.clock.Now(), sent)
+		return
+	}
+	a.answered(asked, c.clock.Now(), sent, answer)
+}
+
+func (c *controller) callLedger(ctx context.Context, domain fleet.DomainID, request grantRequest) (grantAnswer, error) {
+	owner, ok := c.keeper.hostOf(domain, request.Team)
+	if !ok {
+		return grantAnswer{}, trace.NotFound("no host keeps the ledger of %q in %q", request.Team, domain)
+	}
+	self := c.own.Self()
+	if owner.Host == self.Host {
+		return c.keeper.serve(ctx, self.Domain, request), nil
+	}
+	var answer grantAnswer
+	err := c.mesh.Call(ctx, owner.Host, kindGrant, request, &answer)
+	return answer, trace.Wrap(err)
+}
