--- /dev/null
+++ b/directory.go
@@ -0,0 +1,61 @@
+package hawthornway
+
+import (
+	"hawthornway/config"
+	"hawthornway/fleet"
+	"hawthornway/limit"
+	"hawthornway/model"
+	"hawthornway/team"
+)
+
+// directory is the configuration in force, as the other parts read it. Before
+// the first configuration it is empty.
+type directory struct{ configs *config.Store }
+
+var empty = config.NewSnapshot(0, config.Config{})
+
+func (d directory) current() *config.Snapshot {
+	if now := d.configs.Current(); now != nil {
+		return now
+	}
+	return empty
+}
+
+// Config returns the whole configuration.
+func (d directory) Config() *config.Config { return d.current().Config() }
+
+// Team returns a team.
+func (d directory) Team(id team.ID) (config.Team, bool) { return d.current().Team(id) }
+
+// Model returns a model.
+func (d directory) Model(name model.Name) (config.Model, bool) { return d.current().Model(name) }
+
+// Adapter returns an adapter.
+func (d directory) Adapter(name model.Name) (config.Adapter, bool) { return d.current().Adapter(name) }
+
+// RouteFor returns the route that takes a path.
+func (d directory) RouteFor(path string) (config.Route, bool) { return d.current().RouteFor(path) }
+
+// Limit returns the rate and burst of a team.
+func (d directory) Limit(id team.ID) (limit.Limit, bool) {
+	owner, ok := d.current().Team(id)
+	return limit.Limit{Rate: owner.Rate, Burst: owner.Burst}, ok
+}
+
+// Domains returns the configured failure domains.
+func (d directory) Domains() []fleet.DomainID {
+	var names []fleet.DomainID
+	for _, domain := range d.Config().Domains {
+		names = append(names, domain.Name)
+	}
+	return names
+}
+
+// Teams returns the configured teams.
+func (d directory) Teams() []team.ID {
+	var names []team.ID
+	for _, owner := range d.Config().Teams {
+		names = append(names, owner.Name)
+	}
+	return names
+}
--- a/parts.go
+++ b/parts.go
@@ -18,7 +18,6 @@
 	"hawthornway/member"
 	"hawthornway/metric"
 	"hawthornway/openai"
-	"hawthornway/outcome"
 	"hawthornway/peer"
 	"hawthornway/replica"
 	"hawthornway/retry"
@@ -32,7 +31,7 @@
 	log      *slog.Logger
 	links    *peer.Links
 	members  *member.Controller
-	configs  config.Store
+	configs  *config.Store
 	keys     key.Ring
 	limiter  limit.Controller
 	replicas replica.Controller
@@ -82,14 +81,10 @@
 	)
 }
 
-// config returns the configuration in force, which is empty before the first.
-func (p *parts) config() *config.Config {
-	return p.configs.Current().Config()
-}
 
 // addFront joins the callers' chain of filters.
 func (p *parts) addFront(s settings.Settings, o *options) {
-	directory := currentDirectory{p.configs}
+	directory := directory{p.configs}
 	budget := retry.NewBudget(o.clock)
 	priority := func(c *call.Call) int {
 		owner, _ := directory.Team(c.Team)
@@ -144,9 +139,3 @@
 func (p *parts) leave(ctx context.Context) error {
 	return trace.Wrap(p.members.Leave(ctx))
 }
-
-// currentDirectory is the configuration in force as the callers' filters read
-// it.
-type currentDirectory struct{ configs config.Store }
-
-var _ outcome.Outcome = outcome.Served{}
