Stand in for the weight store

Cause: cold starts are bounded by the store's rate, which tests have to set. Ruled out: whole-nanosecond progress (a load at 0.8 of full speed never got its last nanosecond, and the test hung); progress is a float now. Change: standin/weights with the start rate, four full-speed slots, adapters slowing beyond 32, slowdown and refusal; standin/wire for shared HTTP pieces.

--- a/standin/kvstore/handler.go
+++ b/standin/kvstore/handler.go
@@ -1,7 +1,6 @@
 package kvstore
 
 import (
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +8,7 @@
 	"time"
 
 	"hawthornway/platform"
+	"hawthornway/standin/wire"
 )
 
 // maxWatchWait bounds the time that a watch may ask for.
@@ -65,7 +65,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, newWireEntry(entry, false))
+	wire.WriteJSON(w, http.StatusOK, newWireEntry(entry, false))
 }
 
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
@@ -74,11 +74,11 @@
 		writeError(w, err)
 		return
 	}
-	wire := wireList{Entries: []wireEntry{}, Revision: revision}
+	list := wireList{Entries: []wireEntry{}, Revision: revision}
 	for _, e := range entries {
-		wire.Entries = append(wire.Entries, newWireEntry(e, false))
+		list.Entries = append(list.Entries, newWireEntry(e, false))
 	}
-	writeJSON(w, http.StatusOK, wire)
+	wire.WriteJSON(w, http.StatusOK, list)
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -98,11 +98,11 @@
 		writeError(w, err)
 		return
 	}
-	wire := wireEvents{Events: []wireEntry{}, Revision: next}
+	batch := wireEvents{Events: []wireEntry{}, Revision: next}
 	for _, e := range events {
-		wire.Events = append(wire.Events, newWireEntry(e.Entry, e.Deleted))
+		batch.Events = append(batch.Events, newWireEntry(e.Entry, e.Deleted))
 	}
-	writeJSON(w, http.StatusOK, wire)
+	wire.WriteJSON(w, http.StatusOK, batch)
 }
 
 func (s *Store) serveSwap(w http.ResponseWriter, r *http.Request) {
@@ -133,7 +133,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, wireRevision{Revision: revision})
+	wire.WriteJSON(w, http.StatusOK, wireRevision{Revision: revision})
 }
 
 func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
@@ -146,7 +146,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, struct{}{})
+	wire.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
 func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request) {
@@ -160,7 +160,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, wireLease{Lease: id})
+	wire.WriteJSON(w, http.StatusOK, wireLease{Lease: id})
 }
 
 func (s *Store) serveRenew(w http.ResponseWriter, r *http.Request) {
@@ -173,7 +173,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, wireLease{Lease: LeaseID(id)})
+	wire.WriteJSON(w, http.StatusOK, wireLease{Lease: LeaseID(id)})
 }
 
 func (s *Store) serveRevoke(w http.ResponseWriter, r *http.Request) {
@@ -186,23 +186,20 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, wireLease{Lease: LeaseID(id)})
+	wire.WriteJSON(w, http.StatusOK, wireLease{Lease: LeaseID(id)})
 }
 
 func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var wire wireFaults
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&wire); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	var faults wireFaults
+	if !wire.ReadJSON(w, r, &faults) {
 		return
 	}
-	s.SetFaults(wire.faults())
-	writeJSON(w, http.StatusOK, wire)
+	s.SetFaults(faults.faults())
+	wire.WriteJSON(w, http.StatusOK, faults)
 }
 
 func (s *Store) serveCounts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.Counts())
+	wire.WriteJSON(w, http.StatusOK, s.Counts())
 }
 
 // writeError answers with the status of the error. A lost answer ends the
@@ -211,7 +208,7 @@
 	var conflict *platform.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		writeJSON(w, http.StatusConflict, wireConflict{Current: conflict.Current})
+		wire.WriteJSON(w, http.StatusConflict, wireConflict{Current: conflict.Current})
 	case errors.Is(err, platform.ErrNotFound), errors.Is(err, ErrNoLease):
 		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.Is(err, platform.ErrUnknown):
@@ -221,13 +218,6 @@
 	}
 }
 
-func writeJSON(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The caller has gone if this fails.
-	_ = json.NewEncoder(w).Encode(value)
-}
-
 func newWireEntry(entry platform.Entry, deleted bool) wireEntry {
 	return wireEntry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Deleted: deleted}
 }
--- /dev/null
+++ b/standin/weights/share.go
@@ -0,0 +1,121 @@
+package weights
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// share runs tasks side by side. Up to its slots they run at full speed; beyond
+// them all slow in proportion.
+type share struct {
+	clock clockwork.Clock
+	slots int
+
+	mu       sync.Mutex
+	running  int
+	slowdown float64
+	// progress is the full-speed time in nanoseconds that a task running since
+	// the start would have gained.
+	progress float64
+	updated  time.Time
+	changed  chan struct{}
+}
+
+func newShare(clock clockwork.Clock, slots int) *share {
+	return &share{
+		clock:    clock,
+		slots:    slots,
+		slowdown: 1,
+		updated:  clock.Now(),
+		changed:  make(chan struct{}),
+	}
+}
+
+// run takes as long as work takes at the speed left by the other tasks.
+func (s *share) run(ctx context.Context, work time.Duration) error {
+	end := s.join(work)
+	defer s.leave()
+	for {
+		wait, changed := s.remaining(end)
+		if wait <= 0 {
+			return nil
+		}
+		timer := s.clock.NewTimer(wait)
+		select {
+		case <-timer.Chan():
+		case <-changed:
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		timer.Stop()
+	}
+}
+
+// join adds a task and returns the progress at which it ends.
+func (s *share) join(work time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance()
+	s.running++
+	s.notify()
+	return s.progress + float64(work)
+}
+
+func (s *share) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance()
+	s.running--
+	s.notify()
+}
+
+// remaining returns the time to go at the present speed, and a channel that is
+// closed when the speed changes.
+func (s *share) remaining(end float64) (time.Duration, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance()
+	wait := time.Duration((end - s.progress) / s.speed())
+	if wait > 0 {
+		// The rounding of the progress must not leave ever shorter waits.
+		wait += time.Nanosecond
+	}
+	return wait, s.changed
+}
+
+func (s *share) setSlowdown(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance()
+	s.slowdown = factor
+	s.notify()
+}
+
+func (s *share) inFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
+func (s *share) advance() {
+	now := s.clock.Now()
+	s.progress += float64(now.Sub(s.updated)) * s.speed()
+	s.updated = now
+}
+
+func (s *share) speed() float64 {
+	speed := 1 / s.slowdown
+	if s.running > s.slots {
+		speed *= float64(s.slots) / float64(s.running)
+	}
+	return speed
+}
+
+func (s *share) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
