--- /dev/null
+++ b/replica/record.go
@@ -0,0 +1,100 @@
+package replica
+
+import (
+	"encoding/json"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/fleet"
+	"hawthornway/model"
+	"hawthornway/target"
+	"hawthornway/team"
+)
+
+// recordPrefix is the start of the keys of records.
+const recordPrefix = "replica/"
+
+// WriteID identifies one write of a record.
+type WriteID string
+
+// Record holds what was decided about one engine's memory. It is kept in the
+// key-value service under "replica/<target>".
+type Record struct {
+	// Write identifies the write, to settle a lost answer.
+	Write WriteID
+	// Domain and Shard tell whose group the engine belongs to.
+	Domain fleet.DomainID
+	Shard  Shard
+	Fence  target.Fence
+	// Released says that the owner gives no order any more, and that Decisions
+	// lists every order that may still take effect.
+	Released  bool
+	Decisions []Decision
+}
+
+// Decision is a load that was decided and is not proved gone.
+type Decision struct {
+	ID    OrderID
+	Ref   model.Ref
+	Bytes model.Bytes
+	Team  team.ID
+	// Accepted says that the engine took the order.
+	Accepted bool
+}
+
+type recordWire struct {
+	Write     WriteID        `json:"write"`
+	Domain    fleet.DomainID `json:"domain"`
+	Shard     Shard          `json:"shard"`
+	Fence     target.Fence   `json:"fence"`
+	Released  bool           `json:"released,omitempty"`
+	Decisions []decisionWire `json:"decisions"`
+}
+
+type decisionWire struct {
+	ID      OrderID       `json:"decision"`
+	Model   model.Name    `json:"model"`
+	Version model.Version `json:"version"`
+	Base    model.Name    `json:"base,omitempty"`
+	Bytes   model.Bytes   `json:"bytes"`
+	Team    team.ID       `json:"team,omitempty"`
+	State   string        `json:"state"`
+}
+
+const (
+	decisionDecided  = "decided"
+	decisionAccepted = "accepted"
+)
+
+// encodeRecord returns the value that the service holds for a record.
+func encodeRecord(r Record) ([]byte, error) {
+	w := recordWire{Write: r.Write, Domain: r.Domain, Shard: r.Shard, Fence: r.Fence, Released: r.Released}
+	for _, d := range r.Decisions {
+		state := decisionDecided
+		if d.Accepted {
+			state = decisionAccepted
+		}
+		w.Decisions = append(w.Decisions, decisionWire{
+			ID: d.ID, Model: d.Ref.Name, Version: d.Ref.Version, Base: d.Ref.Base,
+			Bytes: d.Bytes, Team: d.Team, State: state,
+		})
+	}
+	value, err := json.Marshal(w)
+	return value, trace.Wrap(err)
+}
+
+// decodeRecord reads the value that the service holds for a record.
+func decodeRecord(value []byte) (*Record, error) {
+	var w recordWire
+	if err := json.Unmarshal(value, &w); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r := &Record{Write: w.Write, Domain: w.Domain, Shard: w.Shard, Fence: w.Fence, Released: w.Released}
+	for _, d := range w.Decisions {
+		r.Decisions = append(r.Decisions, Decision{
+			ID: d.ID, Ref: model.Ref{Name: d.Model, Version: d.Version, Base: d.Base},
+			Bytes: d.Bytes, Team: d.Team, Accepted: d.State == decisionAccepted,
+		})
+	}
+	return r, nil
+}
