--- a/replica/controller.go
+++ b/replica/controller.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 
 	"hawthornway/config"
+	"hawthornway/fleet"
+	"hawthornway/member"
 	"hawthornway/model"
 	"hawthornway/outcome"
 	"hawthornway/peer"
@@ -32,6 +36,9 @@
 	// Begin marks a request as running at a replica until end is called. It
 	// returns false if the replica is going; the request must not be sent then.
 	Begin(id target.ID, name model.Name) (end func(), ok bool)
+	// Released reports whether every order for a shard has been answered and
+	// recorded. It is asked before the shard is handed over.
+	Released(shard member.Shard) bool
 }
 
 // Option sets an option of a Controller.
@@ -48,7 +55,7 @@
 }
 
 // WithOwnership sets the source of ownership.
-func WithOwnership(o Ownership) Option {
+func WithOwnership(o member.Ownership) Option {
 	return func(c *controller) { c.owners = o }
 }
 
@@ -57,55 +64,110 @@
 	return func(c *controller) { c.store = store }
 }
 
-// WithEngines sets the client of engines and services.
+// WithEngines sets the clients of targets.
 func WithEngines(engines Engines) Option {
 	return func(c *controller) { c.engines = engines }
 }
 
+// WithWeightStore sets the source of the weight store's state. Without one the
+// loads of other groups are not counted.
+func WithWeightStore(read func(ctx context.Context) (Weights, error)) Option {
+	return func(c *controller) { c.weights = read }
+}
+
+// WithLeaving adds a source that tells which targets are leaving, beside their
+// reports.
+func WithLeaving(leaving func(target.ID) bool) Option {
+	return func(c *controller) { c.leaving = append(c.leaving, leaving) }
+}
+
 // WithClock sets the clock.
 func WithClock(clock clockwork.Clock) Option {
 	return func(c *controller) { c.clock = clock }
 }
 
-// New returns a new Controller. Configuration, ownership, mesh, store and
-// engines must be given.
+// WithLogger sets the logger.
+func WithLogger(log *slog.Logger) Option {
+	return func(c *controller) { c.log = log }
+}
+
+// New returns a new Controller. Configuration, ownership, mesh and store must be
+// given.
 func New(opts ...Option) Controller {
+	return newController(opts...)
+}
+
+func newController(opts ...Option) *controller {
 	c := &controller{
-		clock: clockwork.NewRealClock(),
-		views: newView(),
+		clock:   clockwork.NewRealClock(),
+		engines: NewEngines(),
+		log:     slog.Default(),
+		view:    newView(),
+		runners: make(map[GroupKey]*runner),
+		gate:    func() {},
 	}
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.self = c.owners.Self()
+	c.relayout()
+	c.mesh.Handle(kindWant, c.handleWant)
+	c.mesh.Handle(kindDigest, c.handleDigest)
+	c.mesh.Handle(kindUse, c.handleUse)
 	return c
 }
 
 const (
+	// stepEvery is the time between ticks of the groups that are held.
+	stepEvery = 100 * time.Millisecond
+	// pollEvery is the time between reports of each target.
 	pollEvery = time.Second
-	// waitStep is the time between looks at the view while a want waits.
-	waitStep = 50 * time.Millisecond
 )
 
 type controller struct {
+	self    fleet.Member
 	config  func() *config.Config
 	mesh    peer.Mesh
-	owners  Ownership
+	owners  member.Ownership
 	store   platform.Store
 	engines Engines
+	weights func(ctx context.Context) (Weights, error)
+	leaving []func(target.ID) bool
 	clock   clockwork.Clock
+	log     *slog.Logger
+	off     mechanisms
+	// gate is passed before each step; tests hold it to freeze the host.
+	gate func()
 
-	views *view
+	view *view
 
-	mu      sync.Mutex
-	ordered map[model.Name]bool
+	mu      sync.RWMutex
+	current *config.Config
+	layout  *layout
+	runners map[GroupKey]*runner
 }
 
-// Run polls the engines of this host's domain until the context ends.
+// Run works until the context ends.
 func (c *controller) Run(ctx context.Context) error {
-	ticker := c.clock.NewTicker(pollEvery)
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error { return c.every(ctx, stepEvery, c.step) })
+	tasks.Go(func() error { return c.every(ctx, pollEvery, c.poll) })
+	tasks.Go(func() error { return c.every(ctx, pollEvery, c.tellOwners) })
+	err := tasks.Wait()
+	c.wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// every runs a task now and after each period until the context ends.
+func (c *controller) every(ctx context.Context, period time.Duration, task func(context.Context)) error {
+	ticker := c.clock.NewTicker(period)
 	defer ticker.Stop()
 	for {
-		c.poll(ctx)
+		c.gate()
+		task(ctx)
 		select {
 		case <-ctx.Done():
 			return trace.Wrap(ctx.Err())
@@ -114,75 +176,114 @@
 	}
 }
 
-// poll reads the reports of all targets into the view.
+// step lets time pass for all groups of this host's domain.
+func (c *controller) step(ctx context.Context) {
+	c.relayout()
+	for _, r := range c.ownRunners() {
+		r.tick(ctx)
+	}
+}
+
+// poll asks the targets of the held groups for their reports and tells hosts of
+// them.
 func (c *controller) poll(ctx context.Context) {
-	for _, t := range c.config().Targets {
-		report, err := c.engines.Report(ctx, t, false)
-		if err != nil {
-			c.views.forget(t.Name)
+	weights, read := c.readWeights(ctx)
+	for _, r := range c.ownRunners() {
+		if !r.held() {
 			continue
 		}
-		c.views.take(t, report, c.clock.Now())
+		if read {
+			r.step(ctx, WeightsRead{Weights: weights})
+		}
+		r.poll(ctx)
 	}
 }
 
-// Ensure waits for a replica of a model.
-func (c *controller) Ensure(ctx context.Context, want Want) (Wait, *outcome.NotRun) {
-	start := c.clock.Now()
-	for {
-		if ready := c.views.ready(want.Model); len(ready) > 0 {
-			return Wait{Replica: ready[0], Source: SourceRemote, Waited: c.clock.Since(start)}, nil
-		}
-		if !c.order(ctx, want.Model) {
-			return Wait{}, &outcome.NotRun{Reason: outcome.ReasonNoMemory, RetryAfter: pollEvery}
-		}
-		if !c.clock.Now().Add(waitStep).Before(want.Deadline) {
-			return Wait{}, &outcome.NotRun{Reason: outcome.ReasonDeadline, RetryAfter: pollEvery}
-		}
-		select {
-		case <-ctx.Done():
-			return Wait{}, &outcome.NotRun{Reason: outcome.ReasonCallerLeft}
-		case <-c.clock.After(waitStep):
-		}
+func (c *controller) readWeights(ctx context.Context) (Weights, bool) {
+	if c.weights == nil {
+		return Weights{}, false
 	}
+	ctx, cancel := clockwork.WithTimeout(ctx, c.clock, pollEvery/2)
+	defer cancel()
+	w, err := c.weights(ctx)
+	return w, err == nil
 }
 
-// order orders a model once, at the first target with room.
-func (c *controller) order(ctx context.Context, name model.Name) bool {
+// relayout takes in a new configuration.
+func (c *controller) relayout() {
+	cfg := c.config()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ordered[name] {
-		return true
-	}
-	if c.ordered == nil {
-		c.ordered = make(map[model.Name]bool)
+	if cfg == c.current {
+		return
 	}
-	cfg := c.config()
-	for _, m := range cfg.Models {
-		if m.Name != name {
-			continue
-		}
-		for _, t := range cfg.Targets {
-			if t.Pool != m.Pool || t.Kind != target.KindEngine {
-				continue
-			}
-			order := Order{ID: OrderID(name), Kind: OrderLoad, Ref: model.Ref{Name: name, Version: m.Version}, Bytes: m.Memory}
-			if _, ok := c.engines.Order(ctx, t, order).(OrderAccepted); ok {
-				c.ordered[name] = true
-				return true
-			}
+	c.current = cfg
+	c.layout = newLayout(cfg)
+	c.view.relayout(c.layout)
+	for _, key := range c.layout.groups {
+		if key.Domain == c.self.Domain && c.runners[key] == nil {
+			c.runners[key] = newRunner(c, key)
 		}
 	}
-	return false
+	for key, r := range c.runners {
+		r.reconfigure(c.layout.targets[key], c.layout.catalog, c.layout.keeps(key))
+	}
+}
+
+// ownRunners returns the runners of this host's domain in the order of their
+// groups.
+func (c *controller) ownRunners() []*runner {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	runners := make([]*runner, 0, len(c.runners))
+	for _, r := range c.runners {
+		runners = append(runners, r)
+	}
+	sortRunners(runners)
+	return runners
+}
+
+func (c *controller) runner(key GroupKey) *runner {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.runners[key]
+}
+
+func (c *controller) currentLayout() *layout {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.layout
+}
+
+// wait waits for the calls that are running.
+func (c *controller) wait() {
+	for _, r := range c.ownRunners() {
+		r.calls.Wait()
+	}
 }
 
 // Ready returns the replicas that requests may be sent to.
-func (c *controller) Ready(name model.Name) []Replica { return c.views.ready(name) }
+func (c *controller) Ready(name model.Name) []Replica { return c.view.ready(name) }
 
 // Load returns the last known load of a target.
-func (c *controller) Load(id target.ID) (Load, bool) { return c.views.load(id) }
+func (c *controller) Load(id target.ID) (Load, bool) { return c.view.load(id) }
 
 // Begin marks a request as running at a replica until end is called.
-func (c *controller) Begin(target.ID, model.Name) (end func(), ok bool) {
-	return func() {}, true
+func (c *controller) Begin(id target.ID, name model.Name) (end func(), ok bool) {
+	n, ok := c.view.begin(replicaKey{id, name})
+	if !ok {
+		return nil, false
+	}
+	return func() { n.running.Add(-1) }, true
+}
+
+// Released reports whether every order for a shard has been answered and
+// recorded.
+func (c *controller) Released(shard member.Shard) bool {
+	for _, r := range c.ownRunners() {
+		if r.key.Shard == shard && !r.released() {
+			return false
+		}
+	}
+	return true
 }
--- /dev/null
+++ b/replica/drain.go
@@ -0,0 +1,184 @@
+package replica
+
+import (
+	"time"
+
+	"hawthornway/fleet"
+	"hawthornway/model"
+	"hawthornway/target"
+)
+
+const (
+	// drainPatience is the time that a host is given to say that it sends
+	// nothing more to a replica. After it an engine without any request counts.
+	drainPatience = 10 * time.Second
+	// drainBound is the time after which a drain is called off.
+	drainBound = time.Minute
+)
+
+// replicaKey names one replica.
+type replicaKey struct {
+	target target.ID
+	name   model.Name
+}
+
+// hostUse is what a host said last of its requests.
+type hostUse struct {
+	seen    DigestSequence
+	running map[replicaKey]int
+	heardAt time.Time
+}
+
+// traffic is how a model is used.
+type traffic struct {
+	lastUse time.Time
+	// gap is the mean time between uses.
+	gap time.Duration
+	// busySince is when all replicas became full; zero if they aren't.
+	busySince time.Time
+}
+
+const defaultGap = time.Minute
+
+// gap returns the mean time between the uses of a model.
+func (g *Group) gap(name model.Name) time.Duration {
+	if t := g.traffic[name]; t != nil && t.gap > 0 {
+		return t.gap
+	}
+	return defaultGap
+}
+
+// used takes in what a host does with the replicas.
+func (g *Group) used(in Used) {
+	u := &hostUse{seen: in.Seen, running: make(map[replicaKey]int), heardAt: g.now}
+	for _, use := range in.Uses {
+		if use.Running > 0 {
+			u.running[replicaKey{use.Target, use.Model}] = use.Running
+		}
+		if use.Started > 0 || use.Running > 0 {
+			g.noteUse(use)
+		}
+	}
+	g.uses[in.Host] = u
+}
+
+// noteUse counts a use of a replica, and of the model under an adapter.
+func (g *Group) noteUse(use Use) {
+	e := g.engine(use.Target)
+	if e == nil {
+		return
+	}
+	en := e.find(use.Model)
+	if en == nil {
+		return
+	}
+	en.lastUse = g.now
+	if base := e.find(en.ref.Base); base != nil {
+		base.lastUse = g.now
+	}
+	t := g.traffic[use.Model]
+	if t == nil {
+		t = &traffic{}
+		g.traffic[use.Model] = t
+	}
+	g.noteGap(t)
+}
+
+// noteGap takes the time since the last use into the mean. Uses less than a
+// second apart are one.
+func (g *Group) noteGap(t *traffic) {
+	gap := g.now.Sub(t.lastUse)
+	if !t.lastUse.IsZero() && gap > activeSpan {
+		if t.gap == 0 {
+			t.gap = gap
+		}
+		t.gap += time.Duration(speedGain * float64(gap-t.gap))
+	}
+	t.lastUse = g.now
+}
+
+// running counts the requests that hosts have at a replica.
+func (g *Group) running(en *entry) int {
+	key := replicaKey{en.engine.cfg.Name, en.ref.Name}
+	n := 0
+	for _, u := range g.uses {
+		n += u.running[key]
+	}
+	return n
+}
+
+// idle reports whether a replica has had no request for a while.
+func (g *Group) idle(en *entry, span time.Duration) bool {
+	return g.now.Sub(en.lastUse) >= span && g.running(en) == 0
+}
+
+// drain stops new requests to a replica, to unload it once none is left.
+func (g *Group) drain(en *entry) {
+	if !en.serving() {
+		return
+	}
+	en.state = entryDraining
+	en.drainAt = g.now
+	en.drainFrom = 0
+}
+
+// callOffDrain lets a replica serve on.
+func (g *Group) callOffDrain(en *entry) {
+	en.state = entryReady
+	en.lastUse = g.now
+	for _, w := range g.line.byName {
+		if w.plan == en.engine.cfg.Name {
+			w.plan = ""
+		}
+	}
+}
+
+// endDrains unloads the drained replicas that no host uses any more.
+func (g *Group) endDrains() {
+	for _, e := range g.engines {
+		for _, en := range e.entries {
+			if en.state != entryDraining {
+				continue
+			}
+			switch {
+			case !g.acting(e):
+			case g.drained(en):
+				en.state = entryUnloading
+				e.changed()
+			case g.now.Sub(en.drainAt) > drainBound:
+				g.callOffDrain(en)
+			}
+		}
+	}
+}
+
+// drained reports whether all hosts have said that they send nothing more to a
+// replica and have no request there. For hosts that have not been heard, an
+// engine without any request counts.
+func (g *Group) drained(en *entry) bool {
+	if en.drainFrom == 0 || g.running(en) > 0 {
+		return false
+	}
+	for _, host := range g.hosts {
+		if !g.acknowledged(host, en) {
+			return g.restsAfterPatience(en)
+		}
+	}
+	return true
+}
+
+// acknowledged reports whether a host acts by a digest that told of the drain.
+func (g *Group) acknowledged(host fleet.HostID, en *entry) bool {
+	u := g.uses[host]
+	return u != nil && u.seen.Fence == en.engine.fence && u.seen.Number >= en.drainFrom
+}
+
+// restsAfterPatience reports whether the engine had no request of any kind after
+// the time that hosts are given.
+func (g *Group) restsAfterPatience(en *entry) bool {
+	e := en.engine
+	if e.askedAt.Before(en.drainAt.Add(drainPatience)) {
+		return false
+	}
+	return e.report.Running == 0 && e.report.Queued == 0
+}
--- a/replica/effect.go
+++ b/replica/effect.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"hawthornway/engine"
 	"hawthornway/outcome"
 	"hawthornway/platform"
 	"hawthornway/target"
@@ -28,7 +29,7 @@
 // order's fence.
 type GiveOrder struct {
 	Target target.ID
-	Order  Order
+	Order  engine.Order
 }
 
 // AskReport asks a target for a fresh report.
--- a/replica/engines.go
+++ b/replica/engines.go
@@ -2,60 +2,75 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 
 	"hawthornway/config"
-	"hawthornway/model"
+	"hawthornway/engine"
+	"hawthornway/jsonhttp"
+	"hawthornway/service"
 	"hawthornway/target"
 )
 
-// Engines speaks to engines and plain services.
+// Engines gives the clients of targets.
 type Engines interface {
-	// Order gives an order to an engine.
-	Order(ctx context.Context, to config.Target, order Order) OrderResult
-	// Report asks a target for its report. A fresh one is made when it is asked
-	// for; any other lags.
-	Report(ctx context.Context, of config.Target, fresh bool) (Report, error)
+	// Engine returns the client of an engine.
+	Engine(t config.Target) engine.Client
+	// Service returns the client of a plain service.
+	Service(t config.Target) service.Client
 }
 
-// OrderID identifies an order. An engine takes an order once.
-type OrderID string
+// NewEngines returns a new Engines whose clients speak HTTP. Clients are kept by
+// address.
+func NewEngines() Engines {
+	return &engines{engines: make(map[string]engine.Client), services: make(map[string]service.Client)}
+}
 
-// OrderKind says what an order does.
-type OrderKind string
+type engines struct {
+	mu       sync.Mutex
+	engines  map[string]engine.Client
+	services map[string]service.Client
+}
 
-// The kinds of orders.
-const (
-	OrderLoad          OrderKind = "load"
-	OrderUnload        OrderKind = "unload"
-	OrderLoadAdapter   OrderKind = "load-adapter"
-	OrderUnloadAdapter OrderKind = "unload-adapter"
-	OrderFence         OrderKind = "fence"
-)
+// Engine returns the client of an engine.
+func (e *engines) Engine(t config.Target) engine.Client {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := e.engines[t.Address]
+	if !ok {
+		c = engine.NewClient(t.Address)
+		e.engines[t.Address] = c
+	}
+	return c
+}
 
-// Order tells an engine to load or unload a model or an adapter.
-type Order struct {
-	ID    OrderID
-	Kind  OrderKind
-	Fence target.Fence
-	Ref   model.Ref
-	Bytes model.Bytes
+// Service returns the client of a plain service.
+func (e *engines) Service(t config.Target) service.Client {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := e.services[t.Address]
+	if !ok {
+		c = service.NewClient(t.Address)
+		e.services[t.Address] = c
+	}
+	return c
 }
 
 // OrderResult is what came of giving an order. It is one of OrderAccepted,
-// OrderFenced, OrderNoMemory, OrderRefused and OrderUnknown.
+// OrderFenced, OrderNoMemory, OrderRefused, OrderNotHeld and OrderUnknown.
 type OrderResult interface {
 	orderResult()
 }
 
 // OrderAccepted says that the engine took the order.
 type OrderAccepted struct {
-	// Sequence is the engine's state that includes the order.
-	Sequence uint64
+	// Sequence is the engine's state that first shows the order.
+	Sequence engine.Sequence
 }
 
 // OrderFenced says that the engine has seen a higher fence.
 type OrderFenced struct {
-	Fence target.Fence
+	Highest target.Fence
 }
 
 // OrderNoMemory says that the engine has no room for the order.
@@ -66,6 +81,10 @@
 	Err error
 }
 
+// OrderNotHeld says that the order was not sent, since this host may not act for
+// the engine now.
+type OrderNotHeld struct{}
+
 // OrderUnknown says that the order may take effect, now or later.
 type OrderUnknown struct {
 	Err error
@@ -75,49 +94,25 @@
 func (OrderFenced) orderResult()   {}
 func (OrderNoMemory) orderResult() {}
 func (OrderRefused) orderResult()  {}
+func (OrderNotHeld) orderResult()  {}
 func (OrderUnknown) orderResult()  {}
 
-// Boot identifies one start of an engine.
-type Boot string
-
-// Report is the state that an engine or a service gives of itself.
-type Report struct {
-	Target target.ID
-	Boot   Boot
-	// Sequence rises with each change of the engine's state.
-	Sequence uint64
-	Fence    target.Fence
-	Memory   model.Bytes
-	Used     model.Bytes
-	Loaded   []Loaded
-	Cached   []Cached
-	Load     Load
-}
-
-// Loaded is a model or an adapter in an engine's memory.
-type Loaded struct {
-	Ref   model.Ref
-	Bytes model.Bytes
-	State LoadState
-	// Order is the order that loaded it.
-	Order OrderID
-}
-
-// LoadState is the state of a model in an engine's memory.
-type LoadState string
-
-// The states of a model in an engine's memory.
-const (
-	StateLoading   LoadState = "loading"
-	StateReady     LoadState = "ready"
-	StateUnloading LoadState = "unloading"
-	StateFailed    LoadState = "failed"
-)
-
-// Cached is a set of weights that an engine loads faster than from the weight
-// store.
-type Cached struct {
-	Name    model.Name
-	Version model.Version
-	Source  Source
+// give sends an order and sorts its result.
+func give(ctx context.Context, client engine.Client, order engine.Order) OrderResult {
+	accepted, err := client.Order(ctx, order)
+	var fenced *engine.FenceError
+	var memory *engine.MemoryError
+	var refused *engine.RefusedError
+	switch {
+	case err == nil:
+		return OrderAccepted{Sequence: accepted.Sequence}
+	case errors.As(err, &fenced):
+		return OrderFenced{Highest: fenced.Highest}
+	case errors.As(err, &memory):
+		return OrderNoMemory{}
+	case errors.As(err, &refused), errors.Is(err, jsonhttp.ErrNotSent):
+		return OrderRefused{Err: err}
+	default:
+		return OrderUnknown{Err: err}
+	}
 }
--- a/replica/input.go
+++ b/replica/input.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"hawthornway/config"
+	"hawthornway/engine"
 	"hawthornway/fleet"
+	"hawthornway/member"
 	"hawthornway/model"
 	"hawthornway/platform"
 	"hawthornway/target"
@@ -21,13 +23,15 @@
 type Configured struct {
 	Engines []config.Target
 	Catalog *Catalog
+	// Keeps names the models whose least number of replicas this group keeps.
+	Keeps []model.Name
 }
 
 // Held tells whether this host may act for the group's shard.
 type Held struct {
 	// ChecksFence names the engines that the hold is for.
 	ChecksFence bool
-	Hold        Hold
+	Hold        member.Hold
 	OK          bool
 	// Elsewhere says that another member owns the shard.
 	Elsewhere bool
@@ -52,7 +56,7 @@
 
 // Reported is a target's report.
 type Reported struct {
-	Report Report
+	Report engine.Report
 	// AskedAt is when the report was asked for, by this host's clock.
 	AskedAt time.Time
 	// Fresh says that the report was made after it was asked for.
@@ -99,7 +103,7 @@
 // Ordered is the answer to GiveOrder.
 type Ordered struct {
 	Target target.ID
-	Order  OrderID
+	Order  engine.OrderID
 	Result OrderResult
 }
 
--- a/replica/line.go
+++ b/replica/line.go
@@ -22,6 +22,13 @@
 	extra bool
 	// plan is the engine on which memory is being made free, or empty.
 	plan target.ID
+	// blocked says that no engine can make room.
+	blocked bool
+	// since is when it was lined up, for a replica beyond the first.
+	since time.Time
+	// expires is when a model without wants leaves the line; zero if it has
+	// wants.
+	expires time.Time
 }
 
 // line orders waiting models: by deadline within a team, and among the teams by
@@ -70,12 +77,30 @@
 	if !deadline.Before(w.deadline) {
 		return
 	}
+	l.move(w, deadline)
+	w.expires = time.Time{}
+}
+
+// postpone moves a model back.
+func (l *line) postpone(w *waiting, deadline time.Time) { l.move(w, deadline) }
+
+// move gives a model the place of another deadline.
+func (l *line) move(w *waiting, deadline time.Time) {
 	t := l.byTeam[w.team]
 	t.items = slices.DeleteFunc(t.items, func(o *waiting) bool { return o == w })
 	w.deadline = deadline
 	l.insert(t, w)
 }
 
+// all returns the waiting models in the order of their teams.
+func (l *line) all() []*waiting {
+	var all []*waiting
+	for _, t := range l.teams {
+		all = append(all, t.items...)
+	}
+	return all
+}
+
 // remove takes a model out of the line.
 func (l *line) remove(w *waiting) {
 	t := l.byTeam[w.team]
--- a/replica/record.go
+++ b/replica/record.go
@@ -5,7 +5,9 @@
 
 	"github.com/gravitational/trace"
 
+	"hawthornway/engine"
 	"hawthornway/fleet"
+	"hawthornway/member"
 	"hawthornway/model"
 	"hawthornway/target"
 	"hawthornway/team"
@@ -24,7 +26,7 @@
 	Write WriteID
 	// Domain and Shard tell whose group the engine belongs to.
 	Domain fleet.DomainID
-	Shard  Shard
+	Shard  member.Shard
 	Fence  target.Fence
 	// Released says that the owner gives no order any more, and that Decisions
 	// lists every order that may still take effect.
@@ -34,49 +36,52 @@
 
 // Decision is a load that was decided and is not proved gone.
 type Decision struct {
-	ID    OrderID
+	ID    engine.OrderID
 	Ref   model.Ref
 	Bytes model.Bytes
 	Team  team.ID
-	// Accepted says that the engine took the order.
-	Accepted bool
+	State DecisionState
 }
 
+// DecisionState is how far a decision is known to have come.
+type DecisionState string
+
+// The states of a decision.
+const (
+	// DecisionDecided says that the order may reach the engine at any time.
+	DecisionDecided DecisionState = "decided"
+	// DecisionAccepted says that the engine took the order.
+	DecisionAccepted DecisionState = "accepted"
+	// DecisionReady says that the engine reported the load as done.
+	DecisionReady DecisionState = "ready"
+)
+
 type recordWire struct {
 	Write     WriteID        `json:"write"`
 	Domain    fleet.DomainID `json:"domain"`
-	Shard     Shard          `json:"shard"`
+	Shard     member.Shard   `json:"shard"`
 	Fence     target.Fence   `json:"fence"`
 	Released  bool           `json:"released,omitempty"`
 	Decisions []decisionWire `json:"decisions"`
 }
 
 type decisionWire struct {
-	ID      OrderID       `json:"decision"`
-	Model   model.Name    `json:"model"`
-	Version model.Version `json:"version"`
-	Base    model.Name    `json:"base,omitempty"`
-	Bytes   model.Bytes   `json:"bytes"`
-	Team    team.ID       `json:"team,omitempty"`
-	State   string        `json:"state"`
+	ID      engine.OrderID `json:"decision"`
+	Model   model.Name     `json:"model"`
+	Version model.Version  `json:"version"`
+	Base    model.Name     `json:"base,omitempty"`
+	Bytes   model.Bytes    `json:"bytes"`
+	Team    team.ID        `json:"team,omitempty"`
+	State   DecisionState  `json:"state"`
 }
 
-const (
-	decisionDecided  = "decided"
-	decisionAccepted = "accepted"
-)
-
 // encodeRecord returns the value that the service holds for a record.
 func encodeRecord(r Record) ([]byte, error) {
 	w := recordWire{Write: r.Write, Domain: r.Domain, Shard: r.Shard, Fence: r.Fence, Released: r.Released}
 	for _, d := range r.Decisions {
-		state := decisionDecided
-		if d.Accepted {
-			state = decisionAccepted
-		}
 		w.Decisions = append(w.Decisions, decisionWire{
 			ID: d.ID, Model: d.Ref.Name, Version: d.Ref.Version, Base: d.Ref.Base,
-			Bytes: d.Bytes, Team: d.Team, State: state,
+			Bytes: d.Bytes, Team: d.Team, State: d.State,
 		})
 	}
 	value, err := json.Marshal(w)
@@ -93,7 +98,7 @@
 	for _, d := range w.Decisions {
 		r.Decisions = append(r.Decisions, Decision{
 			ID: d.ID, Ref: model.Ref{Name: d.Model, Version: d.Version, Base: d.Base},
-			Bytes: d.Bytes, Team: d.Team, Accepted: d.State == decisionAccepted,
+			Bytes: d.Bytes, Team: d.Team, State: d.State,
 		})
 	}
 	return r, nil
