--- a/parts.go
+++ b/parts.go
@@ -24,67 +24,126 @@
 	"hawthornway/route"
 	"hawthornway/service"
 	"hawthornway/settings"
+	"hawthornway/weightstore"
 )
 
 // parts are the controllers and the front of one host.
 type parts struct {
-	log      *slog.Logger
-	links    *peer.Links
-	members  *member.Controller
-	configs  *config.Store
-	keys     key.Ring
-	limiter  limit.Controller
-	replicas replica.Controller
-	router   route.Router
-	claims   claim.Claims
-	metrics  metric.Metrics
-	front    *caller.Front
-	admin    http.Handler
+	log       *slog.Logger
+	links     *peer.Links
+	members   *member.Controller
+	configs   *config.Store
+	directory directory
+	keys      key.Ring
+	limiter   limit.Controller
+	machines  *machines
+	replicas  replica.Controller
+	router    route.Router
+	claims    claim.Claims
+	metrics   metric.Metrics
+	front     *caller.Front
+	admin     http.Handler
 }
 
 func newParts(self fleet.Member, s settings.Settings, o *options) *parts {
 	p := &parts{log: o.log, metrics: metric.New()}
+	p.machines = newMachines(s.Platform.HostList, o.clock, o.log)
 	p.links = peer.New(
 		peer.WithSelf(self),
 		peer.WithSecret([]byte(s.Secrets.Cluster)),
 		peer.WithClock(o.clock),
 		peer.WithLogger(o.log),
 	)
-	p.members = member.New(
+	p.addMembers(self, s, o)
+	p.addState(self, o)
+	p.addPlacement(self, s, o)
+	p.addFront(s, o)
+	return p
+}
+
+func (p *parts) addMembers(self fleet.Member, s settings.Settings, o *options) {
+	options := []member.Option{
 		member.WithSelf(self),
 		member.WithStore(o.store),
 		member.WithLinks(p.links),
 		member.WithClock(o.clock),
 		member.WithLogger(o.log),
+		member.WithRelease(p.released),
+	}
+	if s.Platform.HostList != "" {
+		options = append(options, member.WithHostList(p.machines))
+	}
+	p.members = member.New(options...)
+}
+
+// released reports whether nothing is under way for a shard any more.
+func (p *parts) released(shard member.Shard) bool {
+	return p.limiter.Released(shard) && p.replicas.Released(shard)
+}
+
+// addState joins the controllers of what operators and teams own.
+func (p *parts) addState(self fleet.Member, o *options) {
+	p.configs = config.NewStore(o.store, p.links, config.WithClock(o.clock), config.WithLogger(o.log))
+	p.directory = directory{p.configs}
+	p.keys = key.NewRing(o.store, p.links, key.WithClock(o.clock), key.WithLogger(o.log))
+	p.limiter = limit.New(p.members, p.links, o.store, p.directory.Limit,
+		limit.WithClock(o.clock),
+		limit.WithLogger(o.log),
+		limit.WithDomains(p.directory.Domains),
+		limit.WithTeams(p.directory.Teams),
+	)
+	p.claims = claim.New(o.store,
+		claim.WithClock(o.clock),
+		claim.WithLogger(o.log),
+		claim.WithHost(self.Host),
 	)
-	p.addState(self, o)
-	p.addPlacement(self, o)
-	p.addFront(s, o)
-	return p
 }
 
 // addPlacement joins what decides where requests go.
-func (p *parts) addPlacement(self fleet.Member, o *options) {
-	p.replicas = replica.New(
-		replica.WithConfig(p.config),
+func (p *parts) addPlacement(self fleet.Member, s settings.Settings, o *options) {
+	options := []replica.Option{
+		replica.WithConfig(p.directory.Config),
 		replica.WithMesh(p.links),
 		replica.WithOwnership(p.members),
 		replica.WithStore(o.store),
-		replica.WithEngines(newEngines()),
+		replica.WithLeaving(p.machines.Leaving),
 		replica.WithClock(o.clock),
-	)
+		replica.WithLogger(o.log),
+	}
+	if s.Platform.WeightStore != "" {
+		options = append(options, replica.WithWeightStore(weightsReader(s.Platform.WeightStore)))
+	}
+	p.replicas = replica.New(options...)
 	p.router = route.New(
-		route.WithConfig(p.config),
+		route.WithConfig(p.directory.Config),
 		route.WithReplicas(p.replicas),
 		route.WithDomain(self.Domain),
+		route.WithLeaving(p.machines.Leaving),
 		route.WithClock(o.clock),
 	)
 }
 
+// weightsReader returns a function that reads the weight store's state.
+func weightsReader(address string) func(context.Context) (replica.Weights, error) {
+	client := weightstore.NewClient(address)
+	return func(ctx context.Context) (replica.Weights, error) {
+		state, err := client.State(ctx)
+		if err != nil {
+			return replica.Weights{}, trace.Wrap(err)
+		}
+		return replica.Weights{
+			RatePerSecond: state.RatePerSecond,
+			Slots:         state.Slots,
+			Running:       state.InFlight,
+			Waiting:       state.Waiting,
+			Adapters:      state.AdaptersInFlight,
+		}, nil
+	}
+}
 
 // addFront joins the callers' chain of filters.
 func (p *parts) addFront(s settings.Settings, o *options) {
-	directory := directory{p.configs}
+	directory := p.directory
 	budget := retry.NewBudget(o.clock)
 	priority := func(c *call.Call) int {
 		owner, _ := directory.Team(c.Team)
@@ -116,6 +175,7 @@
 // start runs the controllers. One that fails ends the host.
 func (p *parts) start(ctx context.Context, group *errgroup.Group) {
 	runners := []runner{
+		{"machines", p.machines.Run},
 		{"peer", p.links.Run},
 		{"member", p.members.Run},
 		{"config", p.configs.Run},
