Stand in for model engines

Cause: routing, placement, retries and the measures need an engine with honest time and memory whose faults can be switched. Ruled out: answers drawn at random (a resumed stream could not be checked); the answer follows from model, prompt and seed.

--- /dev/null
+++ b/standin/engine/cache.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"container/list"
+
+	"hawthornway/model"
+)
+
+// lru is a cache that drops what was used longest ago when its items outgrow
+// its capacity.
+type lru[K comparable] struct {
+	capacity int64
+	used     int64
+	order    *list.List
+	items    map[K]*list.Element
+}
+
+type lruItem[K comparable] struct {
+	key  K
+	size int64
+}
+
+func newLRU[K comparable](capacity int64) *lru[K] {
+	return &lru[K]{capacity: capacity, order: list.New(), items: make(map[K]*list.Element)}
+}
+
+// touch reports whether the cache holds key, and marks it as used.
+func (c *lru[K]) touch(key K) bool {
+	at, found := c.items[key]
+	if found {
+		c.order.MoveToFront(at)
+	}
+	return found
+}
+
+// put adds key and returns the keys dropped for it. A key larger than the
+// capacity isn't added.
+func (c *lru[K]) put(key K, size int64) []K {
+	if c.touch(key) || size > c.capacity {
+		return nil
+	}
+	c.items[key] = c.order.PushFront(lruItem[K]{key: key, size: size})
+	c.used += size
+	var dropped []K
+	for c.used > c.capacity {
+		dropped = append(dropped, c.dropOldest())
+	}
+	return dropped
+}
+
+func (c *lru[K]) dropOldest() K {
+	item := c.order.Remove(c.order.Back()).(lruItem[K])
+	delete(c.items, item.key)
+	c.used -= item.size
+	return item.key
+}
+
+// weightKey names cached weights.
+type weightKey struct {
+	name    model.Name
+	version model.Version
+}
--- /dev/null
+++ b/standin/engine/completion.go
@@ -0,0 +1,282 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"hawthornway/standin/wire"
+)
+
+// shape is one of OpenAI's two completion protocols.
+type shape interface{ sealed() }
+
+type (
+	chatShape struct{}
+	textShape struct{}
+)
+
+func (chatShape) sealed() {}
+func (textShape) sealed() {}
+
+type wireCompletion struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []wireChoice `json:"choices"`
+	Usage   *wireUsage   `json:"usage,omitempty"`
+}
+
+type wireChoice struct {
+	Index        int        `json:"index"`
+	Text         *string    `json:"text,omitempty"`
+	Message      *wireDelta `json:"message,omitempty"`
+	Delta        *wireDelta `json:"delta,omitempty"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+type wireDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+type wireUsage struct {
+	PromptTokens        int               `json:"prompt_tokens"`
+	CompletionTokens    int               `json:"completion_tokens"`
+	TotalTokens         int               `json:"total_tokens"`
+	PromptTokensDetails wireUsageOfPrompt `json:"prompt_tokens_details"`
+}
+
+type wireUsageOfPrompt struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type wireError struct {
+	Error wireErrorBody `json:"error"`
+}
+
+type wireErrorBody struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	e.complete(w, r, chatShape{})
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	e.complete(w, r, textShape{})
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request, as shape) {
+	e.awaitThaw(r.Context())
+	if e.refuseKey(w, r) {
+		return
+	}
+	req, err := readRequest(w, r)
+	if err != nil {
+		writeError(w, &refusal{status: http.StatusBadRequest, code: "bad-request", message: err.Error()})
+		return
+	}
+	s, refused := e.submit(req)
+	if refused != nil {
+		writeError(w, refused)
+		return
+	}
+	defer e.withdraw(s)
+	c := &completion{engine: e, request: req, sequence: s, shape: as, w: w, r: r}
+	if req.stream {
+		c.stream()
+		return
+	}
+	c.whole()
+}
+
+// refuseKey refuses and counts a request that carries a caller's key.
+func (e *Engine) refuseKey(w http.ResponseWriter, r *http.Request) bool {
+	if !wire.CarriesKey(r) {
+		return false
+	}
+	e.mu.Lock()
+	e.counts.KeysSeen++
+	e.mu.Unlock()
+	writeError(w, &refusal{status: http.StatusBadRequest, code: "key-seen", message: "the request carries a caller's key"})
+	return true
+}
+
+func writeError(w http.ResponseWriter, refused *refusal) {
+	wire.WriteJSON(w, refused.status, wireError{Error: wireErrorBody{
+		Message: refused.message,
+		Type:    "engine_error",
+		Code:    refused.code,
+	}})
+}
+
+// completion writes the answer of one request.
+type completion struct {
+	engine   *Engine
+	request  request
+	sequence *sequence
+	shape    shape
+	w        http.ResponseWriter
+	r        *http.Request
+}
+
+// next returns the next token's number, and false after the last. It ends the
+// connection when the engine dies or the caller goes.
+func (c *completion) next() (int, bool) {
+	select {
+	case at, more := <-c.sequence.tokens:
+		return at, more
+	case <-c.sequence.life.Done():
+		panic(http.ErrAbortHandler)
+	case <-c.r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *completion) writeHeader(contentType string) {
+	header := c.w.Header()
+	header.Set("Content-Type", contentType)
+	header.Set(headerRequest, c.sequence.id)
+	header.Set(headerAttempt, c.sequence.attempt)
+	c.w.WriteHeader(http.StatusOK)
+}
+
+// whole writes the answer as one body.
+func (c *completion) whole() {
+	var text strings.Builder
+	for {
+		at, more := c.next()
+		if !more {
+			break
+		}
+		text.WriteString(c.sequence.answer.token(at))
+	}
+	reason := c.sequence.answer.finishReason()
+	body := c.envelope("", c.choice(text.String(), &reason))
+	body.Usage = c.usage()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	if c.truncates() {
+		encoded = encoded[:len(encoded)/2]
+	}
+	c.writeHeader("application/json")
+	// The caller has gone if this fails.
+	_, _ = c.w.Write(encoded)
+}
+
+// stream writes each token as an event when it is generated.
+func (c *completion) stream() {
+	c.writeHeader("text/event-stream")
+	c.flush()
+	first := true
+	for {
+		at, more := c.next()
+		if !more {
+			break
+		}
+		if c.truncates() && at >= c.sequence.answer.length/2 {
+			return
+		}
+		c.event(at, c.envelope(".chunk", c.delta(c.sequence.answer.token(at), first && at == 0, nil)))
+		first = false
+	}
+	end := c.sequence.answer.length
+	reason := c.sequence.answer.finishReason()
+	c.event(end, c.envelope(".chunk", c.delta("", false, &reason)))
+	if c.request.includeUsage {
+		body := c.envelope(".chunk")
+		body.Usage = c.usage()
+		c.event(end, body)
+	}
+	c.write(end, []byte("[DONE]"))
+}
+
+func (c *completion) truncates() bool {
+	c.engine.mu.Lock()
+	defer c.engine.mu.Unlock()
+	return c.engine.faults.TruncateAnswers
+}
+
+func (c *completion) event(at int, body wireCompletion) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	c.write(at, encoded)
+}
+
+func (c *completion) write(at int, data []byte) {
+	var event bytes.Buffer
+	fmt.Fprintf(&event, "id: %s/%s/%d\ndata: %s\n\n", c.sequence.id, c.sequence.attempt, at, data)
+	if _, err := c.w.Write(event.Bytes()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c.flush()
+}
+
+func (c *completion) flush() {
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *completion) envelope(suffix string, choices ...wireChoice) wireCompletion {
+	if choices == nil {
+		choices = []wireChoice{}
+	}
+	body := wireCompletion{
+		ID:      "chatcmpl-" + c.sequence.id,
+		Object:  "chat.completion" + suffix,
+		Created: c.engine.clock.Now().Unix(),
+		Model:   string(c.request.model),
+		Choices: choices,
+	}
+	if _, isText := c.shape.(textShape); isText {
+		body.ID = "cmpl-" + c.sequence.id
+		body.Object = "text_completion"
+	}
+	return body
+}
+
+// choice returns a whole answer's choice.
+func (c *completion) choice(text string, reason *string) wireChoice {
+	switch c.shape.(type) {
+	case textShape:
+		return wireChoice{Text: &text, FinishReason: reason}
+	default:
+		return wireChoice{Message: &wireDelta{Role: "assistant", Content: text}, FinishReason: reason}
+	}
+}
+
+// delta returns the choice of one streamed event.
+func (c *completion) delta(text string, first bool, reason *string) wireChoice {
+	switch c.shape.(type) {
+	case textShape:
+		return wireChoice{Text: &text, FinishReason: reason}
+	default:
+		delta := &wireDelta{Content: text}
+		if first {
+			delta.Role = "assistant"
+		}
+		return wireChoice{Delta: delta, FinishReason: reason}
+	}
+}
+
+func (c *completion) usage() *wireUsage {
+	prompt := c.request.promptTokens()
+	generated := c.sequence.answer.length
+	return &wireUsage{
+		PromptTokens:        prompt,
+		CompletionTokens:    generated,
+		TotalTokens:         prompt + generated,
+		PromptTokensDetails: wireUsageOfPrompt{CachedTokens: c.sequence.cached},
+	}
+}
--- /dev/null
+++ b/standin/engine/request.go
@@ -0,0 +1,176 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"hawthornway/engine"
+	"hawthornway/model"
+	"hawthornway/standin/wire"
+)
+
+// The sizes of tokens.
+const (
+	runesPerToken = 4
+	prefixTokens  = engine.PrefixRunes / runesPerToken
+)
+
+// The headers between hosts and engines.
+const (
+	headerRequest  = "X-Request-Id"
+	headerAttempt  = "X-Attempt"
+	headerPriority = "X-Priority"
+	headerResume   = "X-Resume-From"
+)
+
+// identity is what an answer says of itself.
+type identity struct {
+	id      string
+	attempt string
+	answer  answer
+}
+
+// request is one completion asked for.
+type request struct {
+	id           string
+	attempt      string
+	priority     int
+	resumeFrom   int
+	model        model.Name
+	prompt       string
+	seed         int64
+	limit        int
+	ignoreEnd    bool
+	stream       bool
+	includeUsage bool
+}
+
+func (r request) answer(mean int) answer {
+	return newAnswer(r.model, r.prompt, r.seed, mean, r.limit, r.ignoreEnd)
+}
+
+// promptTokens returns the number of tokens of the prompt, at least one.
+func (r request) promptTokens() int {
+	return max(1, (utf8.RuneCountInString(r.prompt)+runesPerToken-1)/runesPerToken)
+}
+
+// wireRequest is the part of OpenAI's bodies that the stand-in heeds.
+type wireRequest struct {
+	Model               model.Name        `json:"model"`
+	Messages            []wireMessage     `json:"messages"`
+	Prompt              json.RawMessage   `json:"prompt"`
+	MaxTokens           int               `json:"max_tokens"`
+	MaxCompletionTokens int               `json:"max_completion_tokens"`
+	Seed                int64             `json:"seed"`
+	Stream              bool              `json:"stream"`
+	StreamOptions       wireStreamOptions `json:"stream_options"`
+	IgnoreEnd           bool              `json:"ignore_eos"`
+}
+
+type wireMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type wireStreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type wirePart struct {
+	Text string `json:"text"`
+}
+
+func readRequest(w http.ResponseWriter, r *http.Request) (request, error) {
+	var body wireRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes)).Decode(&body); err != nil {
+		return request{}, err
+	}
+	prompt, err := body.text()
+	if err != nil {
+		return request{}, err
+	}
+	req := request{
+		id:           r.Header.Get(headerRequest),
+		attempt:      r.Header.Get(headerAttempt),
+		model:        body.Model,
+		prompt:       prompt,
+		seed:         body.Seed,
+		limit:        max(body.MaxTokens, body.MaxCompletionTokens),
+		ignoreEnd:    body.IgnoreEnd,
+		stream:       body.Stream,
+		includeUsage: body.StreamOptions.IncludeUsage,
+	}
+	if req.priority, err = headerNumber(r, headerPriority); err != nil {
+		return request{}, err
+	}
+	if req.resumeFrom, err = headerNumber(r, headerResume); err != nil {
+		return request{}, err
+	}
+	if req.resumeFrom < 0 {
+		return request{}, fmt.Errorf("%s is negative", headerResume)
+	}
+	return req, nil
+}
+
+func headerNumber(r *http.Request, name string) (int, error) {
+	text := r.Header.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.Atoi(text)
+}
+
+// text returns the prompt, or the messages as one text.
+func (b wireRequest) text() (string, error) {
+	if b.Prompt != nil {
+		return promptText(b.Prompt)
+	}
+	if len(b.Messages) == 0 {
+		return "", errors.New("no messages and no prompt")
+	}
+	var text strings.Builder
+	for _, m := range b.Messages {
+		content, err := contentText(m.Content)
+		if err != nil {
+			return "", err
+		}
+		text.WriteString(m.Role + ": " + content + "\n")
+	}
+	return text.String(), nil
+}
+
+func promptText(raw json.RawMessage) (string, error) {
+	var one string
+	if json.Unmarshal(raw, &one) == nil {
+		return one, nil
+	}
+	var several []string
+	if err := json.Unmarshal(raw, &several); err != nil {
+		return "", errors.New("prompt is neither a string nor a list of strings")
+	}
+	return strings.Join(several, "\n"), nil
+}
+
+func contentText(raw json.RawMessage) (string, error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return "", nil
+	}
+	var one string
+	if json.Unmarshal(raw, &one) == nil {
+		return one, nil
+	}
+	var parts []wirePart
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", errors.New("content is neither a string nor a list of parts")
+	}
+	var text strings.Builder
+	for _, part := range parts {
+		text.WriteString(part.Text)
+	}
+	return text.String(), nil
+}
