Decide membership and ownership by a state machine

Cause: the Controller gave every shard to each host. A member whose write has no answer yet could go on pledging while the write takes shards or adds a member. Now such a write blocks pledges to those it takes from, and pledges name those whom it may have added; a write that stays unanswered is settled by another. 2. A host that added itself got a member's rights after one pledge time, though owners that can't hear it or the service never learned of it. Now it is provisional: it takes shards for fenced targets only, and each shard keeps its former owner until that one is known to have learned of its loss. 3. The clock that is right for a holder (the larger of both) is wrong for who waits for a pledge to run out. Holders use the larger, givers the monotonic. 4. The same name is no proof of death; the same listening address is. 5. A host list that lacks the reading host proves nothing. Change: pure machine, controller over store and links, watcher, tests over real controllers, in-memory links and the stand-in store in virtual time. Conclusion: mutation checks and the cost by domain size come next.

--- a/member/options.go
+++ b/member/options.go
@@ -57,6 +57,17 @@
 	return func(c *Controller) { c.hosts = hosts }
 }
 
+// WithSeeds sets peer addresses to dial before any record is known.
+func WithSeeds(addresses []string) Option {
+	return func(c *Controller) { c.seeds = addresses }
+}
+
+// WithSettings sets the times of membership. All hosts of a domain must have the
+// same.
+func WithSettings(settings Settings) Option {
+	return func(c *Controller) { c.settings = settings }
+}
+
 // WithClock sets the clock.
 func WithClock(clock clockwork.Clock) Option {
 	return func(c *Controller) { c.clock = clock }
@@ -68,9 +79,25 @@
 }
 
 // WithRelease sets the function that is asked before a shard is handed over.
-// It is called after Hold has begun to refuse the shard, and reports whether
-// every order of the shard has been answered. While it reports false the
-// record doesn't say that the shard was handed over.
+// It is called after Hold has begun to refuse the shard, again and again until
+// it reports that every order of the shard has been answered. A shard is then
+// recorded as handed over. A host that leaves waits Settings.ReleaseTime at
+// most.
 func WithRelease(released func(Shard) bool) Option {
 	return func(c *Controller) { c.released = released }
 }
+
+// withChecks switches mechanisms off, for mutation checks.
+func withChecks(checks checks) Option {
+	return func(c *Controller) { c.checks = checks }
+}
+
+// withObserver sets a function that is called after each input was taken in.
+func withObserver(observe func()) Option {
+	return func(c *Controller) { c.observe = observe }
+}
+
+// withInstants replaces the two clocks by a test's.
+func withInstants(instants func() instant) Option {
+	return func(c *Controller) { c.instants = instants }
+}
--- /dev/null
+++ b/member/record.go
@@ -0,0 +1,218 @@
+package member
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/fleet"
+	"hawthornway/platform"
+	"hawthornway/target"
+)
+
+// keyPrefix is the prefix of the records of all domains.
+const keyPrefix = "domain/"
+
+func recordKey(domain fleet.DomainID) string { return keyPrefix + string(domain) }
+
+// record is the record of one domain. Revision zero stands for a missing one.
+type record struct {
+	Revision platform.Revision
+	// Fence is the highest fence given so far.
+	Fence   target.Fence
+	Members []entry
+	Shards  [Shards]shardEntry
+}
+
+// entry is one member of a domain.
+type entry struct {
+	fleet.Member
+	// Leaving members get no shards.
+	Leaving bool
+	// Provisional members added themselves while no other member could be
+	// reached. Owners don't ask for their pledges, and they take nothing from
+	// others but for targets that check fences.
+	Provisional bool
+}
+
+// shardEntry is the owner of one shard.
+type shardEntry struct {
+	// Owner is zero for a shard without an owner.
+	Owner process
+	Fence target.Fence
+	// HandedOver says that the owner before this one had stopped, with all its
+	// orders answered.
+	HandedOver bool
+	// Unreleased lists owners before this one that may still act for targets
+	// that don't check fences.
+	Unreleased []process
+}
+
+func (e entry) process() process { return processOf(e.Member) }
+
+func (r record) clone() record {
+	r.Members = slices.Clone(r.Members)
+	for i := range r.Shards {
+		r.Shards[i].Unreleased = slices.Clone(r.Shards[i].Unreleased)
+	}
+	return r
+}
+
+func (r record) member(p process) (entry, bool) {
+	i := slices.IndexFunc(r.Members, func(e entry) bool { return e.process() == p })
+	if i < 0 {
+		return entry{}, false
+	}
+	return r.Members[i], true
+}
+
+func (r record) host(host fleet.HostID) (entry, bool) {
+	i := slices.IndexFunc(r.Members, func(e entry) bool { return e.Host == host })
+	if i < 0 {
+		return entry{}, false
+	}
+	return r.Members[i], true
+}
+
+// isFull reports whether a process is a member that is not provisional.
+func (r record) isFull(p process) bool {
+	e, ok := r.member(p)
+	return ok && !e.Provisional
+}
+
+func (r record) hasFull() bool { return len(r.full()) > 0 }
+
+// full returns the members that are not provisional.
+func (r record) full() []process {
+	var full []process
+	for _, e := range r.Members {
+		if !e.Provisional {
+			full = append(full, e.process())
+		}
+	}
+	return full
+}
+
+// put adds a member or replaces its entry.
+func (r *record) put(e entry) {
+	r.Members = slices.DeleteFunc(r.Members, func(old entry) bool { return old.process() == e.process() })
+	r.Members = append(r.Members, e)
+	slices.SortFunc(r.Members, func(a, b entry) int { return compareProcesses(a.process(), b.process()) })
+}
+
+// remove removes a member that acts no more, and leaves its shards without an
+// owner.
+func (r *record) remove(p process) {
+	r.Members = slices.DeleteFunc(r.Members, func(e entry) bool { return e.process() == p })
+	for i := range r.Shards {
+		s := &r.Shards[i]
+		s.Unreleased = slices.DeleteFunc(s.Unreleased, func(u process) bool { return u == p })
+		if s.Owner == p {
+			s.Owner = process{}
+			s.HandedOver = false
+		}
+	}
+}
+
+// assign gives a shard to an owner under a new fence.
+func (r *record) assign(shard Shard, owner process, handedOver bool) {
+	r.Fence++
+	s := &r.Shards[shard]
+	s.Owner = owner
+	s.Fence = r.Fence
+	s.HandedOver = handedOver
+}
+
+func (r record) load(p process) int {
+	n := 0
+	for _, s := range r.Shards {
+		if s.Owner == p {
+			n++
+		}
+	}
+	return n
+}
+
+func (r record) owned(p process) []Shard {
+	var owned []Shard
+	for i, s := range r.Shards {
+		if s.Owner == p {
+			owned = append(owned, Shard(i))
+		}
+	}
+	return owned
+}
+
+func (r record) members() []fleet.Member {
+	members := make([]fleet.Member, 0, len(r.Members))
+	for _, e := range r.Members {
+		members = append(members, e.Member)
+	}
+	slices.SortFunc(members, func(a, b fleet.Member) int { return cmp.Compare(a.Host, b.Host) })
+	return members
+}
+
+type wireRecord struct {
+	Domain  fleet.DomainID `json:"domain"`
+	Fence   target.Fence   `json:"fence"`
+	Members []wireEntry    `json:"members"`
+	Shards  []wireShard    `json:"shards"`
+}
+
+type wireEntry struct {
+	Host        fleet.HostID      `json:"host"`
+	Incarnation fleet.Incarnation `json:"incarnation"`
+	PeerAddress string            `json:"peer-address"`
+	State       string            `json:"state"`
+	Provisional bool              `json:"provisional,omitempty"`
+}
+
+type wireShard struct {
+	Owner      process      `json:"owner"`
+	Fence      target.Fence `json:"fence"`
+	HandedOver bool         `json:"handed-over"`
+	Unreleased []process    `json:"unreleased,omitempty"`
+}
+
+// The states of a member in the record.
+const (
+	stateActive  = "active"
+	stateLeaving = "leaving"
+)
+
+func (r record) encode(domain fleet.DomainID) ([]byte, error) {
+	wire := wireRecord{Domain: domain, Fence: r.Fence}
+	for _, e := range r.Members {
+		state := stateActive
+		if e.Leaving {
+			state = stateLeaving
+		}
+		wire.Members = append(wire.Members, wireEntry{e.Host, e.Incarnation, e.PeerAddress, state, e.Provisional})
+	}
+	for _, s := range r.Shards {
+		wire.Shards = append(wire.Shards, wireShard(s))
+	}
+	value, err := json.Marshal(wire)
+	return value, trace.Wrap(err)
+}
+
+func decodeRecord(value []byte, revision platform.Revision) (fleet.DomainID, record, error) {
+	var wire wireRecord
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return "", record{}, trace.Wrap(err)
+	}
+	if len(wire.Shards) != Shards {
+		return "", record{}, trace.BadParameter("record of domain %q has %d shards, not %d", wire.Domain, len(wire.Shards), Shards)
+	}
+	r := record{Revision: revision, Fence: wire.Fence}
+	for _, e := range wire.Members {
+		m := fleet.Member{Host: e.Host, Domain: wire.Domain, Incarnation: e.Incarnation, PeerAddress: e.PeerAddress}
+		r.put(entry{Member: m, Leaving: e.State == stateLeaving, Provisional: e.Provisional})
+	}
+	for i, s := range wire.Shards {
+		r.Shards[i] = shardEntry(s)
+	}
+	return wire.Domain, r, nil
+}
--- /dev/null
+++ b/member/service.go
@@ -0,0 +1,102 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"strings"
+
+	"hawthornway/fleet"
+	"hawthornway/platform"
+)
+
+// swap writes the own domain's record and tells the machine how that ended.
+func (c *Controller) swap(e swapRecord) {
+	value, err := e.record.encode(c.self.Domain)
+	if err != nil {
+		c.log.Error("member: record can't be encoded", "error", err)
+		c.apply(swapEnded{result: swapUnavailable})
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, callTime)
+	defer cancel()
+	revision, err := c.store.Swap(ctx, recordKey(c.self.Domain), e.expected, value)
+	result := resultOf(err)
+	if result == swapDone {
+		c.log.Info("member: record written", "revision", revision, "reason", e.reason)
+	} else {
+		c.log.Info("member: record not written", "reason", e.reason, "error", err)
+	}
+	c.apply(swapEnded{result: result, revision: revision})
+}
+
+func resultOf(err error) swapResult {
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		return swapDone
+	case errors.As(err, &conflict):
+		return swapConflict
+	case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown):
+		return swapUnavailable
+	default:
+		return swapUnknown
+	}
+}
+
+// read reads the records of all domains from the service.
+func (c *Controller) read() {
+	if _, err := c.list(); err != nil {
+		c.log.Info("member: records can't be read", "error", err)
+		c.apply(readFailed{})
+	}
+}
+
+// list reads the records of all domains and returns the service's revision.
+func (c *Controller) list() (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, callTime)
+	defer cancel()
+	entries, revision, err := c.store.List(ctx, keyPrefix)
+	if err != nil {
+		return 0, err
+	}
+	found := map[fleet.DomainID]bool{}
+	for _, e := range entries {
+		found[domainOf(e.Key)] = true
+		c.learnEntry(e)
+	}
+	c.removeMissing(found, revision)
+	return revision, nil
+}
+
+func domainOf(key string) fleet.DomainID {
+	return fleet.DomainID(strings.TrimPrefix(key, keyPrefix))
+}
+
+func (c *Controller) learnEntry(e platform.Entry) {
+	if err := c.learn(wireDomain{Revision: e.Revision, Value: e.Value}, true); err != nil {
+		c.log.Error("member: record can't be read", "key", e.Key, "error", err)
+	}
+}
+
+// removeMissing forgets the records that the service doesn't have.
+func (c *Controller) removeMissing(found map[fleet.DomainID]bool, revision platform.Revision) {
+	if !found[c.self.Domain] {
+		c.removeRecord(c.self.Domain, revision)
+	}
+	for _, domain := range c.Domains() {
+		if !found[domain] && domain != c.self.Domain {
+			c.removeRecord(domain, revision)
+		}
+	}
+}
+
+func (c *Controller) removeRecord(domain fleet.DomainID, revision platform.Revision) {
+	if domain == c.self.Domain {
+		c.apply(recordMissing{revision: revision})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.view.remove(domain, revision) {
+		c.notify()
+	}
+}
