--- a/replica/entry.go
+++ b/replica/entry.go
@@ -165,6 +165,8 @@
 	askFrom  time.Time
 	// unreached counts failed reports in a row.
 	unreached int
+	// failures counts the loads that failed since one ended well.
+	failures int
 	// avoid holds the models that failed to load here, until a time.
 	avoid map[model.Name]time.Time
 }
--- a/replica/placing.go
+++ b/replica/placing.go
@@ -16,6 +16,9 @@
 	// busyCost is what a whole engine's worth of running requests adds to the
 	// cost of a placement, in seconds.
 	busyCost = 0.5
+	// failureCost is what each failed load adds to the cost of a placement at
+	// the same engine, in seconds.
+	failureCost = 10
 )
 
 // placement is an engine for a replica, with the replicas that must go first.
@@ -121,7 +124,7 @@
 		return placement{}, false
 	}
 	p := placement{engine: e, source: e.source(item.Ref)}
-	p.cost = g.speed.expect(item, p.source).Seconds() + busyCost*e.busyPart()
+	p.cost = g.speed.expect(item, p.source).Seconds() + busyCost*e.busyPart() + failureCost*float64(e.failures)
 	short := item.Bytes + g.adapterBytes(item) - (e.memory() - g.taken(e) - g.planned(e, w))
 	if short <= 0 {
 		return p, true
--- a/replica/reporting.go
+++ b/replica/reporting.go
@@ -116,6 +116,7 @@
 		return
 	}
 	en.state = entryReady
+	en.engine.failures = 0
 	en.readyAt, en.lastUse = g.now, g.now
 	en.engine.changed()
 	if en.item != nil && en.engine.phase == phaseOpen {
@@ -154,6 +155,7 @@
 // while.
 func (g *Group) cancel(en *entry) {
 	en.state = entryUnloading
+	en.engine.failures++
 	en.engine.avoid[en.ref.Name] = g.now.Add(avoidAfterFailure)
 	en.engine.changed()
 }
--- a/replica/upkeep.go
+++ b/replica/upkeep.go
@@ -31,9 +31,7 @@
 			if en.state != entryLoading || g.now.Sub(en.startedAt) <= loadBound(en.expected) {
 				continue
 			}
-			if en.item != nil {
-				g.speed.learn(en.item, en.source, g.now.Sub(en.startedAt))
-			}
+			g.speed.suspect(en.source)
 			g.cancel(en)
 		}
 	}
--- a/replica/weights.go
+++ b/replica/weights.go
@@ -30,6 +30,9 @@
 	diskFactor   = 0.4
 	// speedGain is the part of a new measurement in the running mean.
 	speedGain = 0.3
+	// hungFactor is the growth of expected load times with each load that was
+	// given up.
+	hungFactor = 1.5
 	// maxSlowdown bounds the running mean of load times over expected ones.
 	maxSlowdown = 50
 )
@@ -58,9 +61,15 @@
 	s.factors[source] += speedGain * (seen - s.factors[source])
 }
 
+// suspect takes in a load that was given up: later ones are given more time, in
+// case that the source is slow.
+func (s *loadSpeed) suspect(source Source) {
+	s.factors[source] = min(maxSlowdown, s.factors[source]*hungFactor)
+}
+
 // loadBound returns the time after which a load counts as hung.
 func loadBound(expected time.Duration) time.Duration {
-	const factor, slack = 4, 15 * time.Second
+	const factor, slack = 4, 10 * time.Second
 	return factor*expected + slack
 }
 
--- /dev/null
+++ b/replica/world_test.go
@@ -0,0 +1,502 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"hawthornway/config"
+	"hawthornway/engine"
+	"hawthornway/fleet"
+	"hawthornway/member"
+	"hawthornway/model"
+	"hawthornway/outcome"
+	"hawthornway/peer/peertest"
+	"hawthornway/platform"
+	"hawthornway/service"
+	"hawthornway/standin/kvstore"
+	"hawthornway/target"
+	"hawthornway/team"
+)
+
+// world joins real controllers of a few hosts with fakes of all else, in
+// virtual time.
+type world struct {
+	t       *testing.T
+	off     mechanisms
+	cfg     *config.Config
+	network *peertest.Network
+	store   *kvstore.Store
+	owners  *fakeOwners
+	engines map[target.ID]*fakeEngine
+	hosts   []*testHost
+
+	mu         sync.Mutex
+	violations []string
+	// storeOut says that records can't be read for checks.
+	storeOut bool
+	// lastOut is when the store was last out.
+	lastOut time.Time
+	loads   int
+	served  int
+	refused int
+}
+
+// testHost is one host with a real controller.
+type testHost struct {
+	w      *world
+	member fleet.Member
+	*controller
+	cancel func()
+	done   chan struct{}
+
+	mu     sync.Mutex
+	frozen chan struct{}
+	dead   bool
+	// cutOff says that the host can't reach the key-value service.
+	cutOff bool
+}
+
+// gate holds the host while it is frozen and ends its work once it is dead.
+func (h *testHost) gate() {
+	for {
+		h.mu.Lock()
+		frozen, dead := h.frozen, h.dead
+		h.mu.Unlock()
+		if dead {
+			runtime.Goexit()
+		}
+		if frozen == nil {
+			return
+		}
+		<-frozen
+	}
+}
+
+func (h *testHost) freeze() {
+	h.w.network.Freeze(h.member.Host)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.frozen == nil {
+		h.frozen = make(chan struct{})
+	}
+}
+
+func (h *testHost) thaw() {
+	h.mu.Lock()
+	if h.frozen != nil {
+		close(h.frozen)
+		h.frozen = nil
+	}
+	h.mu.Unlock()
+	h.w.network.Thaw(h.member.Host)
+}
+
+func (h *testHost) kill() {
+	h.mu.Lock()
+	h.dead = true
+	if h.frozen != nil {
+		close(h.frozen)
+		h.frozen = nil
+	}
+	h.mu.Unlock()
+	h.w.network.Kill(h.member.Host)
+	h.cancel()
+}
+
+func (h *testHost) alive() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.dead && h.frozen == nil
+}
+
+// Engine returns the host's client of an engine.
+func (h *testHost) Engine(t config.Target) engine.Client {
+	return fakeClient{host: h, engine: h.w.engines[t.Name]}
+}
+
+// Service is not used: the tests have engines only.
+func (h *testHost) Service(config.Target) service.Client { return nil }
+
+// hostStore is one host's way to the key-value service.
+type hostStore struct {
+	platform.Store
+	host *testHost
+}
+
+func (s hostStore) blocked() bool {
+	s.host.gate()
+	s.host.mu.Lock()
+	defer s.host.mu.Unlock()
+	return s.host.cutOff
+}
+
+func (s hostStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if s.blocked() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s hostStore) Swap(ctx context.Context, key string, expected platform.Revision, value []byte) (platform.Revision, error) {
+	if s.blocked() {
+		return 0, platform.ErrUnavailable
+	}
+	return s.Store.Swap(ctx, key, expected, value)
+}
+
+type worldOption func(*world)
+
+func withOff(off mechanisms) worldOption { return func(w *world) { w.off = off } }
+
+// newWorld returns a new world of some hosts in one domain.
+func newWorld(t *testing.T, hosts int, cfg *config.Config, opts ...worldOption) *world {
+	w := &world{
+		t: t, cfg: cfg, network: peertest.NewNetwork(1), store: kvstore.New(), engines: make(map[target.ID]*fakeEngine),
+	}
+	for _, opt := range opts {
+		opt(w)
+	}
+	w.network.SetDelay(200*time.Microsecond, time.Millisecond)
+	for _, c := range cfg.Targets {
+		w.engines[c.Name] = newFakeEngine(w, c)
+	}
+	w.owners = newFakeOwners(w)
+	for i := range hosts {
+		w.join(fleet.Member{Host: fleet.HostID(fmt.Sprintf("h%d", i)), Domain: "d", Incarnation: fleet.Incarnation(i + 1)})
+	}
+	w.owners.start()
+	for _, h := range w.hosts {
+		h.start()
+	}
+	time.Sleep(3 * time.Second)
+	return w
+}
+
+func (w *world) join(m fleet.Member) {
+	h := &testHost{w: w, member: m, done: make(chan struct{})}
+	h.controller = newController(
+		WithConfig(func() *config.Config { return w.cfg }),
+		WithMesh(w.network.Join(m)),
+		WithOwnership(w.owners.view(h)),
+		WithStore(hostStore{w.store, h}),
+		WithEngines(h),
+		WithLogger(slog.New(slog.DiscardHandler)),
+		func(c *controller) { c.off = w.off; c.gate = h.gate },
+	)
+	w.hosts = append(w.hosts, h)
+	w.owners.add(h)
+}
+
+func (h *testHost) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	go func() {
+		defer close(h.done)
+		_ = h.Run(ctx)
+	}()
+}
+
+// close ends all hosts.
+func (w *world) close() {
+	for _, h := range w.hosts {
+		h.thaw()
+		h.cancel()
+		<-h.done
+	}
+	w.owners.stop()
+	time.Sleep(2 * time.Minute)
+}
+
+func (w *world) violate(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.violations = append(w.violations, fmt.Sprintf(format, args...))
+}
+
+func (w *world) found() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.violations)
+}
+
+func (w *world) catalog() *Catalog { return NewCatalog(w.cfg) }
+
+// setStore sets the faults of the key-value service.
+func (w *world) setStore(faults kvstore.Faults) {
+	w.mu.Lock()
+	w.storeOut = faults.Outage || faults.Delay > 0
+	w.lastOut = time.Now()
+	w.mu.Unlock()
+	w.store.SetFaults(faults)
+}
+
+// checkRecorded notes a load whose decision is not in the record, unless the
+// service was out for some host.
+func (w *world) checkRecorded(id target.ID, o engine.Order) {
+	w.mu.Lock()
+	skip := w.storeOut || !w.lastOut.IsZero() && time.Since(w.lastOut) < time.Minute
+	w.mu.Unlock()
+	if skip {
+		return
+	}
+	entry, err := w.store.Get(context.Background(), recordPrefix+string(id))
+	if err != nil {
+		w.violate("order %s without a record", o.ID)
+		return
+	}
+	record, err := decodeRecord(entry.Value)
+	if err != nil || !slices.ContainsFunc(record.Decisions, func(d Decision) bool { return d.ID == o.ID }) {
+		w.violate("order %s is not in the record of %s", o.ID, id)
+	}
+}
+
+// log notes what happened, to be shown if the test fails.
+func (w *world) log(format string, args ...any) {
+	w.t.Logf("%s "+format, append([]any{time.Now().Format("04:05.000")}, args...)...)
+}
+
+func (w *world) countLoad() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loads++
+}
+
+// ask wants a model at a host and uses it for a while. It notes answers that
+// come after the deadline.
+func (w *world) ask(h *testHost, name model.Name, id team.ID, within, use time.Duration) (Wait, *outcome.NotRun) {
+	start := time.Now()
+	wait, refusal := h.Ensure(context.Background(), Want{Model: name, Team: id, Deadline: start.Add(within)})
+	if took := time.Since(start); took > within+10*time.Millisecond && h.alive() && !h.wasFrozen(start) {
+		w.violate("want of %s at %s answered %v after its deadline", name, h.member.Host, took-within)
+	}
+	if h.isDead() {
+		return wait, refusal
+	}
+	if refusal != nil {
+		w.log("refused at %s: %+v", h.member.Host, *refusal)
+		w.mu.Lock()
+		w.refused++
+		w.mu.Unlock()
+		return wait, refusal
+	}
+	w.mu.Lock()
+	w.served++
+	w.mu.Unlock()
+	if use > 0 {
+		w.request(h, name, wait.Replica.Target, use)
+	}
+	return wait, nil
+}
+
+// request runs a request at a replica, as a host would.
+func (w *world) request(h *testHost, name model.Name, id target.ID, use time.Duration) bool {
+	end, ok := h.Begin(id, name)
+	if !ok {
+		return false
+	}
+	defer end()
+	return w.engines[id].serve(name, use)
+}
+
+// owner returns the host that acts for the group of the only pool.
+func (w *world) owner() *testHost {
+	for _, h := range w.hosts {
+		if h.alive() && h.ownRunners()[0].held() {
+			return h
+		}
+	}
+	return nil
+}
+
+// wasFrozen reports whether the host was frozen after a time. Callers of a
+// frozen host are not answered in time.
+func (h *testHost) wasFrozen(since time.Time) bool {
+	return h.w.owners.frozenAfter(h, since)
+}
+
+// fakeOwners stands for membership: every host owns the shards that the table
+// gives it while its pledges last.
+type fakeOwners struct {
+	w      *world
+	ending chan struct{}
+
+	mu      sync.Mutex
+	hosts   []*testHost
+	owner   *testHost
+	fence   target.Fence
+	since   time.Time
+	handed  bool
+	pledged map[*testHost]time.Time
+	// knows is the fence that a host knows of.
+	knows       map[*testHost]target.Fence
+	ownerOf     map[target.Fence]*testHost
+	frozenUntil map[*testHost]time.Time
+	silentSince map[*testHost]time.Time
+	changed     chan struct{}
+	yielding    bool
+}
+
+const (
+	pledgeTime   = 6 * time.Second
+	pledgeMargin = time.Second
+)
+
+func newFakeOwners(w *world) *fakeOwners {
+	return &fakeOwners{
+		w: w, ending: make(chan struct{}), pledged: make(map[*testHost]time.Time), knows: make(map[*testHost]target.Fence),
+		ownerOf: make(map[target.Fence]*testHost), frozenUntil: make(map[*testHost]time.Time),
+		silentSince: make(map[*testHost]time.Time), changed: make(chan struct{}),
+	}
+}
+
+func (o *fakeOwners) add(h *testHost) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.hosts = append(o.hosts, h)
+	if o.owner == nil {
+		o.give(h, true)
+	}
+}
+
+// give makes a host the owner of all shards; the lock is held.
+func (o *fakeOwners) give(h *testHost, handed bool) {
+	o.owner = h
+	o.fence++
+	o.since = time.Now()
+	o.handed = handed
+	o.ownerOf[o.fence] = h
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func (o *fakeOwners) start() {
+	o.step()
+	go func() {
+		ticker := time.NewTicker(500 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-o.ending:
+				return
+			case <-ticker.C:
+				o.step()
+			}
+		}
+	}()
+}
+
+func (o *fakeOwners) stop() { close(o.ending) }
+
+// step renews the pledges of the hosts that are heard, and gives the shards of
+// an owner that is not heard away once its pledges have run out.
+func (o *fakeOwners) step() {
+	o.w.mu.Lock()
+	out := o.w.storeOut
+	o.w.mu.Unlock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	for _, h := range o.hosts {
+		if !h.alive() {
+			o.frozenUntil[h] = now
+			continue
+		}
+		o.knows[h] = o.fence
+		o.pledged[h] = now
+	}
+	if out || now.Sub(o.pledged[o.owner]) < pledgeTime {
+		return
+	}
+	for _, h := range o.hosts {
+		if h.alive() {
+			o.give(h, false)
+			return
+		}
+	}
+}
+
+// handOver gives the shards to a host after the owner has released them.
+func (o *fakeOwners) handOver(to *testHost) {
+	o.mu.Lock()
+	o.yielding = true
+	from := o.owner
+	o.mu.Unlock()
+	for range 100 {
+		if from.Released(from.ownRunners()[0].key.Shard) {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.yielding = false
+	o.give(to, true)
+}
+
+func (o *fakeOwners) frozenAfter(h *testHost, since time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.frozenUntil[h].After(since)
+}
+
+func (o *fakeOwners) view(h *testHost) ownersView { return ownersView{o, h} }
+
+// ownersView is what one host sees of the owners.
+type ownersView struct {
+	o *fakeOwners
+	h *testHost
+}
+
+func (v ownersView) Self() fleet.Member { return v.h.member }
+
+func (v ownersView) Hold(shard member.Shard, checksFence bool) (member.Hold, bool) {
+	v.o.mu.Lock()
+	defer v.o.mu.Unlock()
+	known := v.o.knows[v.h]
+	if known == 0 || v.o.ownerOf[known] != v.h || v.o.yielding {
+		return member.Hold{}, false
+	}
+	until := v.o.pledged[v.h].Add(pledgeTime - pledgeMargin)
+	hold := member.Hold{Shard: shard, Fence: known, Until: until, Since: v.o.since, HandedOver: v.o.handed}
+	return hold, checksFence || time.Now().Before(until)
+}
+
+func (v ownersView) Owner(domain fleet.DomainID, _ member.Shard) (fleet.Member, bool) {
+	v.o.mu.Lock()
+	defer v.o.mu.Unlock()
+	owner := v.o.ownerOf[v.o.knows[v.h]]
+	if owner == nil || domain != "d" {
+		return fleet.Member{}, false
+	}
+	return owner.member, true
+}
+
+func (v ownersView) Members(domain fleet.DomainID) []fleet.Member {
+	v.o.mu.Lock()
+	defer v.o.mu.Unlock()
+	var members []fleet.Member
+	for _, h := range v.o.hosts {
+		h.mu.Lock()
+		if !h.dead && domain == "d" {
+			members = append(members, h.member)
+		}
+		h.mu.Unlock()
+	}
+	return members
+}
+
+func (v ownersView) Domains() []fleet.DomainID { return []fleet.DomainID{"d"} }
+
+func (v ownersView) Reachable(fleet.DomainID) bool { return true }
+
+func (v ownersView) Changed() <-chan struct{} {
+	v.o.mu.Lock()
+	defer v.o.mu.Unlock()
+	return v.o.changed
+}
