--- a/host.go
+++ b/host.go
@@ -4,16 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
+	"slices"
+	"sync"
 	"time"
 
-	"github.com/go-kratos/kratos/v2"
-	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
-	"golang.org/x/sync/errgroup"
 
 	"hawthornway/fleet"
 	"hawthornway/platform"
@@ -22,8 +21,7 @@
 
 // Host is one entry host.
 type Host interface {
-	// Run serves until the context ends or the process is told to stop, then
-	// stops gracefully.
+	// Run serves until the context ends, then stops gracefully.
 	Run(ctx context.Context) error
 	// Addresses returns the addresses that the listeners are bound to.
 	Addresses() Addresses
@@ -40,10 +38,9 @@
 type Option func(*options)
 
 type options struct {
-	clock  clockwork.Clock
-	log    *slog.Logger
-	store  platform.Store
-	signal bool
+	clock clockwork.Clock
+	log   *slog.Logger
+	store platform.Store
 }
 
 // WithClock sets the clock.
@@ -62,15 +59,10 @@
 	return func(o *options) { o.store = store }
 }
 
-// WithoutSignals leaves the process's signals to the embedding program.
-func WithoutSignals() Option {
-	return func(o *options) { o.signal = false }
-}
-
 // New returns a new Host with its listeners bound. Nothing is served before
 // Run.
 func New(s settings.Settings, opts ...Option) (Host, error) {
-	o := &options{clock: clockwork.NewRealClock(), log: slog.Default(), signal: true}
+	o := &options{clock: clockwork.NewRealClock(), log: slog.Default()}
 	for _, opt := range opts {
 		opt(o)
 	}
@@ -91,6 +83,8 @@
 	parts    *parts
 	servers  servers
 	ready    readiness
+	// peerHandler is set once the parts are made.
+	peerHandler *late
 }
 
 // build joins the parts and binds the listeners. The peers' listener comes
@@ -106,6 +100,7 @@
 	}
 	h.self.PeerAddress = h.servers.peersAddress.String()
 	h.parts = newParts(h.self, h.settings, h.options)
+	h.ready.missing = h.parts.missing
 	return h.bindOthers()
 }
 
@@ -118,46 +113,56 @@
 	}
 }
 
-// Run serves until the context ends or the process is told to stop.
+// Run serves until the context ends, then stops gracefully. It ends early when
+// a listener or a controller fails.
 func (h *host) Run(ctx context.Context) error {
-	working, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, working := errgroup.WithContext(working)
-	h.parts.start(working, group)
-	err := h.app(ctx).Run()
-	stop()
-	if end := group.Wait(); end != nil && working.Err() == nil {
-		err = trace.NewAggregate(err, end)
+	working, stop := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer stop(nil)
+	var running sync.WaitGroup
+	h.parts.start(working, &running, stop)
+	h.serve(working, &running, stop)
+	select {
+	case <-ctx.Done():
+		h.drain()
+	case <-working.Done():
+	}
+	h.stopServers()
+	stop(nil)
+	running.Wait()
+	if cause := context.Cause(working); !errors.Is(cause, context.Canceled) {
+		return trace.Wrap(cause)
 	}
-	return trace.Wrap(err)
+	return nil
 }
 
-// app returns the kratos application that runs the listeners.
-func (h *host) app(ctx context.Context) *kratos.App {
-	options := []kratos.Option{
-		kratos.Name("hawthornway"),
-		kratos.Context(ctx),
-		kratos.Logger(newKratosLog(h.options.log)),
-		kratos.Server(h.transports()...),
-		kratos.BeforeStop(h.drain),
-		kratos.StopTimeout(stopTimeout),
-	}
-	if !h.options.signal {
-		options = append(options, kratos.Signal())
+// serve starts the listeners, the peers' first.
+func (h *host) serve(ctx context.Context, running *sync.WaitGroup, failed context.CancelCauseFunc) {
+	for _, server := range h.servers.all() {
+		running.Go(func() {
+			if err := server.Start(ctx); err != nil {
+				failed(trace.Wrap(err, "listener"))
+			}
+		})
 	}
-	return kratos.New(options...)
 }
 
 // stopTimeout bounds the stop of the listeners after the drain.
 const stopTimeout = 5 * time.Second
 
-func (h *host) transports() []transport.Server {
-	return []transport.Server{h.servers.peers, h.servers.operators, h.servers.callers}
+func (h *host) stopServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, server := range slices.Backward(h.servers.all()) {
+		if err := server.Stop(ctx); err != nil {
+			h.options.log.Warn("host: listener was cut", "error", err)
+			_ = server.Close() // what is left open is to be cut
+		}
+	}
 }
 
 // drain is the graceful stop: the host is unready first, then takes no new
 // calls, then lets calls in progress end, and hands its duties over.
-func (h *host) drain(context.Context) error {
+func (h *host) drain() {
 	log := h.options.log
 	h.ready.leave()
 	log.Info("host: leaving", "bound", h.settings.Drain.Bound)
@@ -173,10 +178,7 @@
 		log.Warn("host: duties were not handed over", "error", err)
 	}
 	log.Info("host: left")
-	return nil
 }
 
 // handOverTimeout bounds the handing over of duties.
 const handOverTimeout = 5 * time.Second
-
-var _ http.Handler = (*readiness)(nil)
--- /dev/null
+++ b/keydirectory.go
@@ -0,0 +1,34 @@
+package hawthornway
+
+import (
+	"hawthornway/config"
+	"hawthornway/fleet"
+	"hawthornway/member"
+	"hawthornway/team"
+)
+
+// keyDirectory is what the keys read of the configuration and the membership.
+type keyDirectory struct {
+	directory directory
+	members   member.Ownership
+}
+
+// Domains returns the configured failure domains.
+func (d keyDirectory) Domains() []fleet.DomainID { return d.directory.Domains() }
+
+// Hosts returns the hosts of all domains.
+func (d keyDirectory) Hosts() []fleet.HostID {
+	var hosts []fleet.HostID
+	for _, domain := range d.members.Domains() {
+		for _, m := range d.members.Members(domain) {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	return hosts
+}
+
+// WhenCutOff returns what to do with the team's calls when the host is cut off.
+func (d keyDirectory) WhenCutOff(id team.ID) config.CutOffPolicy {
+	owner, _ := d.directory.Team(id)
+	return owner.WhenCutOff
+}
--- a/kratoslog.go
+++ b/kratoslog.go
@@ -13,7 +13,9 @@
 	log *slog.Logger
 }
 
-func newKratosLog(to *slog.Logger) log.Logger { return &kratosLog{log: to} }
+// SetKratosLog passes the lines of kratos, which has one logger a process, on to
+// a logger.
+func SetKratosLog(to *slog.Logger) { log.SetLogger(&kratosLog{log: to}) }
 
 // Log writes one line. Kratos's information is for debugging here.
 func (l *kratosLog) Log(level log.Level, pairs ...any) error {
--- a/parts.go
+++ b/parts.go
@@ -4,9 +4,9 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/sync/errgroup"
 
 	"hawthornway/call"
 	"hawthornway/caller"
@@ -34,7 +34,7 @@
 	members   *member.Controller
 	configs   *config.Store
 	directory directory
-	keys      key.Ring
+	keys      *key.Ring
 	limiter   limit.Controller
 	machines  *machines
 	replicas  replica.Controller
@@ -66,6 +66,7 @@
 		member.WithSelf(self),
 		member.WithStore(o.store),
 		member.WithLinks(p.links),
+		member.WithSeeds(s.Seeds),
 		member.WithClock(o.clock),
 		member.WithLogger(o.log),
 		member.WithRelease(p.released),
@@ -85,7 +86,7 @@
 func (p *parts) addState(self fleet.Member, o *options) {
 	p.configs = config.NewStore(o.store, p.links, config.WithClock(o.clock), config.WithLogger(o.log))
 	p.directory = directory{p.configs}
-	p.keys = key.NewRing(o.store, p.links, key.WithClock(o.clock), key.WithLogger(o.log))
+	p.keys = key.NewRing(o.store, p.links, keyDirectory{p.directory, p.members}, key.WithClock(o.clock), key.WithLogger(o.log))
 	p.limiter = limit.New(p.members, p.links, o.store, p.directory.Limit,
 		limit.WithClock(o.clock),
 		limit.WithLogger(o.log),
@@ -154,7 +155,7 @@
 	forwarder := service.NewForwarder(&servicePlacer{router: p.router}, budget, o.clock)
 	entries := []call.Entry{
 		{Priority: call.PriorityPath, Filter: caller.PathFilter(directory)},
-		{Priority: call.PriorityKey, Filter: caller.KeyFilter(ringKeys{p.keys})},
+		{Priority: call.PriorityKey, Filter: caller.KeyFilter(p.keys)},
 		{Priority: call.PriorityStream, Filter: caller.StreamFilter(directory)},
 		{Priority: call.PriorityBody, Filter: caller.BodyFilter(s.Limits.BodyBytes)},
 		{Priority: call.PriorityBody, Filter: caller.LeakFilter()},
@@ -173,7 +174,7 @@
 }
 
 // start runs the controllers. One that fails ends the host.
-func (p *parts) start(ctx context.Context, group *errgroup.Group) {
+func (p *parts) start(ctx context.Context, running *sync.WaitGroup, failed context.CancelCauseFunc) {
 	runners := []runner{
 		{"machines", p.machines.Run},
 		{"peer", p.links.Run},
@@ -185,12 +186,10 @@
 		{"claim", p.claims.Run},
 	}
 	for _, r := range runners {
-		group.Go(func() error {
-			err := r.run(ctx)
-			if ctx.Err() != nil {
-				return nil
+		running.Go(func() {
+			if err := r.run(ctx); err != nil && ctx.Err() == nil {
+				failed(trace.Wrap(err, "%s", r.name))
 			}
-			return trace.Wrap(err, "%s", r.name)
 		})
 	}
 }
@@ -199,3 +198,17 @@
 func (p *parts) leave(ctx context.Context) error {
 	return trace.Wrap(p.members.Leave(ctx))
 }
+
+// missing returns what the host lacks before it can serve.
+func (p *parts) missing() []string {
+	var missing []string
+	if p.configs.Current() == nil {
+		missing = append(missing, "no configuration is known")
+	}
+	select {
+	case <-p.keys.Loaded():
+	default:
+		missing = append(missing, "keys are not loaded")
+	}
+	return missing
+}
--- a/servers.go
+++ b/servers.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/gravitational/trace"
@@ -16,10 +17,15 @@
 	callersAddress, operatorsAddress, peersAddress net.Addr
 }
 
+// all returns the listeners in the order of their start.
+func (s *servers) all() []*khttp.Server {
+	return []*khttp.Server{s.peers, s.operators, s.callers}
+}
+
 // operatorBounds bound the listeners of operators and peers.
 var operatorBounds = listener.Bounds{
 	HeaderBytes:   32 << 10,
-	HeaderTimeout: headerTimeout,
+	HeaderTimeout: 5 * time.Second,
 	Connections:   1024,
 }
 
@@ -70,7 +76,7 @@
 
 func (h *host) peerRoutes() http.Handler {
 	routes := http.NewServeMux()
-	routes.Handle("/peer", h.parts.links.Handler())
+	routes.Handle("/peer", h.parts.links)
 	return routes
 }
 
@@ -94,6 +100,8 @@
 	routes.Handle("/metrics", h.parts.metrics.Handler())
 	routes.Handle("/readyz", &h.ready)
 	routes.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	routes.Handle("/", h.parts.admin)
+	if h.parts.admin != nil {
+		routes.Handle("/", h.parts.admin)
+	}
 	return routes
 }
