--- /dev/null
+++ b/standin/hostlist/list.go
@@ -0,0 +1,131 @@
+// Package hostlist is a stand-in for the platform's lagging list of live and
+// leaving hosts.
+package hostlist
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"hawthornway/fleet"
+	"hawthornway/hostlist"
+	"hawthornway/standin/wire"
+)
+
+// Settings are the list's figures.
+type Settings struct {
+	// Lag is the time after which a change shows.
+	Lag time.Duration `yaml:"lag"`
+}
+
+// List is the host list.
+type List struct {
+	settings Settings
+	clock    clockwork.Clock
+
+	mu      sync.Mutex
+	shown   map[string]hostlist.Entry
+	pending []change
+}
+
+// change is a change that doesn't show yet. Without an entry the name goes.
+type change struct {
+	at    time.Time
+	name  string
+	entry *hostlist.Entry
+}
+
+// New returns a new List that shows the entries given.
+func New(settings Settings, clock clockwork.Clock, entries ...hostlist.Entry) *List {
+	l := &List{settings: settings, clock: clock, shown: make(map[string]hostlist.Entry)}
+	for _, entry := range entries {
+		l.shown[entry.Name] = entry
+	}
+	return l
+}
+
+// Put adds or replaces an entry, after the lag.
+func (l *List) Put(entry hostlist.Entry) { l.change(entry.Name, &entry) }
+
+// Remove removes an entry, after the lag.
+func (l *List) Remove(name string) { l.change(name, nil) }
+
+func (l *List) change(name string, entry *hostlist.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, change{at: l.clock.Now().Add(l.settings.Lag), name: name, entry: entry})
+}
+
+// Entries returns the entries that show now, in the order of their names.
+func (l *List) Entries() []hostlist.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.showPending()
+	entries := make([]hostlist.Entry, 0, len(l.shown))
+	for _, entry := range l.shown {
+		entries = append(entries, entry)
+	}
+	slices.SortFunc(entries, func(a, b hostlist.Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return entries
+}
+
+func (l *List) showPending() {
+	now := l.clock.Now()
+	for len(l.pending) > 0 && !l.pending[0].at.After(now) {
+		c := l.pending[0]
+		l.pending = l.pending[1:]
+		if c.entry == nil {
+			delete(l.shown, c.name)
+			continue
+		}
+		l.shown[c.name] = *c.entry
+	}
+}
+
+type wireList struct {
+	Hosts []wireEntry `json:"hosts"`
+}
+
+type wireEntry struct {
+	Name    string         `json:"name"`
+	Kind    hostlist.Kind  `json:"kind"`
+	Domain  fleet.DomainID `json:"domain"`
+	Address string         `json:"address"`
+	State   hostlist.State `json:"state"`
+}
+
+// Handler returns the list's HTTP handler.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/hosts", l.serveList)
+	mux.HandleFunc("PUT /v1/hosts/{name}", l.servePut)
+	mux.HandleFunc("DELETE /v1/hosts/{name}", l.serveRemove)
+	return mux
+}
+
+func (l *List) serveList(w http.ResponseWriter, _ *http.Request) {
+	list := wireList{Hosts: []wireEntry{}}
+	for _, entry := range l.Entries() {
+		list.Hosts = append(list.Hosts, wireEntry(entry))
+	}
+	wire.WriteJSON(w, http.StatusOK, list)
+}
+
+func (l *List) servePut(w http.ResponseWriter, r *http.Request) {
+	var entry wireEntry
+	if !wire.ReadJSON(w, r, &entry) {
+		return
+	}
+	entry.Name = r.PathValue("name")
+	l.Put(hostlist.Entry(entry))
+	wire.WriteJSON(w, http.StatusOK, entry)
+}
+
+func (l *List) serveRemove(w http.ResponseWriter, r *http.Request) {
+	l.Remove(r.PathValue("name"))
+	wire.WriteJSON(w, http.StatusOK, struct{}{})
+}
