--- /dev/null
+++ b/openai/place.go
@@ -0,0 +1,29 @@
+package openai
+
+import (
+	"context"
+
+	"hawthornway/call"
+	"hawthornway/fleet"
+	"hawthornway/outcome"
+	"hawthornway/retry"
+	"hawthornway/target"
+)
+
+// Place is a replica that one attempt is sent to.
+type Place struct {
+	Target  target.ID
+	Domain  fleet.DomainID
+	Address string
+	// Cold says that the replica was loaded while the call waited.
+	Cold bool
+	// Done takes the end of the attempt, exactly once.
+	Done func(retry.Result)
+}
+
+// Placer finds a replica for each attempt of a generation.
+type Placer interface {
+	// Place returns a replica that is ready, waiting for a load if it must,
+	// until the call's deadline. Tried lists the targets that failed this call.
+	Place(ctx context.Context, c *call.Call, gen *call.Generation, tried []target.ID) (Place, *outcome.NotRun)
+}
