Let callers take URLs as well as addresses

Cause: a host's settings name the platform by URL; NewClient put http:// before it a second time. Ruled out: stripping the scheme in the host (https would be lost). Conclusion: settings and tests can pass either form.

--- a/jsonhttp/caller.go
+++ b/jsonhttp/caller.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -62,9 +63,13 @@
 }
 
 // NewCaller returns a new Caller of the server at address, an IP number and
-// port.
+// port or a URL with them.
 func NewCaller(address string) *Caller {
-	return &Caller{base: "http://" + address, http: &http.Client{Transport: newTransport()}}
+	base := strings.TrimSuffix(address, "/")
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	return &Caller{base: base, http: &http.Client{Transport: newTransport()}}
 }
 
 // SetTransport replaces the HTTP transport, before the first call.
