Lay out both deployments at their sizes of today

Cause: the demo, the scenarios and the measures need both deployments' sizes. Ruled out: writing the lists into the program; operators read files. Figures: go test ./standin loads both. Conclusion: names and addresses are fixed for other parts to use.

--- a/standin/running_test.go
+++ b/standin/running_test.go
@@ -135,3 +135,23 @@
 	_, err = Start(t.Context(), Settings{KeyValue: KeyValueSettings{Address: "127.0.0.1:x"}})
 	must.Error(t, err)
 }
+
+func TestExamplesLoad(t *testing.T) {
+	cases := []struct {
+		path     string
+		engines  int
+		services int
+		rate     float64
+	}{
+		{path: "../examples/rafiq/standins.yaml", engines: 9, services: 3, rate: 4.5},
+		{path: "../examples/asociacion/standins.yaml", engines: 12, services: 3, rate: 3},
+	}
+	for _, c := range cases {
+		settings, err := LoadSettings(c.path)
+		must.NoError(t, err)
+		must.Len(t, c.engines, settings.Engines)
+		must.Len(t, c.services, settings.Services)
+		must.Eq(t, c.rate, settings.Weights.RatePerSecond)
+		must.Len(t, 9, settings.Hosts.Entries)
+	}
+}
