--- a/member/settings.go
+++ b/member/settings.go
@@ -84,7 +84,8 @@
 	noPledgeCheck bool
 	// noRemovalWait removes a silent member before the pledge to it ran out.
 	noRemovalWait bool
-	// noJoinWait lets a new member take shards at once.
+	// noJoinWait lets a new member take shards at once, also of members that it
+	// never heard.
 	noJoinWait bool
 	// noRevisionCheck goes on though a pledge tells of a later record.
 	noRevisionCheck bool
--- a/member/takeover.go
+++ b/member/takeover.go
@@ -73,6 +73,9 @@
 // before this host joined or saw the member in the record.
 func (m *machine) lostSince(lost process) instant {
 	s := m.peers[lost]
+	if m.checks.noJoinWait && s.heard == 0 {
+		return m.started
+	}
 	if s.heardAt.mono < m.joinedAt.mono {
 		return m.joinedAt
 	}
--- a/peer/peertest/network.go
+++ b/peer/peertest/network.go
@@ -27,6 +27,7 @@
 	minDelay time.Duration
 	maxDelay time.Duration
 	counts   map[peer.Kind]Count
+	lost     map[peer.Kind]bool
 }
 
 // Count is the traffic of one kind of message.
@@ -57,6 +58,7 @@
 		nodes:  map[fleet.HostID]*Mesh{},
 		wires:  map[wire]*wireState{},
 		counts: map[peer.Kind]Count{},
+		lost:   map[peer.Kind]bool{},
 	}
 }
 
@@ -132,6 +134,15 @@
 	n.breakLater(a, b)
 }
 
+// Lose loses all messages of some kinds, and the answers to them, from now on.
+func (n *Network) Lose(kinds ...peer.Kind) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, kind := range kinds {
+		n.lost[kind] = true
+	}
+}
+
 // Freeze stops a host: what arrives is held until Thaw.
 func (n *Network) Freeze(host fleet.HostID) {
 	n.mu.Lock()
@@ -241,7 +252,7 @@
 	count := n.counts[kind]
 	n.counts[kind] = Count{Messages: count.Messages + 1, Bytes: count.Bytes + size}
 	w := n.wire(from.self.Host, to.self.Host)
-	if w.loses(now) {
+	if w.loses(now) || n.lost[kind] {
 		return true
 	}
 	arrival := now.Add(n.delay())
