--- a/jsonhttp/caller.go
+++ b/jsonhttp/caller.go
@@ -63,19 +63,11 @@
 }
 
 // NewCaller returns a new Caller of the server at address, an IP number and
-<<<<<<< HEAD
-// port, or a base URL with them.
-func NewCaller(address string) *Caller {
-	base := address
-	if !strings.Contains(address, "://") {
-		base = "http://" + address
-=======
 // port or a URL with them.
 func NewCaller(address string) *Caller {
 	base := strings.TrimSuffix(address, "/")
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
->>>>>>> refs/heads/standin
 	}
 	return &Caller{base: base, http: &http.Client{Transport: newTransport()}}
 }
