Read the stand-ins' settings with package document

Cause: the examples gave memory in bare bytes, and two YAML readers stood side by side. Ruled out: keeping the library's strict mode (no units, one error at a time).

--- a/standin/running.go
+++ b/standin/running.go
@@ -138,7 +138,7 @@
 	if settings.Address == "" {
 		return nil
 	}
-	r.Weights = weights.New(settings.Settings, r.clock)
+	r.Weights = weights.New(settings.Figures, r.clock)
 	var err error
 	r.WeightsAddress, err = r.serve(ctx, "weights", settings.Address, r.Weights.Handler())
 	return err
@@ -167,7 +167,7 @@
 	case settings.WeightStoreAddress != "":
 		return weights.NewLoader(settings.WeightStoreAddress)
 	default:
-		return weights.New(settings.Weights.Settings, r.clock)
+		return weights.New(settings.Weights.Figures, r.clock)
 	}
 }
 
@@ -187,7 +187,7 @@
 	if settings.Hosts.Address == "" {
 		return nil
 	}
-	r.Hosts = hostlist.New(settings.Hosts.Settings, r.clock, r.entries(settings)...)
+	r.Hosts = hostlist.New(settings.Hosts.Figures, r.clock, r.entries(settings)...)
 	var err error
 	r.HostsAddress, err = r.serve(ctx, "hostlist", settings.Hosts.Address, r.Hosts.Handler())
 	return err
--- a/standin/running_test.go
+++ b/standin/running_test.go
@@ -25,8 +25,8 @@
 	path := filepath.Join(t.TempDir(), "standins.yaml")
 	must.NoError(t, os.WriteFile(path, []byte(`
 key-value: {address: "127.0.0.1:0"}
-hosts: {address: "127.0.0.1:0", lag: 1h, entries: [{name: h1, domain: d1, address: "127.0.0.1:1"}]}
-weights: {address: "127.0.0.1:0", rate-per-second: 9, model-bytes-per-second: 1000}
+hosts: {address: "127.0.0.1:0", figures: {lag: 1h}, entries: [{name: h1, domain: d1, address: "127.0.0.1:1"}]}
+weights: {address: "127.0.0.1:0", figures: {rate-per-second: 9, model-bytes-per-second: 1000}}
 engine-defaults: {step-time: 1ms, memory: 100}
 engines:
   - {name: e1, domain: d1, address: "127.0.0.1:0"}
@@ -36,7 +36,7 @@
 	settings, err := LoadSettings(path)
 	must.NoError(t, err)
 	must.Eq(t, 16, settings.EngineDefaults.Slots)
-	must.Eq(t, 4, settings.Weights.Slots)
+	must.Eq(t, 4, settings.Weights.Figures.Slots)
 	running, err := Start(t.Context(), settings)
 	must.NoError(t, err)
 	t.Cleanup(running.Close)
@@ -151,7 +151,7 @@
 		must.NoError(t, err)
 		must.Len(t, c.engines, settings.Engines)
 		must.Len(t, c.services, settings.Services)
-		must.Eq(t, c.rate, settings.Weights.RatePerSecond)
+		must.Eq(t, c.rate, settings.Weights.Figures.RatePerSecond)
 		must.Len(t, 9, settings.Hosts.Entries)
 	}
 }
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -3,20 +3,17 @@
 package standin
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/goccy/go-yaml"
-
+	"hawthornway/document"
 	"hawthornway/fleet"
+	hosts "hawthornway/hostlist"
 	"hawthornway/model"
 	"hawthornway/standin/engine"
 	"hawthornway/standin/hostlist"
 	"hawthornway/standin/service"
 	"hawthornway/standin/weights"
 	"hawthornway/target"
-
-	hosts "hawthornway/hostlist"
 )
 
 // Settings say which stand-ins run, and with which figures. A stand-in without
@@ -44,9 +41,9 @@
 // HostsSettings are the figures of the host list. The engines and services of
 // the settings are on the list as well.
 type HostsSettings struct {
-	Address           string      `yaml:"address"`
-	Entries           []HostEntry `yaml:"entries"`
-	hostlist.Settings `yaml:",inline"`
+	Address string            `yaml:"address"`
+	Figures hostlist.Settings `yaml:"figures"`
+	Entries []HostEntry       `yaml:"entries"`
 }
 
 // HostEntry is an entry host of the list.
@@ -58,8 +55,8 @@
 
 // WeightsSettings are the figures of the weight store.
 type WeightsSettings struct {
-	Address          string `yaml:"address"`
-	weights.Settings `yaml:",inline"`
+	Address string           `yaml:"address"`
+	Figures weights.Settings `yaml:"figures"`
 }
 
 // EngineSettings are what tells one engine from the others.
@@ -83,7 +80,7 @@
 // DefaultSettings returns settings with the default figures and no stand-ins.
 func DefaultSettings() Settings {
 	return Settings{
-		Weights:         WeightsSettings{Settings: weights.DefaultSettings()},
+		Weights:         WeightsSettings{Figures: weights.DefaultSettings()},
 		EngineDefaults:  engine.DefaultSettings(),
 		ServiceDefaults: service.DefaultSettings(),
 	}
@@ -96,10 +93,8 @@
 		return Settings{}, err
 	}
 	settings := DefaultSettings()
-	if err := yaml.UnmarshalWithOptions(content, &settings, yaml.Strict()); err != nil {
-		return Settings{}, fmt.Errorf("%s: %w", path, err)
-	}
-	return settings, nil
+	_, problems := document.Decode(path, content, &settings)
+	return settings, problems.Err()
 }
 
 // engine returns the settings of the engine at an index.
