--- /dev/null
+++ b/host_test.go
@@ -0,0 +1,78 @@
+package hawthornway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"hawthornway/config"
+	"hawthornway/key"
+	"hawthornway/settings"
+	"hawthornway/standin"
+)
+
+const testConfig = `
+domains: [{name: d1, region: r}]
+targets:
+  - {name: e1, kind: engine, domain: d1, pool: engines, address: "ENGINE", checks-fence: true, memory: 48GiB, slots: 8}
+models:
+  - {name: brief, version: v1, pool: engines, memory: 14GiB, load-time: 1s, idle-after: 5m, max-replicas: 1, max-output-tokens: 512}
+teams:
+  - {name: escorts, rate: 5000, burst: 50000, models: [brief]}
+`
+
+func startStandins(t *testing.T) *standin.Running {
+	s := standin.DefaultSettings()
+	s.KeyValue.Address = "127.0.0.1:0"
+	s.Weights.Address = "127.0.0.1:0"
+	s.Engines = []standin.EngineSettings{{Name: "e1", Domain: "d1", Address: "127.0.0.1:0"}}
+	running, err := standin.Start(t.Context(), s)
+	must.NoError(t, err)
+	t.Cleanup(running.Close)
+	return running
+}
+
+func TestColdChatThroughOneHost(t *testing.T) {
+	outside := startStandins(t)
+	s := settings.Default()
+	s.Host, s.Domain = "h1", "d1"
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	s.Platform.KeyValue = "http://" + outside.KeyValueAddress
+	s.Platform.WeightStore = "http://" + outside.WeightsAddress
+	s.Secrets = settings.Secrets{Cluster: "cluster secret for tests", OperatorToken: "operator token for tests"}
+	s.Drain = settings.Drain{Bound: time.Second}
+	made, err := New(s, WithLogger(slog.New(slog.NewTextHandler(t.Output(), nil))))
+	must.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- made.Run(ctx) }()
+	defer func() { stop(); must.NoError(t, <-done) }()
+
+	h := made.(*host)
+	text := strings.ReplaceAll(testConfig, "ENGINE", outside.Engines["e1"].Address)
+	_, err = h.parts.configs.Apply(ctx, config.Submission{
+		Files: []config.File{{Name: "all.yaml", Data: []byte(text)}}, Change: "c1", Author: "test",
+	})
+	must.NoError(t, err)
+	secret := key.Generate()
+	grant := key.Grant{Hash: secret.Hash(), ID: key.NewID(secret.Hash()), Team: "escorts"}
+	must.NoError(t, h.parts.keys.Grant(ctx, []key.Grant{grant}))
+	request, err := http.NewRequest(http.MethodPost, "http://"+made.Addresses().Callers+"/v1/chat/completions",
+		strings.NewReader(`{"model":"brief","messages":[{"role":"user","content":"hello"}],"max_tokens":20}`))
+	must.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+secret.Reveal())
+	time.Sleep(300 * time.Millisecond)
+	for range 3 {
+		start := time.Now()
+		response, err := http.DefaultClient.Do(request.Clone(ctx))
+		must.NoError(t, err)
+		body, _ := io.ReadAll(response.Body)
+		t.Log(response.Status, time.Since(start), string(body))
+	}
+}
