--- /dev/null
+++ b/loadgen/runner.go
@@ -0,0 +1,91 @@
+package loadgen
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"hawthornway/team"
+	"hawthornway/workload"
+)
+
+// maxIdleConns bounds the idle connections to each host.
+const maxIdleConns = 256
+
+// Settings say where requests go.
+type Settings struct {
+	// Hosts are the callers' addresses, by the arrivals' index.
+	Hosts []string
+	// Keys are the teams' keys.
+	Keys map[team.ID]string
+	// Deadline is how long each caller waits for the first token, or for the
+	// whole answer of a service.
+	Deadline time.Duration
+	// MeanAnswer is the engines' mean answer, by which answers are checked.
+	MeanAnswer int
+	// Progress, if set, is called after each request with the number ended.
+	Progress func(ended int)
+}
+
+// Runner sends the requests of a plan.
+type Runner struct {
+	settings Settings
+	client   *http.Client
+	start    time.Time
+
+	mu      sync.Mutex
+	results []Result
+}
+
+// NewRunner returns a new Runner.
+func NewRunner(settings Settings) *Runner {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	return &Runner{settings: settings, client: &http.Client{Transport: transport}}
+}
+
+// Run sends each request at its time, and returns the results in the order of
+// their ends once all have ended.
+func (r *Runner) Run(ctx context.Context, plan []workload.Arrival) []Result {
+	r.start = time.Now()
+	r.results = nil
+	var group sync.WaitGroup
+	for _, arrival := range plan {
+		if !r.sleepUntil(ctx, arrival.At) {
+			break
+		}
+		group.Go(func() { r.record(r.send(ctx, arrival)) })
+	}
+	group.Wait()
+	r.client.CloseIdleConnections()
+	return r.results
+}
+
+// Start returns the moment from which the plan's times count.
+func (r *Runner) Start() time.Time { return r.start }
+
+func (r *Runner) sleepUntil(ctx context.Context, at time.Duration) bool {
+	timer := time.NewTimer(time.Until(r.start.Add(at)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Runner) record(result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results = append(r.results, result)
+	if r.settings.Progress != nil {
+		r.settings.Progress(len(r.results))
+	}
+}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -335,3 +335,15 @@
 		must.InDelta(t, 10, float64(counts.Busy), 0.1)
 	})
 }
+
+func TestExpectedAnswer(t *testing.T) {
+	run(t, nil, func(t *testing.T, e *Engine) {
+		loadReady(t, e, "m", 10)
+		body := `{"model":"m","prompt":"hello","seed":3,"max_tokens":9}`
+		text, tokens, err := ExpectedAnswer([]byte(body), e.settings.MeanAnswer)
+		must.NoError(t, err)
+		answer := ask(t.Context(), e, "r", body).Body.String()
+		must.StrContains(t, answer, fmt.Sprintf(`"text":%q`, text))
+		must.StrContains(t, answer, fmt.Sprintf(`"completion_tokens":%d`, tokens))
+	})
+}
--- a/standin/engine/request.go
+++ b/standin/engine/request.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -86,25 +87,16 @@
 }
 
 func readRequest(w http.ResponseWriter, r *http.Request) (request, error) {
-	var body wireRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes)).Decode(&body); err != nil {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes))
+	if err != nil {
 		return request{}, err
 	}
-	prompt, err := body.text()
+	req, err := parseBody(body)
 	if err != nil {
 		return request{}, err
 	}
-	req := request{
-		id:           r.Header.Get(headerRequest),
-		attempt:      r.Header.Get(headerAttempt),
-		model:        body.Model,
-		prompt:       prompt,
-		seed:         body.Seed,
-		limit:        max(body.MaxTokens, body.MaxCompletionTokens),
-		ignoreEnd:    body.IgnoreEnd,
-		stream:       body.Stream,
-		includeUsage: body.StreamOptions.IncludeUsage,
-	}
+	req.id = r.Header.Get(headerRequest)
+	req.attempt = r.Header.Get(headerAttempt)
 	if req.priority, err = headerNumber(r, headerPriority); err != nil {
 		return request{}, err
 	}
@@ -117,6 +109,38 @@
 	return req, nil
 }
 
+func parseBody(content []byte) (request, error) {
+	var body wireRequest
+	if err := json.Unmarshal(content, &body); err != nil {
+		return request{}, err
+	}
+	prompt, err := body.text()
+	return request{
+		model:        body.Model,
+		prompt:       prompt,
+		seed:         body.Seed,
+		limit:        max(body.MaxTokens, body.MaxCompletionTokens),
+		ignoreEnd:    body.IgnoreEnd,
+		stream:       body.Stream,
+		includeUsage: body.StreamOptions.IncludeUsage,
+	}, err
+}
+
+// ExpectedAnswer returns the text that any engine answers to a request body,
+// and the number of its tokens. Mean is the engines' mean answer.
+func ExpectedAnswer(body []byte, mean int) (string, int, error) {
+	req, err := parseBody(body)
+	if err != nil {
+		return "", 0, err
+	}
+	a := req.answer(mean)
+	var text strings.Builder
+	for at := range a.length {
+		text.WriteString(a.token(at))
+	}
+	return text.String(), a.length, nil
+}
+
 func headerNumber(r *http.Request, name string) (int, error) {
 	text := r.Header.Get(name)
 	if text == "" {
