--- a/baseline/host_test.go
+++ b/baseline/host_test.go
@@ -39,7 +39,7 @@
 	server := httptest.NewServer(New("h1", c, map[string]team.ID{"k": "a"}, 1))
 	defer server.Close()
 	runner := loadgen.NewRunner(loadgen.Settings{
-		Hosts:      []string{server.Listener.Addr().String()},
+		Address:    func(int) string { return server.Listener.Addr().String() },
 		Keys:       map[team.ID]string{"a": "k"},
 		Deadline:   5 * time.Second,
 		MeanAnswer: settings.EngineDefaults.MeanAnswer,
--- a/loadgen/runner.go
+++ b/loadgen/runner.go
@@ -16,9 +16,10 @@
 
 // Settings say where requests go.
 type Settings struct {
-	// Hosts are the callers' addresses, by the arrivals' index.
-	Hosts []string
-	// Keys are the teams' keys.
+	// Address returns the callers' address for an arrival's host, as a balancer
+	// would choose it now.
+	Address func(host int) string
+	// Keys are the teams' keys. A team without one sends none.
 	Keys map[team.ID]string
 	// Deadline is how long each caller waits for the first token, or for the
 	// whole answer of a service.
--- a/loadgen/runner_test.go
+++ b/loadgen/runner_test.go
@@ -72,7 +72,7 @@
 			server := httptest.NewServer(c.handler)
 			defer server.Close()
 			runner := NewRunner(Settings{
-				Hosts:      []string{server.Listener.Addr().String()},
+				Address:    func(int) string { return server.Listener.Addr().String() },
 				Keys:       map[team.ID]string{"a": "k"},
 				Deadline:   time.Second,
 				MeanAnswer: meanAnswer,
--- a/loadgen/send.go
+++ b/loadgen/send.go
@@ -69,7 +69,7 @@
 }
 
 func (e *exchange) request(ctx context.Context) (*http.Request, error) {
-	base := "http://" + e.runner.settings.Hosts[e.result.Arrival.Host]
+	base := "http://" + e.runner.settings.Address(e.result.Arrival.Host)
 	var request *http.Request
 	var err error
 	switch work := e.result.Arrival.Work.(type) {
@@ -85,7 +85,9 @@
 		return nil, err
 	}
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Authorization", "Bearer "+e.runner.settings.Keys[e.result.Arrival.Team])
+	if key := e.runner.settings.Keys[e.result.Arrival.Team]; key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
 	request.Header.Set(call.HeaderDeadline, e.runner.settings.Deadline.String())
 	return request, nil
 }
