--- /dev/null
+++ b/host.go
@@ -0,0 +1,184 @@
+// Package hawthornway is an entry host: it joins the parts that admit, limit,
+// queue, route, load and answer for requests.
+package hawthornway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+
+	"hawthornway/fleet"
+	"hawthornway/platform"
+	"hawthornway/settings"
+)
+
+// Host is one entry host.
+type Host interface {
+	// Run serves until the context ends, then stops gracefully.
+	Run(ctx context.Context) error
+	// Addresses returns the addresses that the listeners are bound to.
+	Addresses() Addresses
+}
+
+// Addresses are the addresses of a host's listeners, each an IP number and port.
+type Addresses struct {
+	Callers   string
+	Operators string
+	Peers     string
+}
+
+// Option sets an option of a Host.
+type Option func(*options)
+
+type options struct {
+	clock clockwork.Clock
+	log   *slog.Logger
+	store platform.Store
+}
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(o *options) { o.clock = clock }
+}
+
+// WithLogger sets the logger.
+func WithLogger(log *slog.Logger) Option {
+	return func(o *options) { o.log = log }
+}
+
+// WithStore sets the platform's key-value service in place of the one that the
+// settings name.
+func WithStore(store platform.Store) Option {
+	return func(o *options) { o.store = store }
+}
+
+// New returns a new Host with its listeners bound. Nothing is served before
+// Run.
+func New(s settings.Settings, opts ...Option) (Host, error) {
+	o := &options{clock: clockwork.NewRealClock(), log: slog.Default()}
+	for _, opt := range opts {
+		opt(o)
+	}
+	if o.store == nil {
+		o.store = platform.NewClient(s.Platform.KeyValue)
+	}
+	h := &host{settings: s, options: o}
+	if err := h.build(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return h, nil
+}
+
+type host struct {
+	settings settings.Settings
+	options  *options
+	self     fleet.Member
+	parts    *parts
+	servers  servers
+	ready    readiness
+	// peerHandler is set once the parts are made.
+	peerHandler *late
+}
+
+// build joins the parts and binds the listeners. The peers' listener comes
+// first, since its address is a part of the host's membership.
+func (h *host) build() error {
+	h.self = fleet.Member{
+		Host:        h.settings.Host,
+		Domain:      h.settings.Domain,
+		Incarnation: fleet.Incarnation(rand.Uint64()),
+	}
+	if err := h.bindPeers(); err != nil {
+		return err
+	}
+	h.self.PeerAddress = h.servers.peersAddress.String()
+	h.parts = newParts(h.self, h.settings, h.options)
+	h.ready.missing = h.parts.missing
+	return h.bindOthers()
+}
+
+// Addresses returns the addresses that the listeners are bound to.
+func (h *host) Addresses() Addresses {
+	return Addresses{
+		Callers:   h.servers.callersAddress.String(),
+		Operators: h.servers.operatorsAddress.String(),
+		Peers:     h.servers.peersAddress.String(),
+	}
+}
+
+// Run serves until the context ends, then stops gracefully. It ends early when
+// a listener or a controller fails.
+func (h *host) Run(ctx context.Context) error {
+	working, stop := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer stop(nil)
+	var running sync.WaitGroup
+	h.parts.start(working, &running, stop)
+	h.serve(working, &running, stop)
+	select {
+	case <-ctx.Done():
+		h.drain()
+	case <-working.Done():
+	}
+	h.stopServers()
+	stop(nil)
+	running.Wait()
+	if cause := context.Cause(working); !errors.Is(cause, context.Canceled) {
+		return trace.Wrap(cause)
+	}
+	return nil
+}
+
+// serve starts the listeners, the peers' first.
+func (h *host) serve(ctx context.Context, running *sync.WaitGroup, failed context.CancelCauseFunc) {
+	for _, server := range h.servers.all() {
+		running.Go(func() {
+			if err := server.Start(ctx); err != nil {
+				failed(trace.Wrap(err, "listener"))
+			}
+		})
+	}
+}
+
+// stopTimeout bounds the stop of the listeners after the drain.
+const stopTimeout = 5 * time.Second
+
+func (h *host) stopServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, server := range slices.Backward(h.servers.all()) {
+		if err := server.Stop(ctx); err != nil {
+			h.options.log.Warn("host: listener was cut", "error", err)
+			_ = server.Close() // what is left open is to be cut
+		}
+	}
+}
+
+// drain is the graceful stop: the host is unready first, then takes no new
+// calls, then lets calls in progress end, and hands its duties over.
+func (h *host) drain() {
+	log := h.options.log
+	h.ready.leave()
+	log.Info("host: leaving", "bound", h.settings.Drain.Bound)
+	h.options.clock.Sleep(h.settings.Drain.Unready)
+	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Drain.Bound)
+	defer cancel()
+	if err := h.servers.callers.Shutdown(ctx); err != nil {
+		log.Warn("host: calls were cut at the drain's bound", "error", err)
+	}
+	handing, cancelHanding := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancelHanding()
+	if err := h.parts.leave(handing); err != nil {
+		log.Warn("host: duties were not handed over", "error", err)
+	}
+	log.Info("host: left")
+}
+
+// handOverTimeout bounds the handing over of duties.
+const handOverTimeout = 5 * time.Second
--- /dev/null
+++ b/parts.go
@@ -0,0 +1,214 @@
+package hawthornway
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/call"
+	"hawthornway/caller"
+	"hawthornway/claim"
+	"hawthornway/config"
+	"hawthornway/fleet"
+	"hawthornway/key"
+	"hawthornway/limit"
+	"hawthornway/member"
+	"hawthornway/metric"
+	"hawthornway/openai"
+	"hawthornway/peer"
+	"hawthornway/replica"
+	"hawthornway/retry"
+	"hawthornway/route"
+	"hawthornway/service"
+	"hawthornway/settings"
+	"hawthornway/weightstore"
+)
+
+// parts are the controllers and the front of one host.
+type parts struct {
+	log       *slog.Logger
+	links     *peer.Links
+	members   *member.Controller
+	configs   *config.Store
+	directory directory
+	keys      *key.Ring
+	limiter   limit.Controller
+	machines  *machines
+	replicas  replica.Controller
+	router    route.Router
+	claims    claim.Claims
+	metrics   metric.Metrics
+	front     *caller.Front
+	admin     http.Handler
+}
+
+func newParts(self fleet.Member, s settings.Settings, o *options) *parts {
+	p := &parts{log: o.log, metrics: metric.New()}
+	p.machines = newMachines(s.Platform.HostList, o.clock, o.log)
+	p.links = peer.New(
+		peer.WithSelf(self),
+		peer.WithSecret([]byte(s.Secrets.Cluster)),
+		peer.WithClock(o.clock),
+		peer.WithLogger(o.log),
+	)
+	p.addMembers(self, s, o)
+	p.addState(self, o)
+	p.addPlacement(self, s, o)
+	p.addFront(s, o)
+	return p
+}
+
+func (p *parts) addMembers(self fleet.Member, s settings.Settings, o *options) {
+	options := []member.Option{
+		member.WithSelf(self),
+		member.WithStore(o.store),
+		member.WithLinks(p.links),
+		member.WithSeeds(s.Seeds),
+		member.WithClock(o.clock),
+		member.WithLogger(o.log),
+		member.WithRelease(p.released),
+	}
+	if s.Platform.HostList != "" {
+		options = append(options, member.WithHostList(p.machines))
+	}
+	p.members = member.New(options...)
+}
+
+// released reports whether nothing is under way for a shard any more.
+func (p *parts) released(shard member.Shard) bool {
+	return p.limiter.Released(shard) && p.replicas.Released(shard)
+}
+
+// addState joins the controllers of what operators and teams own.
+func (p *parts) addState(self fleet.Member, o *options) {
+	p.configs = config.NewStore(o.store, p.links, config.WithClock(o.clock), config.WithLogger(o.log))
+	p.directory = directory{p.configs}
+	p.keys = key.NewRing(o.store, p.links, keyDirectory{p.directory, p.members}, key.WithClock(o.clock), key.WithLogger(o.log))
+	p.limiter = limit.New(p.members, p.links, o.store, p.directory.Limit,
+		limit.WithClock(o.clock),
+		limit.WithLogger(o.log),
+		limit.WithDomains(p.directory.Domains),
+		limit.WithTeams(p.directory.Teams),
+	)
+	p.claims = claim.New(o.store,
+		claim.WithClock(o.clock),
+		claim.WithLogger(o.log),
+		claim.WithHost(self.Host),
+	)
+}
+
+// addPlacement joins what decides where requests go.
+func (p *parts) addPlacement(self fleet.Member, s settings.Settings, o *options) {
+	options := []replica.Option{
+		replica.WithConfig(p.directory.Config),
+		replica.WithMesh(p.links),
+		replica.WithOwnership(p.members),
+		replica.WithStore(o.store),
+		replica.WithLeaving(p.machines.Leaving),
+		replica.WithClock(o.clock),
+		replica.WithLogger(o.log),
+	}
+	if s.Platform.WeightStore != "" {
+		options = append(options, replica.WithWeightStore(weightsReader(s.Platform.WeightStore)))
+	}
+	p.replicas = replica.New(options...)
+	p.router = route.New(
+		route.WithConfig(p.directory.Config),
+		route.WithReplicas(p.replicas),
+		route.WithDomain(self.Domain),
+		route.WithLeaving(p.machines.Leaving),
+		route.WithClock(o.clock),
+	)
+}
+
+// weightsReader returns a function that reads the weight store's state.
+func weightsReader(address string) func(context.Context) (replica.Weights, error) {
+	client := weightstore.NewClient(address)
+	return func(ctx context.Context) (replica.Weights, error) {
+		state, err := client.State(ctx)
+		if err != nil {
+			return replica.Weights{}, trace.Wrap(err)
+		}
+		return replica.Weights{
+			RatePerSecond: state.RatePerSecond,
+			Slots:         state.Slots,
+			Running:       state.InFlight,
+			Waiting:       state.Waiting,
+			Adapters:      state.AdaptersInFlight,
+		}, nil
+	}
+}
+
+// addFront joins the callers' chain of filters.
+func (p *parts) addFront(s settings.Settings, o *options) {
+	directory := p.directory
+	budget := retry.NewBudget(o.clock)
+	priority := func(c *call.Call) int {
+		owner, _ := directory.Team(c.Team)
+		return owner.Priority
+	}
+	engines := &enginePlacer{router: p.router, replicas: p.replicas, clock: o.clock, priority: priority}
+	generator := openai.NewGenerator(engines, budget, o.clock, priority)
+	forwarder := service.NewForwarder(&servicePlacer{router: p.router}, budget, o.clock)
+	entries := []call.Entry{
+		{Priority: call.PriorityPath, Filter: caller.PathFilter(directory)},
+		{Priority: call.PriorityKey, Filter: caller.KeyFilter(p.keys)},
+		{Priority: call.PriorityStream, Filter: caller.StreamFilter(directory)},
+		{Priority: call.PriorityBody, Filter: caller.BodyFilter(s.Limits.BodyBytes)},
+		{Priority: call.PriorityBody, Filter: caller.LeakFilter()},
+		{Priority: call.PriorityResolve, Filter: caller.ResolveFilter(directory)},
+		{Priority: call.PriorityLimit, Filter: caller.LimitFilter(p.limiter)},
+		{Priority: call.PriorityClaim, Filter: caller.ClaimFilter(p.claims, o.log)},
+	}
+	last := caller.Dispatch(directory, generator, forwarder)
+	p.front = caller.NewFront(entries, last, o.clock, o.log, p.metrics)
+}
+
+// runner is a controller that works until its context ends.
+type runner struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// start runs the controllers. One that fails ends the host.
+func (p *parts) start(ctx context.Context, running *sync.WaitGroup, failed context.CancelCauseFunc) {
+	runners := []runner{
+		{"machines", p.machines.Run},
+		{"peer", p.links.Run},
+		{"member", p.members.Run},
+		{"config", p.configs.Run},
+		{"key", p.keys.Run},
+		{"limit", p.limiter.Run},
+		{"replica", p.replicas.Run},
+		{"claim", p.claims.Run},
+	}
+	for _, r := range runners {
+		running.Go(func() {
+			if err := r.run(ctx); err != nil && ctx.Err() == nil {
+				failed(trace.Wrap(err, "%s", r.name))
+			}
+		})
+	}
+}
+
+// leave hands the host's duties over.
+func (p *parts) leave(ctx context.Context) error {
+	return trace.Wrap(p.members.Leave(ctx))
+}
+
+// missing returns what the host lacks before it can serve.
+func (p *parts) missing() []string {
+	var missing []string
+	if p.configs.Current() == nil {
+		missing = append(missing, "no configuration is known")
+	}
+	select {
+	case <-p.keys.Loaded():
+	default:
+		missing = append(missing, "keys are not loaded")
+	}
+	return missing
+}
