Measure a deployment with one command

Ruled out: measuring inside one process (the hosts' own processor time and sockets would be left out); an average load per team as what it was owed (the max-min division is worked out exactly from the offered load). Change: package cluster (deployment folders, host processes, baseline hosts), experiment (cases with a fault in the middle third), measure (figures, bounds, promises, table, JSON, SVG), command measure.

--- a/baseline/host.go
+++ b/baseline/host.go
@@ -171,7 +171,9 @@
 	}
 	sent.Header.Set("Content-Type", r.Header.Get("Content-Type"))
 	sent.Header.Set("Idempotency-Key", r.Header.Get("Idempotency-Key"))
-	sent.Header.Set("X-Request-Id", h.name+"-"+strconv.FormatUint(h.requests.Add(1), 10))
+	id := h.name + "-" + strconv.FormatUint(h.requests.Add(1), 10)
+	w.Header().Set(call.HeaderRequest, id)
+	sent.Header.Set("X-Request-Id", id)
 	sent.Header.Set("X-Attempt", "1")
 	resp, err := h.client.Do(sent)
 	if err != nil {
--- /dev/null
+++ b/cluster/deployment.go
@@ -0,0 +1,82 @@
+// Package cluster runs a deployment folder on this machine: its stand-ins in
+// this process, and its hosts as processes of their own or as baseline hosts.
+package cluster
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/config"
+	"hawthornway/settings"
+	"hawthornway/standin"
+)
+
+// Deployment is what a deployment folder holds: standins.yaml, config/*.yaml
+// and hosts/*.yaml.
+type Deployment struct {
+	Name     string
+	Standins standin.Settings
+	Files    []config.File
+	Config   config.Config
+	Hosts    []HostFile
+}
+
+// HostFile is one host's settings and where they stand.
+type HostFile struct {
+	Path     string
+	Settings settings.Settings
+}
+
+// Load reads and checks a deployment folder.
+func Load(folder string) (Deployment, error) {
+	d := Deployment{Name: filepath.Base(folder)}
+	var err error
+	if d.Standins, err = standin.LoadSettings(filepath.Join(folder, "standins.yaml")); err != nil {
+		return d, trace.Wrap(err)
+	}
+	if d.Files, err = readFiles(filepath.Join(folder, "config")); err != nil {
+		return d, trace.Wrap(err)
+	}
+	if d.Config, err = config.Merge(d.Files); err != nil {
+		return d, trace.Wrap(err)
+	}
+	d.Hosts, err = readHosts(filepath.Join(folder, "hosts"))
+	return d, trace.Wrap(err)
+}
+
+func readFiles(folder string) ([]config.File, error) {
+	paths, err := filepath.Glob(filepath.Join(folder, "*.yaml"))
+	if err != nil {
+		return nil, err
+	}
+	var files []config.File
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, config.File{Name: filepath.Base(path), Data: data})
+	}
+	return files, nil
+}
+
+func readHosts(folder string) ([]HostFile, error) {
+	paths, err := filepath.Glob(filepath.Join(folder, "*.yaml"))
+	if err != nil {
+		return nil, err
+	}
+	var hosts []HostFile
+	for _, path := range paths {
+		s, err := settings.Load(path)
+		if err != nil {
+			return nil, err
+		}
+		hosts = append(hosts, HostFile{Path: path, Settings: s})
+	}
+	if len(hosts) == 0 {
+		return nil, trace.NotFound("%s holds no host settings", folder)
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/cluster/hosts.go
@@ -0,0 +1,206 @@
+package cluster
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/baseline"
+	"hawthornway/standin"
+	"hawthornway/team"
+)
+
+// The waits of hosts.
+const (
+	readyTimeout = 45 * time.Second
+	readyPoll    = 50 * time.Millisecond
+	stopTimeout  = 5 * time.Second
+)
+
+// Hosts are the entry hosts of a deployment, by index.
+type Hosts interface {
+	// Start starts the hosts and waits until all are ready.
+	Start(ctx context.Context) error
+	// Keys returns a key of each team.
+	Keys() map[team.ID]string
+	// Kill ends a host without a warning.
+	Kill(host int) error
+	// Close ends all hosts.
+	Close()
+}
+
+// processes are hosts that run as processes of their own.
+type processes struct {
+	binary     string
+	logs       string
+	deployment Deployment
+	standins   *standin.Running
+	keys       map[team.ID]string
+
+	mu       sync.Mutex
+	commands []*exec.Cmd
+}
+
+// NewProcesses returns new Hosts that run `binary serve` each. Their logs go to
+// the folder logs.
+func NewProcesses(binary, logs string, d Deployment, standins *standin.Running) Hosts {
+	return &processes{binary: binary, logs: logs, deployment: d, standins: standins}
+}
+
+// Start starts the hosts and waits until all are ready.
+func (p *processes) Start(ctx context.Context) error {
+	var err error
+	if p.keys, err = bootstrap(ctx, p.standins.KeyValue, p.deployment); err != nil {
+		return trace.Wrap(err)
+	}
+	for _, host := range p.deployment.Hosts {
+		if err := p.startOne(host); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, host := range p.deployment.Hosts {
+		if err := awaitReady(ctx, host.Settings.Listen.Callers); err != nil {
+			return trace.Wrap(err, "host %s did not become ready", host.Settings.Host)
+		}
+	}
+	return nil
+}
+
+func (p *processes) startOne(host HostFile) error {
+	log, err := os.Create(filepath.Join(p.logs, string(host.Settings.Host)+".log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command(p.binary, "serve", "--settings", host.Path)
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.commands = append(p.commands, command)
+	return nil
+}
+
+// awaitReady waits until a host says that it is ready.
+func awaitReady(ctx context.Context, address string) error {
+	for {
+		if isReady(ctx, address) {
+			return nil
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func isReady(ctx context.Context, address string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Keys returns a key of each team.
+func (p *processes) Keys() map[team.ID]string { return p.keys }
+
+// Kill ends a host without a warning.
+func (p *processes) Kill(host int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.commands[host].Process.Kill()
+}
+
+// Close stops all hosts, and kills those that don't stop in time.
+func (p *processes) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var group sync.WaitGroup
+	for _, command := range p.commands {
+		group.Go(func() { stop(command) })
+	}
+	group.Wait()
+}
+
+func stop(command *exec.Cmd) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = command.Wait() // the exit code of a stopped host doesn't matter
+	}()
+	_ = command.Process.Signal(syscall.SIGTERM) // it may have ended
+	select {
+	case <-done:
+	case <-time.After(stopTimeout):
+		_ = command.Process.Kill()
+		<-done
+	}
+}
+
+// baselines are baseline hosts in this process.
+type baselines struct {
+	deployment Deployment
+	keys       map[team.ID]string
+	servers    []*http.Server
+}
+
+// NewBaselines returns new Hosts that are baseline hosts in this process.
+func NewBaselines(d Deployment) Hosts {
+	keys := make(map[team.ID]string)
+	for _, t := range d.Config.Teams {
+		keys[t.Name] = "key of " + string(t.Name)
+	}
+	return &baselines{deployment: d, keys: keys}
+}
+
+// Start starts the hosts.
+func (b *baselines) Start(context.Context) error {
+	teams := make(map[string]team.ID)
+	for name, text := range b.keys {
+		teams[text] = name
+	}
+	for _, host := range b.deployment.Hosts {
+		listener, err := net.Listen("tcp", host.Settings.Listen.Callers)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		handler := baseline.New(string(host.Settings.Host), b.deployment.Config, teams, len(b.deployment.Hosts))
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: stopTimeout}
+		b.servers = append(b.servers, server)
+		go func() { _ = server.Serve(listener) }() // it ends when the server is closed
+	}
+	return nil
+}
+
+// Keys returns a key of each team.
+func (b *baselines) Keys() map[team.ID]string { return b.keys }
+
+// Kill ends a host without a warning.
+func (b *baselines) Kill(host int) error { return b.servers[host].Close() }
+
+// Close ends all hosts.
+func (b *baselines) Close() {
+	for _, server := range b.servers {
+		_ = server.Close() // it may be closed already
+	}
+}
--- /dev/null
+++ b/experiment/experiment.go
@@ -0,0 +1,194 @@
+package experiment
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/cluster"
+	"hawthornway/loadgen"
+	"hawthornway/measure"
+	"hawthornway/standin"
+	"hawthornway/standin/kvstore"
+	"hawthornway/target"
+	"hawthornway/workload"
+)
+
+// System names what serves the traffic.
+type System string
+
+// The systems.
+const (
+	SystemHawthornway System = "hawthornway"
+	SystemBaseline    System = "baseline"
+)
+
+// Settings say what an experiment runs.
+type Settings struct {
+	Deployment cluster.Deployment
+	Case       Case
+	System     System
+	Workload   workload.Settings
+	// Deadline is how long callers wait for a first token.
+	Deadline time.Duration
+	// Binary is the hawthornway program, and Logs the folder of its logs.
+	Binary string
+	Logs   string
+	// ProbePairs is the number of requests sent both through a host and to its
+	// engine, before the plan; zero sends none.
+	ProbePairs int
+	// Progress is told each second how far the run is.
+	Progress func(at time.Duration, ended, planned int)
+}
+
+// Experiment is one run of a case.
+type Experiment struct {
+	settings Settings
+	standins *standin.Running
+	hosts    cluster.Hosts
+	balancer *balancer
+	plan     []workload.Arrival
+
+	mu      sync.Mutex
+	ended   int
+	samples []measure.Sample
+}
+
+// Run runs one experiment and returns what it left behind.
+func Run(ctx context.Context, settings Settings) (measure.Run, error) {
+	settings.Workload.Hosts = len(settings.Deployment.Hosts)
+	e := &Experiment{settings: settings, balancer: newBalancer(settings.Deployment)}
+	var err error
+	if e.standins, err = standin.Start(ctx, settings.Deployment.Standins); err != nil {
+		return measure.Run{}, trace.Wrap(err)
+	}
+	defer e.standins.Close()
+	e.hosts = e.newHosts()
+	defer e.hosts.Close()
+	if err := e.hosts.Start(ctx); err != nil {
+		return measure.Run{}, trace.Wrap(err)
+	}
+	return e.run(ctx)
+}
+
+func (e *Experiment) newHosts() cluster.Hosts {
+	if e.settings.System == SystemBaseline {
+		return cluster.NewBaselines(e.settings.Deployment)
+	}
+	return cluster.NewProcesses(e.settings.Binary, e.settings.Logs, e.settings.Deployment, e.standins)
+}
+
+func (e *Experiment) run(ctx context.Context) (measure.Run, error) {
+	run := e.newRun()
+	if err := e.probe(ctx, &run); err != nil {
+		return run, trace.Wrap(err)
+	}
+	e.plan = workload.NewPlan(e.settings.Deployment.Config, e.settings.Workload)
+	before, idleBefore := e.standins.KeyValue.Counts(), e.engineCounts()
+	loadsBefore := e.loadCounts()
+	runner := loadgen.NewRunner(e.loadSettings())
+	defer runner.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopSampling := e.startSampling(ctx)
+	stopFault := e.startFault()
+	run.Results = runner.Run(ctx, e.plan)
+	stopFault()
+	stopSampling()
+	run.Start = runner.Start()
+	run.Platform = minusCalls(e.standins.KeyValue.Counts(), before)
+	run.Samples = e.samples
+	e.collect(&run, idleBefore, loadsBefore)
+	return run, ctx.Err()
+}
+
+func (e *Experiment) newRun() measure.Run {
+	d := e.settings.Deployment
+	return measure.Run{
+		Deployment: d.Name,
+		Case:       string(e.settings.Case),
+		System:     string(e.settings.System),
+		Seed:       e.settings.Workload.Seed,
+		Length:     e.settings.Workload.Length,
+		Config:     d.Config,
+		Weights:    d.Standins.Weights.Figures,
+		Engine:     d.Standins.EngineDefaults,
+		Engines:    make(map[target.ID]measure.EngineRecord),
+		Executions: make(map[string]int),
+		Faulted:    e.faulted(),
+	}
+}
+
+func (e *Experiment) loadSettings() loadgen.Settings {
+	return loadgen.Settings{
+		Address:    e.balancer.address,
+		Keys:       e.hosts.Keys(),
+		Deadline:   e.settings.Deadline,
+		MeanAnswer: e.settings.Deployment.Standins.EngineDefaults.MeanAnswer,
+		Progress: func(ended int) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.ended = ended
+		},
+	}
+}
+
+// startFault switches the fault on after a third of the plan and off after two
+// thirds.
+func (e *Experiment) startFault() (stop func()) {
+	if e.settings.Case == CaseSteady {
+		return func() {}
+	}
+	third := e.settings.Workload.Length / 3
+	begin := time.AfterFunc(third, func() {
+		if err := e.begin(); err != nil {
+			panic("the fault can't be switched on: " + err.Error())
+		}
+	})
+	end := time.AfterFunc(2*third, e.end)
+	return func() {
+		begin.Stop()
+		end.Stop()
+	}
+}
+
+// startSampling takes a sample each second until it is stopped.
+func (e *Experiment) startSampling(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	start := time.Now()
+	before, kvBefore := e.engineCounts(), e.standins.KeyValue.Counts()
+	var group sync.WaitGroup
+	group.Go(func() {
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				e.sample(time.Since(start), before, kvBefore)
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+func (e *Experiment) sample(at time.Duration, before map[target.ID]engineCounts, kvBefore kvstore.Counts) {
+	s := measure.Sample{At: at, Platform: minusCalls(e.standins.KeyValue.Counts(), kvBefore)}
+	for name, counts := range e.engineCounts() {
+		s.Idle += counts.Idle - before[name].Idle
+		s.Held += counts.Idle + counts.Busy + counts.Loading - before[name].Idle - before[name].Busy - before[name].Loading
+	}
+	e.mu.Lock()
+	e.samples = append(e.samples, s)
+	ended := e.ended
+	e.mu.Unlock()
+	if e.settings.Progress != nil {
+		e.settings.Progress(at, ended, len(e.plan))
+	}
+}
--- a/loadgen/runner.go
+++ b/loadgen/runner.go
@@ -64,10 +64,12 @@
 		group.Go(func() { r.record(r.send(ctx, arrival)) })
 	}
 	group.Wait()
-	r.client.CloseIdleConnections()
 	return r.results
 }
 
+// Close closes the idle connections.
+func (r *Runner) Close() { r.client.CloseIdleConnections() }
+
 // Start returns the moment from which the plan's times count.
 func (r *Runner) Start() time.Time { return r.start }
 
--- a/measure/promise.go
+++ b/measure/promise.go
@@ -55,7 +55,10 @@
 	if result.Ending == loadgen.EndingNone && !r.Faulted[result.Arrival.Host] {
 		p.Dropped++
 	}
-	runs := r.Executions[callID(result)]
+	runs := 0
+	if id := callID(result); id != "" {
+		runs = r.Executions[id]
+	}
 	if result.Ending == loadgen.EndingNotRun && runs > 0 {
 		p.UntrueNotRun++
 	}
