Prove the bound of limits under faults, and that the proofs see its breach

Change: rapid properties of Bucket and of ledgers in succession; seeded mixes over 9 hosts' real controllers (-seeds, -seed); scenarios with one mechanism off; gifts carry the tokens that no longer fit; conflicts are tried again at once.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -87,14 +87,23 @@
 }
 
 // Resize changes the rate and the capacity. Tokens in the bucket that no longer
-// fit are dropped; lent ones stay lent.
-func (b *Bucket) Resize(now time.Time, part Part) {
+// fit are dropped; lent ones stay lent. It returns the number dropped.
+func (b *Bucket) Resize(now time.Time, part Part) Micro {
 	b.advance(now)
+	before := b.level
 	b.room.note(b.capacity - b.level - b.lent)
 	b.rate = part.Rate
 	b.capacity = float64(part.Capacity)
 	b.clip()
 	b.room.note(b.capacity - b.level - b.lent)
+	return Micro(math.Floor(before - b.level))
+}
+
+// Credit adds tokens that another bucket dropped, as far as they fit.
+func (b *Bucket) Credit(now time.Time, n Micro) {
+	b.advance(now)
+	b.level += float64(n)
+	b.clip()
 }
 
 // Wait returns the time until the bucket can lend n tokens if nobody else
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -39,7 +39,8 @@
 	off     mutations
 	faults  int
 	// late has writes arrive late, without an answer.
-	late bool
+	late   bool
+	lateBy time.Duration
 
 	mu     sync.Mutex
 	owners map[fleet.DomainID]map[member.Shard]ownerRecord
@@ -388,16 +389,27 @@
 	return revision, err
 }
 
-// lateness draws whether a write arrives late and its answer is lost.
+// lateness returns how late a write arrives without an answer; zero for one
+// that is not late.
 func (f *testFleet) lateness() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lateBy > 0 {
+		return f.lateBy
+	}
 	if !f.late || f.rng.IntN(4) > 0 {
 		return 0
 	}
 	return time.Duration(1 + f.rng.Int64N(int64(12*time.Second)))
 }
 
+// setLateFor has all writes arrive late.
+func (f *testFleet) setLateFor(late time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lateBy = late
+}
+
 func (s frozenStore) Delete(ctx context.Context, key string, expected platform.Revision) error {
 	return s.host.fleet.store.Delete(ctx, key, expected)
 }
@@ -483,3 +495,32 @@
 		must.LessEq(f.t, boundSlack, overrun(f.log, id, limit), must.Sprintf("team %s passed its bound", id))
 	}
 }
+
+// fork returns a source of random numbers for one goroutine.
+func (f *testFleet) fork() *rand.Rand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return rand.New(rand.NewPCG(f.rng.Uint64(), 0))
+}
+
+func (f *testFleet) setLate(late bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.late = late
+}
+
+func (h *testHost) setCutOff(cutOff bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cutOff = cutOff
+}
+
+func (f *testFleet) healthyOf(domain fleet.DomainID) []*testHost {
+	var healthy []*testHost
+	for _, h := range f.hostsOf(domain) {
+		if !h.bad() {
+			healthy = append(healthy, h)
+		}
+	}
+	return healthy
+}
--- a/limit/gift.go
+++ b/limit/gift.go
@@ -11,6 +11,7 @@
 
 	"hawthornway/fleet"
 	"hawthornway/platform"
+	"hawthornway/target"
 	"hawthornway/team"
 )
 
@@ -20,6 +21,8 @@
 	// giveEvery is the least mean time between two changes of one team's
 	// shares, over all domains.
 	giveEvery = 5 * time.Second
+	// maxConflicts bounds the tries of one change in a row.
+	maxConflicts = 5
 	// readEvery is the time after which a ledger in use reads its record.
 	readEvery = time.Minute
 )
@@ -28,6 +31,8 @@
 // share in memory, and writes the record when what it lent before has ended.
 type gift struct {
 	given Shares
+	// tokens had no place any more in the giver's smaller bucket.
+	tokens Micro
 	// uncertain says that the swap of the record at the revision expected may
 	// have had effect. The share stays low until the record shows whether.
 	uncertain bool
@@ -107,12 +112,24 @@
 	if one.gift == nil && !k.wantsRecord(one, demand, limit) {
 		return nil
 	}
+	for range maxConflicts {
+		err := k.divide(ctx, one, hold.Fence, demand, limit)
+		if !isConflict(err) {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// divide reads a team's record, takes in what others gave, and gives. The
+// caller has the turn.
+func (k *keeper) divide(ctx context.Context, one *kept, fence target.Fence, demand Demand, limit Limit) error {
 	record, revision, err := k.readRecord(ctx, one.team)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	mine := record.Domains[k.own.Self().Domain]
-	if mine.Fence != hold.Fence {
+	if mine.Fence != fence {
 		return trace.CompareFailed("the ledger with fence %d was opened", mine.Fence)
 	}
 	one.raised.Store(false)
@@ -121,7 +138,7 @@
 	if one.gift == nil {
 		one.gift = k.newGift(one, demand, limit)
 	}
-	if !k.adopt(one, mine.Share, limit) {
+	if !k.adopt(one, mine, limit) {
 		return nil
 	}
 	return trace.Wrap(k.give(ctx, one, record, revision))
@@ -173,30 +190,34 @@
 
 // adopt sets the ledger to the recorded share less what is being given, and
 // reports whether a gift may be written now.
-func (k *keeper) adopt(one *kept, recorded Share, limit Limit) bool {
+func (k *keeper) adopt(one *kept, recorded shareEntry, limit Limit) bool {
 	one.mu.Lock()
 	defer one.mu.Unlock()
 	now := k.clock.Now()
-	if one.gift == nil {
-		one.ledger.Resize(now, recorded, limit)
-		return false
+	one.ledger.Resize(now, one.ledger.Share(), limit)
+	given := Share(0)
+	if one.gift != nil {
+		given = one.gift.given.Sum()
 	}
-	if recorded < one.gift.given.Sum() {
-		one.gift = nil
-		one.ledger.Resize(now, recorded, limit)
-		return false
+	if recorded.Share < given {
+		one.gift, given = nil, 0
 	}
 	if k.off.lowerFirst {
-		return true
+		given = 0
+	}
+	dropped := one.ledger.Resize(now, recorded.Share-given, limit)
+	if one.gift != nil {
+		one.gift.tokens += dropped
 	}
-	one.ledger.Resize(now, recorded-one.gift.given.Sum(), limit)
-	return one.ledger.Fits(now)
+	one.ledger.Credit(now, recorded.Credit-one.credited)
+	one.credited = recorded.Credit
+	return one.gift != nil && (one.ledger.Fits(now) || k.off.lowerFirst)
 }
 
 // give writes a gift into the record.
 func (k *keeper) give(ctx context.Context, one *kept, record shareRecord, revision platform.Revision) error {
 	self := k.own.Self().Domain
-	moved := record.move(self, one.gift.given)
+	moved := record.move(self, one.gift.given, one.gift.tokens)
 	_, err := k.store.Swap(ctx, recordKey(one.team), revision, moved.encode())
 	switch {
 	case err == nil:
@@ -244,7 +265,7 @@
 		if given.Sum() == 0 {
 			continue
 		}
-		if _, err := k.store.Swap(ctx, entry.Key, entry.Revision, record.move(gone, given).encode()); err != nil {
+		if _, err := k.store.Swap(ctx, entry.Key, entry.Revision, record.move(gone, given, 0).encode()); err != nil {
 			return trace.Wrap(err, "record %q", entry.Key)
 		}
 		k.tellRaised(team.ID(strings.TrimPrefix(entry.Key, recordPrefix)), given)
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -72,8 +72,10 @@
 	passed   state
 
 	// These are used by the holder of the turn only.
-	gift      *gift
-	shares    Shares
+	gift   *gift
+	shares Shares
+	// credited is the recorded credit that the ledger has taken in.
+	credited  Micro
 	countedAt time.Time
 	readAt    time.Time
 	// raised says that the record may hold a larger share.
--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -91,15 +91,19 @@
 // Share returns the share that the ledger spends.
 func (l *Ledger) Share() Share { return l.share }
 
-// Resize changes the share or the whole limit.
-func (l *Ledger) Resize(now time.Time, share Share, limit Limit) {
+// Resize changes the share or the whole limit, and returns the tokens that were
+// dropped as they no longer fit.
+func (l *Ledger) Resize(now time.Time, share Share, limit Limit) Micro {
 	if share == l.share && limit == l.limit {
-		return
+		return 0
 	}
 	l.share, l.limit = share, limit
-	l.bucket.Resize(now, share.Of(limit))
+	return l.bucket.Resize(now, share.Of(limit))
 }
 
+// Credit adds tokens that another domain's ledger gave away.
+func (l *Ledger) Credit(now time.Time, tokens Micro) { l.bucket.Credit(now, tokens) }
+
 // Fits reports whether the tokens in the bucket and those lent fit into its
 // capacity. They may not, for a short time, after a Resize to a smaller one.
 func (l *Ledger) Fits(now time.Time) bool {
--- a/limit/open.go
+++ b/limit/open.go
@@ -86,7 +86,7 @@
 	mine.Host = self.Host
 	record.Domains[self.Domain] = mine
 	o.tried = true
-	if o.keeper.off.openingFence {
+	if o.keeper.off.openingFence && found.Fence != 0 {
 		o.entry, o.shares = mine, record.shares()
 		return nil
 	}
@@ -138,7 +138,7 @@
 	}
 	one.ledger, one.ready = l, ready
 	one.passedTo, one.passed = 0, state{}
-	one.gift, one.shares = nil, o.shares
+	one.gift, one.shares, one.credited = nil, o.shares, o.entry.Credit
 	one.countedAt, one.readAt = now, now
 	k.log.Info("limit: ledger opened", "team", one.team, "fence", l.Epoch, "share", l.share,
 		"wait", ready.Sub(now), "inherited", o.inherited != nil)
--- a/limit/record.go
+++ b/limit/record.go
@@ -29,6 +29,9 @@
 	Host fleet.HostID `json:"host,omitempty"`
 	// Raised says that the share has grown since the record was made.
 	Raised bool `json:"raised,omitempty"`
+	// Credit is the sum, in millionths, of all tokens that came with shares.
+	// A ledger takes in what is added to it after it was opened.
+	Credit Micro `json:"credit,omitempty"`
 }
 
 func recordKey(id team.ID) string { return recordPrefix + string(id) }
@@ -68,8 +71,9 @@
 	return s
 }
 
-// move takes what is given from one domain and adds it to the others.
-func (r shareRecord) move(from fleet.DomainID, given Shares) shareRecord {
+// move takes what is given from one domain and adds it to the others, with the
+// tokens that had no place any more in the giver's bucket.
+func (r shareRecord) move(from fleet.DomainID, given Shares, tokens Micro) shareRecord {
 	moved := shareRecord{Domains: make(map[fleet.DomainID]shareEntry, len(r.Domains))}
 	for d, entry := range r.Domains {
 		moved.Domains[d] = entry
@@ -78,6 +82,7 @@
 		entry := moved.Domains[d]
 		entry.Share += share
 		entry.Raised = true
+		entry.Credit += Micro(float64(tokens) * float64(share) / float64(given.Sum()))
 		moved.Domains[d] = entry
 	}
 	giver := moved.Domains[from]
