--- a/claim/claims.go
+++ b/claim/claims.go
@@ -137,6 +137,7 @@
 	}
 	key := request.recordKey()
 	written := false
+	running := false
 	failingSince := time.Time{}
 	for pause := shortestPause; ; pause = min(2*pause, longestPause) {
 		decision, after, tried, err := c.try(ctx, key, mine)
@@ -146,14 +147,15 @@
 		}
 		switch {
 		case err == nil:
+			running = true
 			failingSince = time.Time{}
 		case failingSince.IsZero():
 			failingSince = c.clock.Now()
 		case c.clock.Since(failingSince) > patience:
-			return c.giveUp(key, mine, written, after, err), nil
+			return c.giveUp(key, mine, written, running, err), nil
 		}
 		if !c.waitForChange(ctx, key, after, pause, err) {
-			return c.giveUp(key, mine, written, after, err), nil
+			return c.giveUp(key, mine, written, running, err), nil
 		}
 	}
 }
@@ -202,18 +204,15 @@
 }
 
 // giveUp refuses a call whose deadline came before a decision.
-func (c *claims) giveUp(key string, mine record, written bool, running platform.Revision, err error) Decision {
+func (c *claims) giveUp(key string, mine record, written, running bool, err error) Decision {
 	if written {
 		c.later(key, mine.ended(stateAbandoned, nil))
 	}
-	if err != nil {
-		c.log.Warn("claim: refused a call since no claim can be made", "key", key, "error", err)
-		return refuseUnsafe()
-	}
-	if running == 0 {
-		return refuseUnsafe()
+	c.log.Debug("claim: refused a call without a decision", "key", key, "running", running, "error", err)
+	if running {
+		return refuseRunning()
 	}
-	return refuseRunning()
+	return refuseUnsafe()
 }
 
 // read returns the claim and its revision; both are zero when it is missing.
--- a/claim/decision.go
+++ b/claim/decision.go
@@ -40,7 +40,7 @@
 		Outcome: outcome.NotRun{
 			Reason:     outcome.ReasonClaimUnsafe,
 			RetryAfter: longestPause,
-			Detail:     "the call was not sent, since it could not be claimed",
+			Detail:     "this call was not sent, since it could not be claimed; an earlier call with the key may have run",
 		},
 	}
 }
