Hold a host's requests in its fair queues while engines are full

Cause: without a gate every request went to the engines' own queues, which know priorities but not what teams are owed. Ruled out: an equal part of all slots for each host (a team whose traffic stands on one host would get a ninth); one queue a model (teams that use different models on the same engines would not share them fairly). Change: package gate: slots of each pool by the engines' reports; the first attempt of a generation waits for its turn, later ones have had it.

--- a/bench_test.go
+++ b/bench_test.go
@@ -68,7 +68,9 @@
 }
 
 // benchReplicas holds each model at a tenth of the engines, at most 16.
-type benchReplicas struct{ ready map[model.Name][]replica.Replica }
+type benchReplicas struct {
+	ready map[model.Name][]replica.Replica
+}
 
 func newBenchReplicas(s *config.Snapshot) *benchReplicas {
 	b := &benchReplicas{ready: make(map[model.Name][]replica.Replica)}
--- a/directory.go
+++ b/directory.go
@@ -2,9 +2,11 @@
 
 import (
 	"hawthornway/config"
+	"hawthornway/fair"
 	"hawthornway/fleet"
 	"hawthornway/limit"
 	"hawthornway/model"
+	"hawthornway/target"
 	"hawthornway/team"
 )
 
@@ -59,3 +61,19 @@
 	}
 	return names
 }
+
+// Queue returns a team's part and bounds in queues.
+func (d directory) Queue(id team.ID) fair.Settings {
+	owner, _ := d.Team(id)
+	return fair.Settings{Weight: owner.Weight, Entries: owner.QueueEntries, Bytes: owner.QueueBytes}
+}
+
+// PoolOf returns the pool whose engines serve a model or an adapter.
+func (d directory) PoolOf(name model.Name) target.Pool {
+	now := d.current()
+	if adapter, ok := now.Adapter(name); ok {
+		name = adapter.Base
+	}
+	base, _ := now.Model(name)
+	return base.Pool
+}
--- a/parts.go
+++ b/parts.go
@@ -13,6 +13,7 @@
 	"hawthornway/claim"
 	"hawthornway/config"
 	"hawthornway/fleet"
+	"hawthornway/gate"
 	"hawthornway/key"
 	"hawthornway/limit"
 	"hawthornway/member"
@@ -24,6 +25,7 @@
 	"hawthornway/route"
 	"hawthornway/service"
 	"hawthornway/settings"
+	"hawthornway/target"
 	"hawthornway/weightstore"
 )
 
@@ -39,6 +41,7 @@
 	machines  *machines
 	replicas  replica.Controller
 	router    route.Router
+	gate      gate.Gate
 	claims    claim.Claims
 	metrics   metric.Metrics
 	front     *caller.Front
@@ -122,6 +125,31 @@
 		route.WithLeaving(p.machines.Leaving),
 		route.WithClock(o.clock),
 	)
+	p.gate = gate.New(p.directory.Queue, p.work, p.hosts, o.clock)
+}
+
+// work returns what the targets of a pool last said of their work.
+func (p *parts) work(pool target.Pool) gate.Work {
+	var sum gate.Work
+	for _, t := range p.directory.current().Pool(pool) {
+		load, ok := p.replicas.Load(t.Name)
+		if !ok || load.Leaving {
+			continue
+		}
+		sum.Slots += load.Slots
+		sum.Running += load.Running
+		sum.Queued += load.Queued
+	}
+	return sum
+}
+
+// hosts returns the number of hosts of all domains.
+func (p *parts) hosts() int {
+	count := 0
+	for _, domain := range p.members.Domains() {
+		count += len(p.members.Members(domain))
+	}
+	return count
 }
 
 // weightsReader returns a function that reads the weight store's state.
@@ -150,7 +178,13 @@
 		owner, _ := directory.Team(c.Team)
 		return owner.Priority
 	}
-	engines := &enginePlacer{router: p.router, replicas: p.replicas, clock: o.clock, priority: priority}
+	engines := &enginePlacer{
+		router:   p.router,
+		replicas: p.replicas,
+		gate:     p.gate,
+		pool:     directory.PoolOf,
+		priority: priority,
+	}
 	generator := openai.NewGenerator(engines, budget, o.clock, priority)
 	forwarder := service.NewForwarder(&servicePlacer{router: p.router}, budget, o.clock)
 	entries := []call.Entry{
@@ -183,6 +217,7 @@
 		{"key", p.keys.Run},
 		{"limit", p.limiter.Run},
 		{"replica", p.replicas.Run},
+		{"gate", p.gate.Run},
 		{"claim", p.claims.Run},
 	}
 	for _, r := range runners {
--- a/placers.go
+++ b/placers.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"hawthornway/call"
+	"hawthornway/fair"
+	"hawthornway/gate"
 	"hawthornway/model"
 	"hawthornway/openai"
 	"hawthornway/outcome"
@@ -15,6 +15,7 @@
 	"hawthornway/route"
 	"hawthornway/service"
 	"hawthornway/target"
+	"hawthornway/team"
 )
 
 // maxPicks bounds how often a target is picked that turns out to be going.
@@ -24,30 +25,66 @@
 type enginePlacer struct {
 	router   route.Router
 	replicas replica.Controller
-	clock    clockwork.Clock
+	gate     gate.Gate
+	// pool returns the pool whose engines serve a model or an adapter.
+	pool     func(name model.Name) target.Pool
 	priority func(c *call.Call) int
 }
 
-// Place picks a ready replica, or waits for one to be loaded.
+// Place picks a ready replica, or waits for one to be loaded. A first attempt
+// waits for its turn at the pool; one that follows has had it.
 func (p *enginePlacer) Place(ctx context.Context, c *call.Call, gen *call.Generation, tried []target.ID) (openai.Place, *outcome.NotRun) {
-	if choice, ok := p.pick(c, gen, tried); ok {
-		return p.place(choice, false), nil
-	}
-	if len(tried) > 0 {
-		if choice, ok := p.pick(c, gen, nil); ok {
-			return p.place(choice, false), nil
+	cold := len(p.replicas.Ready(gen.Model)) == 0
+	if cold {
+		if refused := p.ensure(ctx, c, gen.Model); refused != nil {
+			return openai.Place{}, refused
 		}
 	}
-	for range maxPicks {
-		refused := p.ensure(ctx, c, gen.Model)
-		if refused != nil {
+	var ticket fair.Ticket = noTicket{}
+	if len(tried) == 0 {
+		var refused *outcome.NotRun
+		if ticket, refused = p.enter(ctx, c, gen); refused != nil {
 			return openai.Place{}, refused
 		}
+	}
+	choice, refused := p.choose(ctx, c, gen, tried)
+	if refused != nil {
+		ticket.Done(0)
+		return openai.Place{}, refused
+	}
+	return p.place(c, choice, cold, ticket), nil
+}
+
+// noTicket is that of an attempt that doesn't wait for a turn.
+type noTicket struct{}
+
+// Done has no effect.
+func (noTicket) Done(team.Tokens) {}
+
+func (p *enginePlacer) enter(ctx context.Context, c *call.Call, gen *call.Generation) (fair.Ticket, *outcome.NotRun) {
+	return p.gate.Enter(ctx, p.pool(gen.Model), fair.Entry{
+		Team:     c.Team,
+		Cost:     c.Cost(),
+		Bytes:    int64(len(c.Body)),
+		Deadline: c.Deadline,
+	})
+}
+
+// choose picks a replica that was not tried yet, or else any, or else one that
+// is loaded meanwhile.
+func (p *enginePlacer) choose(ctx context.Context, c *call.Call, gen *call.Generation, tried []target.ID) (route.Choice, *outcome.NotRun) {
+	if choice, ok := p.pick(c, gen, tried); ok {
+		return choice, nil
+	}
+	for range maxPicks {
 		if choice, ok := p.pick(c, gen, nil); ok {
-			return p.place(choice, true), nil
+			return choice, nil
+		}
+		if refused := p.ensure(ctx, c, gen.Model); refused != nil {
+			return route.Choice{}, refused
 		}
 	}
-	return openai.Place{}, &outcome.NotRun{
+	return route.Choice{}, &outcome.NotRun{
 		Reason:     outcome.ReasonNoTarget,
 		RetryAfter: time.Second,
 		Detail:     "the model's replicas are all leaving",
@@ -79,13 +116,16 @@
 	return route.Choice{}, false
 }
 
-func (p *enginePlacer) place(choice route.Choice, cold bool) openai.Place {
+func (p *enginePlacer) place(c *call.Call, choice route.Choice, cold bool, ticket fair.Ticket) openai.Place {
 	return openai.Place{
 		Target:  choice.Target,
 		Domain:  choice.Domain,
 		Address: choice.Address,
 		Cold:    cold,
-		Done:    func(result retry.Result) { p.router.Done(choice, result) },
+		Done: func(result retry.Result) {
+			p.router.Done(choice, result)
+			ticket.Done(c.Trace.Used())
+		},
 	}
 }
 
