--- /dev/null
+++ b/admin/config.go
@@ -0,0 +1,70 @@
+package admin
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/config"
+)
+
+type wireFile struct {
+	Name string `json:"name"`
+	Data string `json:"data"`
+}
+
+type wireSubmission struct {
+	Files  []wireFile      `json:"files"`
+	Base   config.Revision `json:"base"`
+	Change config.ChangeID `json:"change"`
+	Author config.Author   `json:"author"`
+}
+
+type wireConfig struct {
+	Revision   config.Revision `json:"revision"`
+	Author     config.Author   `json:"author,omitempty"`
+	AcceptedAt time.Time       `json:"accepted-at,omitzero"`
+	// AgeMS is how old the host's knowledge may be, in milliseconds.
+	AgeMS int64      `json:"age-ms"`
+	Files []wireFile `json:"files"`
+}
+
+type wireHistory struct {
+	Changes []config.Accepted `json:"changes"`
+}
+
+func (h *handler) apply(r *http.Request) (any, error) {
+	var wire wireSubmission
+	if err := readJSON(r, maxConfigBody, &wire); err != nil {
+		return nil, err
+	}
+	submission := config.Submission{Base: wire.Base, Change: wire.Change, Author: wire.Author}
+	for _, f := range wire.Files {
+		submission.Files = append(submission.Files, config.File{Name: f.Name, Data: []byte(f.Data)})
+	}
+	accepted, err := h.Configs.Apply(r.Context(), submission)
+	return accepted, trace.Wrap(err)
+}
+
+func (h *handler) config(*http.Request) (any, error) {
+	now := h.Configs.Current()
+	if now == nil {
+		return wireConfig{Files: []wireFile{}}, nil
+	}
+	wire := wireConfig{
+		Revision:   now.Revision(),
+		Author:     now.Author(),
+		AcceptedAt: now.AcceptedAt(),
+		AgeMS:      h.Configs.Age().Milliseconds(),
+		Files:      []wireFile{},
+	}
+	for _, f := range now.Files() {
+		wire.Files = append(wire.Files, wireFile{f.Name, string(f.Data)})
+	}
+	return wire, nil
+}
+
+func (h *handler) history(*http.Request) (any, error) {
+	return wireHistory{h.Configs.History()}, nil
+}
--- /dev/null
+++ b/admin/error.go
@@ -0,0 +1,98 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/config"
+	"hawthornway/document"
+	"hawthornway/platform"
+)
+
+// Code names a kind of failure.
+type Code string
+
+// The codes of failures.
+const (
+	CodeInvalid      Code = "invalid"
+	CodeUnauthorized Code = "unauthorized"
+	CodeNotFound     Code = "not-found"
+	CodeConflict     Code = "conflict"
+	CodeTooLarge     Code = "too-large"
+	// CodeUnavailable says that nothing was changed.
+	CodeUnavailable Code = "unavailable"
+	// CodeUnknown says that the change may have been made.
+	CodeUnknown Code = "unknown"
+	CodeFailed  Code = "failed"
+)
+
+// Error is a failure as the API tells it.
+type Error struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Problems lists what is wrong with the files of a configuration.
+	Problems document.Problems `json:"problems,omitempty"`
+	// Conflict names the files that another operator has changed.
+	Conflict *config.ConflictError `json:"conflict,omitempty"`
+}
+
+// Error returns the message.
+func (e *Error) Error() string { return e.Message }
+
+type wireFailure struct {
+	Error Error `json:"error"`
+}
+
+var statuses = map[Code]int{
+	CodeInvalid:      http.StatusBadRequest,
+	CodeUnauthorized: http.StatusUnauthorized,
+	CodeNotFound:     http.StatusNotFound,
+	CodeConflict:     http.StatusConflict,
+	CodeTooLarge:     http.StatusRequestEntityTooLarge,
+	CodeUnavailable:  http.StatusServiceUnavailable,
+	CodeUnknown:      http.StatusGatewayTimeout,
+	CodeFailed:       http.StatusInternalServerError,
+}
+
+func (h *handler) fail(w http.ResponseWriter, r *http.Request, err error) {
+	failure := newError(err)
+	h.Log.Warn("admin: request failed", "method", r.Method, "path", r.URL.Path, "code", failure.Code, "error", err)
+	writeJSON(w, statuses[failure.Code], wireFailure{failure})
+}
+
+// newError returns a new Error for what went wrong.
+func newError(err error) Error {
+	var problems document.Problems
+	var conflict *config.ConflictError
+	switch {
+	case errors.As(err, &problems):
+		return Error{Code: CodeInvalid, Message: "the configuration has problems", Problems: problems}
+	case errors.As(err, &conflict):
+		return Error{Code: CodeConflict, Message: conflict.Error(), Conflict: conflict}
+	}
+	return Error{Code: codeOf(err), Message: trace.UserMessage(err)}
+}
+
+func codeOf(err error) Code {
+	switch {
+	case errors.Is(err, config.ErrUnknown), errors.Is(err, platform.ErrUnknown):
+		return CodeUnknown
+	case errors.Is(err, platform.ErrUnavailable):
+		return CodeUnavailable
+	case trace.IsBadParameter(err):
+		return CodeInvalid
+	case trace.IsNotFound(err):
+		return CodeNotFound
+	case trace.IsAlreadyExists(err), trace.IsCompareFailed(err):
+		return CodeConflict
+	case trace.IsLimitExceeded(err):
+		return CodeTooLarge
+	case errors.Is(err, context.DeadlineExceeded):
+		return CodeUnknown
+	default:
+		return CodeFailed
+	}
+}
--- /dev/null
+++ b/admin/handler.go
@@ -0,0 +1,136 @@
+// Package admin speaks HTTP and JSON to operators: it serves the API of the
+// operators' listener and is its client.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/burn"
+	"hawthornway/config"
+	"hawthornway/fleet"
+	"hawthornway/key"
+	"hawthornway/settings"
+)
+
+// The bounds of requests.
+const (
+	maxConfigBody = 2 * config.MaxBytes
+	maxBody       = 4 << 20
+	applyTimeout  = 30 * time.Second
+	callTimeout   = 10 * time.Second
+)
+
+// Configs is the accepted configuration. *config.Store implements it.
+type Configs interface {
+	Current() *config.Snapshot
+	Age() time.Duration
+	History() []config.Accepted
+	Apply(ctx context.Context, submission config.Submission) (config.Accepted, error)
+}
+
+// Keys are the callers' keys. *key.Ring implements it.
+type Keys interface {
+	Grant(ctx context.Context, grants []key.Grant) error
+	Withdraw(ctx context.Context, ids []key.ID) (key.Confirmation, error)
+	List() []key.Entry
+}
+
+// Host is what the API asks of the host that it runs on.
+type Host interface {
+	// Status returns what the host knows of the fleet.
+	Status(ctx context.Context) (Status, error)
+	// Drain begins a graceful stop, once, and returns how far it is.
+	Drain(ctx context.Context) (DrainState, error)
+	// Forget removes a host that is known to be dead from its domain.
+	Forget(ctx context.Context, domain fleet.DomainID, host fleet.HostID) error
+	// Burn returns the service-level burn merged over the hosts that answer.
+	Burn(ctx context.Context) (burn.Report, error)
+}
+
+// Dependencies are what the handler needs.
+type Dependencies struct {
+	Configs Configs
+	Keys    Keys
+	Host    Host
+	// Token is the operators' bearer token.
+	Token settings.Secret
+	Log   *slog.Logger
+}
+
+type handler struct {
+	Dependencies
+}
+
+// NewHandler returns a new handler of the operators' API.
+func NewHandler(d Dependencies) http.Handler {
+	if d.Log == nil {
+		d.Log = slog.Default()
+	}
+	h := &handler{d}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/config", h.serve(applyTimeout, h.apply))
+	mux.HandleFunc("GET /v1/config", h.serve(callTimeout, h.config))
+	mux.HandleFunc("GET /v1/config/history", h.serve(callTimeout, h.history))
+	mux.HandleFunc("GET /v1/keys", h.serve(callTimeout, h.listKeys))
+	mux.HandleFunc("POST /v1/keys", h.serve(callTimeout, h.grantKeys))
+	mux.HandleFunc("POST /v1/keys/withdraw", h.serve(callTimeout, h.withdrawKeys))
+	mux.HandleFunc("POST /v1/keys/{id}/withdraw", h.serve(callTimeout, h.withdrawKey))
+	mux.HandleFunc("GET /v1/status", h.serve(callTimeout, h.status))
+	mux.HandleFunc("POST /v1/drain", h.serve(callTimeout, h.drain))
+	mux.HandleFunc("POST /v1/domain/forget", h.serve(callTimeout, h.forget))
+	mux.HandleFunc("GET /v1/burn", h.serve(callTimeout, h.burn))
+	return h.authorized(mux)
+}
+
+// endpoint answers one request with a value, which is sent as JSON.
+type endpoint func(r *http.Request) (any, error)
+
+// serve returns the handler of an endpoint, which gets a deadline.
+func (h *handler) serve(timeout time.Duration, answer endpoint) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), timeout)
+		defer cancel()
+		value, err := answer(r.WithContext(ctx))
+		if err != nil {
+			h.fail(w, r, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, value)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// readJSON reads a bounded body with one JSON value and no unknown fields.
+func readJSON(r *http.Request, limit int64, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, limit))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return bodyError(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return trace.BadParameter("body holds more than one JSON value")
+	}
+	return nil
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return trace.LimitExceeded("body has more than %d bytes", tooLarge.Limit)
+	}
+	return trace.BadParameter("body is not the expected JSON: %v", err)
+}
--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,173 @@
+package burn
+
+import (
+	"slices"
+	"time"
+
+	"hawthornway/fleet"
+	"hawthornway/model"
+	"hawthornway/team"
+)
+
+// The picture shows the latest points of one step each.
+const (
+	pointStep  = 5 * time.Minute
+	pointCount = 72
+)
+
+// Report is the service-level burn of one or more hosts.
+type Report struct {
+	At time.Time `json:"at"`
+	// Hosts are those whose counts are in the report.
+	Hosts []HostPart `json:"hosts"`
+	// Missing are the hosts that did not answer.
+	Missing    []fleet.HostID `json:"missing,omitempty"`
+	Objectives []Objective    `json:"objectives"`
+}
+
+// HostPart is one host of a report.
+type HostPart struct {
+	Host fleet.HostID `json:"host"`
+	// Since is when the host started to count.
+	Since time.Time `json:"since"`
+}
+
+// Objective is the burn of one objective.
+type Objective struct {
+	Name  string     `json:"name"`
+	Team  team.ID    `json:"team,omitempty"`
+	Model model.Name `json:"model,omitempty"`
+	// Share is the part of requests that must keep the objective.
+	Share float64 `json:"share"`
+	// Window is the time over which Share is counted, in nanoseconds.
+	Window  time.Duration `json:"window-ns"`
+	Windows []Window      `json:"windows"`
+	// Points are the counts of the last six hours, five minutes each.
+	Points []Counts `json:"points"`
+}
+
+// Window is the counts of the time up to now.
+type Window struct {
+	// Length is in nanoseconds.
+	Length time.Duration `json:"length-ns"`
+	Counts
+}
+
+// Rate returns how fast the counts burn a budget: one means that the budget is
+// used up exactly at the end of the objective's window.
+func (o Objective) Rate(c Counts) float64 {
+	if c.Total == 0 {
+		return 0
+	}
+	return float64(c.Bad()) / float64(c.Total) / (1 - o.Share)
+}
+
+// RateOver returns the burn rate of a window.
+func (o Objective) RateOver(length time.Duration) float64 {
+	for _, w := range o.Windows {
+		if w.Length == length {
+			return o.Rate(w.Counts)
+		}
+	}
+	return 0
+}
+
+// BudgetUsed returns the part of the objective's budget that the longest
+// window has used, if requests come as often all the time.
+func (o Objective) BudgetUsed() float64 {
+	longest := Windows[len(Windows)-1]
+	return o.RateOver(longest) * float64(min(longest, o.Window)) / float64(o.Window)
+}
+
+// Severity says how soon someone has to act.
+type Severity string
+
+// The severities.
+const (
+	SeverityNone   Severity = "none"
+	SeverityTicket Severity = "ticket"
+	SeverityPage   Severity = "page"
+)
+
+// Alert is one rule: both windows must burn at least at the rate.
+type Alert struct {
+	Severity    Severity
+	Long, Short time.Duration
+	Rate        float64
+}
+
+// Alerts are the rules, most urgent first. The short window ends an alert soon
+// after its cause has gone.
+var Alerts = []Alert{
+	{SeverityPage, time.Hour, 5 * time.Minute, 14.4},
+	{SeverityPage, 6 * time.Hour, time.Hour, 6},
+	{SeverityTicket, 72 * time.Hour, 6 * time.Hour, 1},
+}
+
+// Severity returns that of the most urgent rule that holds.
+func (o Objective) Severity() Severity {
+	for _, a := range Alerts {
+		if o.RateOver(a.Long) >= a.Rate && o.RateOver(a.Short) >= a.Rate {
+			return a.Severity
+		}
+	}
+	return SeverityNone
+}
+
+// Merge returns the sum of reports. A host that is in several is counted once,
+// so each report must be of one host.
+func Merge(at time.Time, reports []Report, expected []fleet.HostID) Report {
+	merged := Report{At: at.UTC()}
+	seen := map[fleet.HostID]bool{}
+	for _, r := range reports {
+		if len(r.Hosts) != 1 || seen[r.Hosts[0].Host] {
+			continue
+		}
+		seen[r.Hosts[0].Host] = true
+		merged.Hosts = append(merged.Hosts, r.Hosts[0])
+		for _, o := range r.Objectives {
+			merged.add(o)
+		}
+	}
+	for _, host := range expected {
+		if !seen[host] {
+			merged.Missing = append(merged.Missing, host)
+		}
+	}
+	slices.Sort(merged.Missing)
+	return merged
+}
+
+// add adds one host's counts of an objective. Hosts with another configuration
+// in force may have another objective of the same name; it stays apart.
+func (r *Report) add(o Objective) {
+	for i := range r.Objectives {
+		if r.Objectives[i].same(o) {
+			r.Objectives[i].add(o)
+			return
+		}
+	}
+	sum := o
+	sum.Windows, sum.Points = nil, nil
+	for _, w := range o.Windows {
+		sum.Windows = append(sum.Windows, Window{Length: w.Length})
+	}
+	sum.Points = make([]Counts, len(o.Points))
+	sum.add(o)
+	r.Objectives = append(r.Objectives, sum)
+}
+
+func (o Objective) same(other Objective) bool {
+	return o.Name == other.Name && o.Team == other.Team && o.Model == other.Model &&
+		o.Share == other.Share && o.Window == other.Window &&
+		len(o.Windows) == len(other.Windows) && len(o.Points) == len(other.Points)
+}
+
+func (o *Objective) add(other Objective) {
+	for i, w := range other.Windows {
+		o.Windows[i].add(w.Counts)
+	}
+	for i, p := range other.Points {
+		o.Points[i].add(p)
+	}
+}
--- /dev/null
+++ b/cmd/hawthornway/client.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/admin"
+	"hawthornway/settings"
+)
+
+const (
+	// settleTries bounds how often a change without a clear answer is sent.
+	settleTries = 3
+	settlePause = 500 * time.Millisecond
+	// requestTimeout bounds one request to the host.
+	requestTimeout = 45 * time.Second
+)
+
+// client returns the client of the host that the options name.
+func (c *console) client() (*admin.Client, error) {
+	token, err := c.token()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if c.options.CA == "" {
+		return admin.NewClient(c.options.HostAddress, token), nil
+	}
+	pem, err := os.ReadFile(c.options.CA)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, trace.BadParameter("file %s holds no certificate", c.options.CA)
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+	withTLS := &http.Client{Transport: transport, Timeout: requestTimeout}
+	return admin.NewClient(c.options.HostAddress, token, admin.WithHTTPClient(withTLS)), nil
+}
+
+func (c *console) token() (settings.Secret, error) {
+	if c.options.TokenFile == "" {
+		token := os.Getenv(settings.EnvironmentOperatorToken)
+		if token == "" {
+			return "", trace.BadParameter("set %s or --token-file", settings.EnvironmentOperatorToken)
+		}
+		return settings.Secret(token), nil
+	}
+	data, err := os.ReadFile(c.options.TokenFile)
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	return settings.Secret(strings.TrimSpace(string(data))), nil
+}
+
+// settle sends an idempotent change until its outcome is clear.
+func (c *console) settle(send func() error) error {
+	var err error
+	for range settleTries {
+		err = send()
+		if err == nil || !admin.IsUnsettled(err) || c.ctx.Err() != nil {
+			break
+		}
+		time.Sleep(settlePause)
+	}
+	return trace.Wrap(err)
+}
--- a/cmd/hawthornway/console.go
+++ b/cmd/hawthornway/console.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"hawthornway/admin"
 	"hawthornway/document"
 )
 
@@ -16,6 +17,8 @@
 type options struct {
 	HostAddress string `long:"host-address" env:"HAWTHORNWAY_HOST_ADDRESS" value-name:"URL" description:"Operators' address of any host, as IP:port or URL" default:"127.0.0.1:7002"`
 	JSON        bool   `long:"json" description:"Print JSON"`
+	TokenFile   string `long:"token-file" value-name:"FILE" description:"File with the operators' token; without it, the environment variable HAWTHORNWAY_OPERATOR_TOKEN"`
+	CA          string `long:"ca" value-name:"FILE" description:"PEM file of the authority of the host's certificate; the address is then an https URL"`
 }
 
 // console is what a command reads and writes.
@@ -36,23 +39,27 @@
 	return trace.Wrap(encoder.Encode(value))
 }
 
-// failure is the JSON form of an error.
-type failure struct {
-	Error    string            `json:"error"`
-	Problems document.Problems `json:"problems,omitempty"`
-}
-
+// printError prints an error as the API tells it, or as plain lines.
 func (c *console) printError(err error) {
-	var problems document.Problems
-	errors.As(err, &problems)
+	failure := asFailure(err)
 	if c.options.JSON {
-		_ = json.NewEncoder(c.stderr).Encode(failure{trace.UserMessage(err), problems})
+		_ = json.NewEncoder(c.stderr).Encode(failure)
 		return
 	}
-	for _, problem := range problems {
+	for _, problem := range failure.Problems {
 		fmt.Fprintln(c.stderr, problem)
 	}
-	if len(problems) == 0 {
-		fmt.Fprintf(c.stderr, "hawthornway: %s\n", trace.UserMessage(err))
+	fmt.Fprintf(c.stderr, "hawthornway: %s\n", failure.Message)
+}
+
+func asFailure(err error) *admin.Error {
+	var failure *admin.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	var problems document.Problems
+	if errors.As(err, &problems) {
+		return &admin.Error{Code: admin.CodeInvalid, Message: "the files have problems", Problems: problems}
 	}
+	return &admin.Error{Code: admin.CodeFailed, Message: trace.UserMessage(err)}
 }
--- /dev/null
+++ b/cmd/hawthornway/folder.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/config"
+)
+
+// revisionFile holds, within a folder, the revision that its files were made
+// from.
+const revisionFile = ".revision"
+
+// folderArgument is the folder that a command works on.
+type folderArgument struct {
+	Folder string `positional-arg-name:"FOLDER" description:"Folder of the configuration's YAML files"`
+}
+
+// readFolder returns the YAML files of a folder.
+func readFolder(folder string) ([]config.File, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	var files []config.File
+	for _, e := range entries {
+		extension := filepath.Ext(e.Name())
+		if e.IsDir() || strings.HasPrefix(e.Name(), ".") || (extension != ".yaml" && extension != ".yml") {
+			continue
+		}
+		data, err := os.ReadFile(filepath.Join(folder, e.Name()))
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		files = append(files, config.File{Name: e.Name(), Data: data})
+	}
+	return files, nil
+}
+
+// readRevision returns the revision noted in a folder, or zero.
+func readRevision(folder string) (config.Revision, error) {
+	path := filepath.Join(folder, revisionFile)
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, trace.ConvertSystemError(err)
+	}
+	revision, err := strconv.ParseUint(strings.TrimSpace(string(data)), 10, 64)
+	if err != nil {
+		return 0, trace.BadParameter("file %s does not hold a revision", path)
+	}
+	return config.Revision(revision), nil
+}
+
+func writeRevision(folder string, revision config.Revision) error {
+	text := strconv.FormatUint(uint64(revision), 10) + "\n"
+	return trace.ConvertSystemError(os.WriteFile(filepath.Join(folder, revisionFile), []byte(text), 0o644))
+}
--- a/cmd/hawthornway/run.go
+++ b/cmd/hawthornway/run.go
@@ -8,6 +8,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/jessevdk/go-flags"
+
+	"hawthornway/admin"
 )
 
 // exitCode is a status of the process that scripts can use.
@@ -52,11 +54,18 @@
 		return exitUsage
 	}
 	c.printError(err)
+	return exitCodeOf(err)
+}
+
+func exitCodeOf(err error) exitCode {
+	var failure *admin.Error
 	switch {
+	case errors.As(err, &failure) && failure.Code == admin.CodeConflict:
+		return exitConflict
+	case errors.As(err, &failure):
+		return exitFailed
 	case trace.IsBadParameter(err):
 		return exitUsage
-	case trace.IsCompareFailed(err):
-		return exitConflict
 	case trace.IsConnectionProblem(err):
 		return exitUnreachable
 	default:
--- a/key/entry.go
+++ b/key/entry.go
@@ -19,16 +19,21 @@
 
 // Entry is one key as the platform's service holds it.
 type Entry struct {
-	Hash      Hash      `json:"hash"`
-	ID        ID        `json:"id"`
-	Team      team.ID   `json:"team"`
+	Hash Hash    `json:"hash"`
+	ID   ID      `json:"id"`
+	Team team.ID `json:"team"`
+	Times
+}
+
+// Times are when a key was granted and withdrawn.
+type Times struct {
 	GrantedAt time.Time `json:"granted-at"`
 	// WithdrawnAt is zero while the key may be used.
 	WithdrawnAt time.Time `json:"withdrawn-at,omitzero"`
 }
 
 // Withdrawn reports whether the key may no longer be used.
-func (e Entry) Withdrawn() bool { return !e.WithdrawnAt.IsZero() }
+func (t Times) Withdrawn() bool { return !t.WithdrawnAt.IsZero() }
 
 // bucketKey returns the service's key of a bucket.
 func bucketKey(bucket int) string { return fmt.Sprintf("%s%02d", keyPrefix, bucket) }
--- a/key/grant.go
+++ b/key/grant.go
@@ -51,7 +51,7 @@
 				continue
 			}
 			known[g.Hash] = true
-			entries = append(entries, Entry{Hash: g.Hash, ID: g.ID, Team: g.Team, GrantedAt: now})
+			entries = append(entries, Entry{Hash: g.Hash, ID: g.ID, Team: g.Team, Times: Times{GrantedAt: now}})
 			changed = true
 		}
 		return entries, changed
