Join the operators' API, the burn report and the demo

Cause: operators need the API on a real host, newcomers one command. Ruled out: kratos's App for the life cycle: with no signals given it takes every signal as a stop, and a cancelled context skips its hooks. Conclusion: the whole path stands in one command.

--- a/call/call.go
+++ b/call/call.go
@@ -97,13 +97,13 @@
 	Cold bool
 	// FirstToken is when the first token was passed on, or zero.
 	FirstToken time.Time
+	// LastToken is when the last token was passed on, or zero.
+	LastToken time.Time
 	// Generated is the number of tokens passed on.
 	Generated team.Tokens
 	// Prompt is the number of prompt tokens that the engine counted.
 	Prompt team.Tokens
-	// SlowestGap is the longest time between two tokens.
-	SlowestGap time.Duration
-	Ended      time.Time
+	Ended  time.Time
 }
 
 // Used returns the tokens that the call took.
--- a/caller/front.go
+++ b/caller/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
@@ -26,6 +27,7 @@
 	observers []Observer
 	clock     clockwork.Clock
 	log       *slog.Logger
+	progress  atomic.Int64
 }
 
 // NewFront returns a new Front that runs the entries' filters, then last.
@@ -38,8 +40,13 @@
 	}
 }
 
+// InProgress returns the number of calls in progress.
+func (f *Front) InProgress() int { return int(f.progress.Load()) }
+
 // ServeHTTP serves one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.progress.Add(1)
+	defer f.progress.Add(-1)
 	c := &call.Call{
 		ID:       call.RequestID(uuid.NewString()),
 		Writer:   call.NewWriter(w),
--- /dev/null
+++ b/cmd/hawthornway/demo.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"github.com/gravitational/trace"
+
+	"hawthornway"
+	"hawthornway/demo"
+	"hawthornway/settings"
+)
+
+func init() {
+	register("demo", "Run a whole small system", "Runs stand-ins and one host in this process, and streams an answer from a cold model.",
+		func(c *console) any { return &demoCommand{console: c} })
+}
+
+type demoCommand struct {
+	console *console
+	Once    bool `long:"once" description:"Make one cold and one warm request, print both times to the first token, and end"`
+	Verbose bool `long:"verbose" short:"v" description:"Print the host's log"`
+}
+
+// Execute runs the demo.
+func (d *demoCommand) Execute([]string) error {
+	level := "error"
+	if d.Verbose {
+		level = "info"
+	}
+	log := newLog(d.console.stderr, settings.Log{Format: settings.LogText, Level: level})
+	hawthornway.SetKratosLog(log)
+	return trace.Wrap(demo.New(d.console.stdout, log).Run(d.console.ctx, d.Once))
+}
--- /dev/null
+++ b/demo/chat.go
@@ -0,0 +1,84 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// body returns the request of the demo's chat.
+func body() []byte {
+	text, err := json.Marshal(map[string]any{
+		"model":      modelName,
+		"messages":   []map[string]string{{"role": "user", "content": prompt}},
+		"max_tokens": 24,
+		"stream":     true,
+	})
+	if err != nil {
+		panic("the demo's request can't be encoded: " + err.Error())
+	}
+	return text
+}
+
+// chat streams one answer to the demo's output and returns the time to its
+// first token.
+func (d *Demo) chat(ctx context.Context) (time.Duration, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url("/v1/chat/completions"), bytes.NewReader(body()))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+d.key)
+	start := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return 0, trace.BadParameter("the chat was refused with status %s", response.Status)
+	}
+	return d.print(bufio.NewScanner(response.Body), start)
+}
+
+// print writes the text of the events as they come.
+func (d *Demo) print(lines *bufio.Scanner, start time.Time) (time.Duration, error) {
+	var first time.Duration
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			fmt.Fprintln(d.out)
+			return first, nil
+		}
+		text := textOf(data)
+		if first == 0 && text != "" {
+			first = time.Since(start)
+		}
+		fmt.Fprint(d.out, text)
+	}
+	return 0, trace.BadParameter("the answer broke off: %v", lines.Err())
+}
+
+// textOf returns the text that one event adds.
+func textOf(data string) string {
+	var event struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(data), &event); err != nil || len(event.Choices) == 0 {
+		return ""
+	}
+	return event.Choices[0].Delta.Content
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,196 @@
+// Package demo runs a whole small system in one process: stand-ins for the
+// platform, an engine and a service, and one host.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway"
+	"hawthornway/settings"
+	"hawthornway/standin"
+)
+
+const (
+	modelName = "brief-small"
+	teamName  = "demo-team"
+	prompt    = "Draft a handover brief for a child of nine who flies alone."
+	// readyTimeout bounds the time until the host serves.
+	readyTimeout = 20 * time.Second
+	pollEvery    = 20 * time.Millisecond
+)
+
+// Demo is a small system.
+type Demo struct {
+	out     io.Writer
+	log     *slog.Logger
+	outside *standin.Running
+	host    hawthornway.Host
+	secrets settings.Secrets
+	key     string
+}
+
+// New returns a new Demo that prints its steps to out.
+func New(out io.Writer, log *slog.Logger) *Demo {
+	return &Demo{
+		out: out,
+		log: log,
+		secrets: settings.Secrets{
+			Cluster:       "the demo's cluster secret",
+			OperatorToken: "the-demo-operator-token",
+		},
+	}
+}
+
+// Run starts the system and streams one answer from a cold model. With once it
+// makes a warm request too and ends; otherwise it serves until the context
+// ends.
+func (d *Demo) Run(ctx context.Context, once bool) error {
+	working, stop := context.WithCancel(ctx)
+	defer stop()
+	if err := d.start(working); err != nil {
+		return trace.Wrap(err)
+	}
+	defer d.outside.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- d.host.Run(working) }()
+	err := d.show(working, once)
+	if err == nil && !once {
+		<-ctx.Done()
+	}
+	stop()
+	return trace.NewAggregate(err, <-ended)
+}
+
+// start starts the stand-ins and makes the host.
+func (d *Demo) start(ctx context.Context) error {
+	s := standin.DefaultSettings()
+	s.KeyValue.Address = anyPort
+	s.Weights.Address = anyPort
+	s.Hosts.Address = anyPort
+	s.Engines = []standin.EngineSettings{{Name: "engine-1", Domain: "demo-1", Address: anyPort}}
+	s.Services = []standin.ServiceSettings{{Name: "service-1", Domain: "demo-1", Address: anyPort}}
+	outside, err := standin.Start(ctx, s)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.outside = outside
+	d.step("stand-ins run: key-value service, host list, weight store, one engine, one service")
+	d.host, err = hawthornway.New(d.hostSettings(), hawthornway.WithLogger(d.log))
+	if err != nil {
+		outside.Close()
+	}
+	return trace.Wrap(err)
+}
+
+const anyPort = "127.0.0.1:0"
+
+func (d *Demo) hostSettings() settings.Settings {
+	s := settings.Default()
+	s.Host = "host-1"
+	s.Domain = "demo-1"
+	s.Listen = settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort}
+	s.Platform = settings.Platform{
+		KeyValue:    "http://" + d.outside.KeyValueAddress,
+		HostList:    "http://" + d.outside.HostsAddress,
+		WeightStore: "http://" + d.outside.WeightsAddress,
+	}
+	s.Secrets = d.secrets
+	s.Drain = settings.Drain{Bound: 5 * time.Second}
+	return s
+}
+
+// show takes the operator's steps, then the caller's.
+func (d *Demo) show(ctx context.Context, once bool) error {
+	if err := d.operate(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := d.awaitReady(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	d.step("the model is idle: the first answer waits for its load")
+	cold, err := d.chat(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Fprintf(d.out, "cold: first token after %v\n", cold.Round(time.Millisecond))
+	if once {
+		warm, err := d.chat(ctx)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		fmt.Fprintf(d.out, "warm: first token after %v\n", warm.Round(time.Millisecond))
+		return nil
+	}
+	d.invite()
+	return nil
+}
+
+// operate applies the configuration and grants a key, as an operator would.
+func (d *Demo) operate(ctx context.Context) error {
+	all, err := files(map[string]string{
+		"ENGINE":  d.outside.Engines["engine-1"].Address,
+		"SERVICE": d.outside.Services["service-1"].Address,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	operator := newOperator(d.host.Addresses().Operators, d.secrets.OperatorToken)
+	if err := operator.apply(ctx, all); err != nil {
+		return trace.Wrap(err)
+	}
+	d.step("configuration applied: %d files", len(all))
+	d.key, err = operator.grant(ctx, teamName)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.step("key granted to team %q: %s", teamName, d.key)
+	return nil
+}
+
+func (d *Demo) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		if d.isReady(ctx) {
+			d.step("the host is ready")
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.LimitExceeded("the host was not ready within %v", readyTimeout)
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+func (d *Demo) isReady(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url("/readyz"), nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (d *Demo) url(path string) string { return "http://" + d.host.Addresses().Callers + path }
+
+func (d *Demo) step(format string, args ...any) {
+	fmt.Fprintf(d.out, "- "+format+"\n", args...)
+}
+
+// invite prints how to go on.
+func (d *Demo) invite() {
+	fmt.Fprintf(d.out, "\nTry it, until you interrupt the demo:\n\n")
+	fmt.Fprintf(d.out, "curl -N %s -H 'Authorization: Bearer %s' -d '%s'\n", d.url("/v1/chat/completions"), d.key, body())
+}
--- /dev/null
+++ b/demo/operator.go
@@ -0,0 +1,36 @@
+package demo
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/admin"
+	"hawthornway/config"
+	"hawthornway/key"
+	"hawthornway/settings"
+	"hawthornway/team"
+)
+
+// operator is the demo's operator.
+type operator struct{ client *admin.Client }
+
+func newOperator(address string, token settings.Secret) operator {
+	return operator{client: admin.NewClient(address, token)}
+}
+
+// apply puts a configuration in force.
+func (o operator) apply(ctx context.Context, files []config.File) error {
+	_, err := o.client.Apply(ctx, config.Submission{Files: files, Change: "demo-1", Author: "demo"})
+	return trace.Wrap(err)
+}
+
+// grant makes a key of a team and returns its text.
+func (o operator) grant(ctx context.Context, owner team.ID) (string, error) {
+	text := key.Generate()
+	grant := key.Grant{Hash: text.Hash(), ID: key.NewID(text.Hash()), Team: owner}
+	if err := o.client.Grant(ctx, []key.Grant{grant}); err != nil {
+		return "", trace.Wrap(err)
+	}
+	return text.Reveal(), nil
+}
--- a/host.go
+++ b/host.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -69,7 +70,7 @@
 	if o.store == nil {
 		o.store = platform.NewClient(s.Platform.KeyValue)
 	}
-	h := &host{settings: s, options: o}
+	h := &host{settings: s, options: o, leaving: make(chan struct{})}
 	if err := h.build(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -83,8 +84,13 @@
 	parts    *parts
 	servers  servers
 	ready    readiness
+	// leaving is closed when an operator asks the host to stop.
+	leaving chan struct{}
+	asked   sync.Once
 	// peerHandler is set once the parts are made.
 	peerHandler *late
+	// peerClient dials other hosts.
+	peerClient *http.Client
 }
 
 // build joins the parts and binds the listeners. The peers' listener comes
@@ -99,7 +105,7 @@
 		return err
 	}
 	h.self.PeerAddress = h.servers.peersAddress.String()
-	h.parts = newParts(h.self, h.settings, h.options)
+	h.parts = newParts(h.self, h.settings, h.options, h.peerClient)
 	h.ready.missing = h.parts.missing
 	return h.bindOthers()
 }
@@ -124,6 +130,8 @@
 	select {
 	case <-ctx.Done():
 		h.drain()
+	case <-h.leaving:
+		h.drain()
 	case <-working.Done():
 	}
 	h.stopServers()
@@ -160,6 +168,9 @@
 	}
 }
 
+// askToLeave begins the graceful stop, once.
+func (h *host) askToLeave() { h.asked.Do(func() { close(h.leaving) }) }
+
 // drain is the graceful stop: the host is unready first, then takes no new
 // calls, then lets calls in progress end, and hands its duties over.
 func (h *host) drain() {
--- a/host_test.go
+++ b/host_test.go
@@ -67,12 +67,16 @@
 		strings.NewReader(`{"model":"brief","messages":[{"role":"user","content":"hello"}],"max_tokens":20}`))
 	must.NoError(t, err)
 	request.Header.Set("Authorization", "Bearer "+secret.Reveal())
-	time.Sleep(300 * time.Millisecond)
-	for range 3 {
-		start := time.Now()
+	for range 2 {
 		response, err := http.DefaultClient.Do(request.Clone(ctx))
 		must.NoError(t, err)
-		body, _ := io.ReadAll(response.Body)
-		t.Log(response.Status, time.Since(start), string(body))
+		body, err := io.ReadAll(response.Body)
+		must.NoError(t, err)
+		must.EqOp(t, http.StatusOK, response.StatusCode, must.Sprint(string(body)))
+		must.EqOp(t, "served", response.Header.Get("Hawthornway-Outcome"))
+		must.StrContains(t, string(body), `"completion_tokens":20`)
+		request.Body, err = request.GetBody()
+		must.NoError(t, err)
 	}
+	must.EqOp(t, 1, len(outside.Engines["e1"].Loads()))
 }
--- a/openai/answer.go
+++ b/openai/answer.go
@@ -22,7 +22,6 @@
 	text   strings.Builder
 	reason string
 	usage  *usage
-	last   time.Time
 }
 
 func newAnswer(c *call.Call, gen *call.Generation, now time.Time) *answer {
@@ -56,10 +55,8 @@
 	a.next++
 	if trace.FirstToken.IsZero() {
 		trace.FirstToken = now
-	} else {
-		trace.SlowestGap = max(trace.SlowestGap, now.Sub(a.last))
 	}
-	a.last = now
+	trace.LastToken = now
 }
 
 func (a *answer) pass(c *chunk) error {
--- a/parts.go
+++ b/parts.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"hawthornway/burn"
 	"hawthornway/call"
 	"hawthornway/caller"
 	"hawthornway/claim"
@@ -45,10 +46,11 @@
 	claims    claim.Claims
 	metrics   metric.Metrics
 	front     *caller.Front
-	admin     http.Handler
+	burns     *burn.Collector
+	recorder  *burn.Recorder
 }
 
-func newParts(self fleet.Member, s settings.Settings, o *options) *parts {
+func newParts(self fleet.Member, s settings.Settings, o *options, dial *http.Client) *parts {
 	p := &parts{log: o.log, metrics: metric.New()}
 	p.machines = newMachines(s.Platform.HostList, o.clock, o.log)
 	p.links = peer.New(
@@ -56,10 +58,12 @@
 		peer.WithSecret([]byte(s.Secrets.Cluster)),
 		peer.WithClock(o.clock),
 		peer.WithLogger(o.log),
+		peer.WithHTTPClient(dial),
 	)
 	p.addMembers(self, s, o)
 	p.addState(self, o)
 	p.addPlacement(self, s, o)
+	p.addBurn(self, o)
 	p.addFront(s, o)
 	return p
 }
@@ -170,6 +174,26 @@
 	}
 }
 
+// addBurn joins the service-level report.
+func (p *parts) addBurn(self fleet.Member, o *options) {
+	p.recorder = burn.NewRecorder(self.Host, o.clock)
+	p.burns = burn.NewCollector(p.recorder, p.links, keyDirectory{p.directory, p.members}.Hosts)
+}
+
+// followObjectives keeps the report's objectives those in force.
+func (p *parts) followObjectives(ctx context.Context) error {
+	updates, end := p.configs.Subscribe()
+	defer end()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case next := <-updates:
+			p.recorder.SetObjectives(next.Config().Objectives)
+		}
+	}
+}
+
 // addFront joins the callers' chain of filters.
 func (p *parts) addFront(s settings.Settings, o *options) {
 	directory := p.directory
@@ -198,7 +222,7 @@
 		{Priority: call.PriorityClaim, Filter: caller.ClaimFilter(p.claims, o.log)},
 	}
 	last := caller.Dispatch(directory, generator, forwarder)
-	p.front = caller.NewFront(entries, last, o.clock, o.log, p.metrics)
+	p.front = caller.NewFront(entries, last, o.clock, o.log, p.metrics, burnObserver{p.recorder})
 }
 
 // runner is a controller that works until its context ends.
@@ -219,6 +243,7 @@
 		{"replica", p.replicas.Run},
 		{"gate", p.gate.Run},
 		{"claim", p.claims.Run},
+		{"burn", p.followObjectives},
 	}
 	for _, r := range runners {
 		running.Go(func() {
--- a/replica/ensure.go
+++ b/replica/ensure.go
@@ -53,6 +53,7 @@
 
 // Ensure waits for a replica of a model.
 func (c *controller) Ensure(ctx context.Context, want Want) (Wait, *outcome.NotRun) {
+	c.relayout() // the caller may have read a configuration that is newer than the last step
 	start := c.clock.Now()
 	ctx, cancel := clockwork.WithDeadline(ctx, c.clock, want.Deadline)
 	defer cancel()
@@ -61,6 +62,12 @@
 	return wait, refusal
 }
 
+// isBehind reports whether an owner refused a model that this host knows: its
+// configuration is older, and it will follow.
+func isBehind(refusal *outcome.NotRun) bool {
+	return refusal != nil && refusal.Reason == outcome.ReasonUnknownModel
+}
+
 func (c *controller) ensure(ctx context.Context, want Want) (Wait, *outcome.NotRun) {
 	for {
 		l := c.currentLayout()
@@ -68,7 +75,7 @@
 		if len(ranked) == 0 {
 			return Wait{}, &outcome.NotRun{Reason: outcome.ReasonUnknownModel, Detail: refusalDetail(outcome.ReasonUnknownModel)}
 		}
-		if wait, refusal, done := c.round(ctx, ranked, want); done {
+		if wait, refusal, done := c.round(ctx, ranked, want); done && !isBehind(refusal) {
 			return wait, refusal
 		}
 		select {
--- a/servers.go
+++ b/servers.go
@@ -8,6 +8,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/gravitational/trace"
 
+	"hawthornway/admin"
 	"hawthornway/listener"
 )
 
@@ -37,12 +38,13 @@
 
 // bindPeers binds the peers' listener. Its handler follows with the parts.
 func (h *host) bindPeers() error {
-	config, err := peerTLS(h.settings.TLS.Peers)
+	source, err := h.certificates(h.settings.TLS.Peers)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	h.peerClient = peerClient(source)
 	h.peerHandler = &late{}
-	server, address, err := listener.NewServer(h.settings.Listen.Peers, h.peerHandler, operatorBounds, config)
+	server, address, err := listener.NewServer(h.settings.Listen.Peers, h.peerHandler, operatorBounds, serverConfig(source))
 	h.servers.peers, h.servers.peersAddress = server, address
 	return trace.Wrap(err)
 }
@@ -50,11 +52,11 @@
 // bindOthers binds the listeners of callers and operators.
 func (h *host) bindOthers() error {
 	h.peerHandler.handler = h.peerRoutes()
-	config, err := operatorTLS(h.settings.TLS.Operators)
+	source, err := h.certificates(h.settings.TLS.Operators)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	operators, address, err := listener.NewServer(h.settings.Listen.Operators, h.operatorRoutes(), operatorBounds, config)
+	operators, address, err := listener.NewServer(h.settings.Listen.Operators, h.operatorRoutes(), operatorBounds, serverConfig(source))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -100,8 +102,12 @@
 	routes.Handle("/metrics", h.parts.metrics.Handler())
 	routes.Handle("/readyz", &h.ready)
 	routes.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	if h.parts.admin != nil {
-		routes.Handle("/", h.parts.admin)
-	}
+	routes.Handle("/", admin.NewHandler(admin.Dependencies{
+		Configs: h.parts.configs,
+		Keys:    h.parts.keys,
+		Host:    operated{h},
+		Token:   h.settings.Secrets.OperatorToken,
+		Log:     h.options.log,
+	}))
 	return routes
 }
