--- a/measure/cold.go
+++ b/measure/cold.go
@@ -66,8 +66,20 @@
 // coldRequests returns the served requests whose model became ready on some
 // engine between their sending and their first token.
 func (r Run) coldRequests() []*coldRequest {
-	loads := r.loads()
 	var requests []*coldRequest
+	for _, list := range r.waitedLoads() {
+		for _, l := range list {
+			requests = append(requests, l.requests...)
+		}
+	}
+	slices.SortFunc(requests, func(a, b *coldRequest) int { return a.sent.Compare(b.sent) })
+	return requests
+}
+
+// waitedLoads returns the loads by model, each with the requests that waited for
+// it and their bounds.
+func (r Run) waitedLoads() map[model.Name][]*load {
+	loads := r.loads()
 	for _, result := range r.Results {
 		work, isCompletion := result.Arrival.Work.(workload.Completion)
 		if !isCompletion || result.FirstToken == 0 {
@@ -77,11 +89,10 @@
 		if l := waitedFor(loads[work.Model], c); l != nil {
 			c.source = l.Source
 			l.requests = append(l.requests, c)
-			requests = append(requests, c)
 		}
 	}
 	r.boundLoads(loads)
-	return requests
+	return loads
 }
 
 // loads returns the engines' loads by model, in the order of their ends.
--- a/measure/report.go
+++ b/measure/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hawthornway/loadgen"
+	"hawthornway/standin/engine"
 	"hawthornway/workload"
 )
 
@@ -18,6 +19,7 @@
 	// Reasons count the requests that were not served, in and out of the rate.
 	Reasons    map[string]int `json:"reasons"`
 	ColdStarts []ColdStarts   `json:"cold-starts"`
+	Loads      []LoadTimes    `json:"loads"`
 	Warm       Quantiles      `json:"warm-first-token"`
 	Idle       Idle           `json:"idle"`
 	Shares     []TeamShare    `json:"shares"`
@@ -30,6 +32,14 @@
 	SentLate Quantiles `json:"sent-late"`
 }
 
+// LoadTimes sums up the engines' loads from one source. Unused loads ended
+// without a request that had waited for them.
+type LoadTimes struct {
+	Source engine.Source `json:"source"`
+	Quantiles
+	Unused int `json:"unused"`
+}
+
 // Added compares requests through a host with the same requests at the engine.
 type Added struct {
 	Pairs             int       `json:"pairs"`
@@ -53,6 +63,7 @@
 		Endings:    make(map[string]int),
 		Reasons:    make(map[string]int),
 		ColdStarts: r.coldStarts(),
+		Loads:      r.loadTimes(),
 		Warm:       newQuantiles(r.warm(r.coldRequests())),
 		Idle:       r.idle(),
 		Shares:     r.shares(),
@@ -73,6 +84,24 @@
 	return report
 }
 
+func (r Run) loadTimes() []LoadTimes {
+	times := make(map[engine.Source][]time.Duration)
+	unused := make(map[engine.Source]int)
+	for _, list := range r.waitedLoads() {
+		for _, l := range list {
+			times[l.Source] = append(times[l.Source], time.Duration(l.ReadyMS-l.StartedMS)*time.Millisecond)
+			if len(l.requests) == 0 {
+				unused[l.Source]++
+			}
+		}
+	}
+	var all []LoadTimes
+	for _, source := range []engine.Source{engine.SourceMemory, engine.SourceDisk, engine.SourceRemote} {
+		all = append(all, LoadTimes{Source: source, Quantiles: newQuantiles(times[source]), Unused: unused[source]})
+	}
+	return all
+}
+
 func (r Run) platformRates() map[string]float64 {
 	seconds := r.Length.Seconds()
 	return map[string]float64{
--- a/measure/table.go
+++ b/measure/table.go
@@ -16,6 +16,7 @@
 	for i, c := range reports[0].ColdStarts {
 		row(table, "cold start "+string(c.Source)+" p50/p95/p99 ms", reports, func(r Report) string { return coldStart(r.ColdStarts[i]) })
 	}
+	row(table, "loads memory/disk/remote (unused)", reports, loads)
 	row(table, "warm first token p50/p95/p99 ms", reports, func(r Report) string { return quantiles(r.Warm) })
 	row(table, "idle GiB-hours", reports, idle)
 	row(table, "worst team", reports, worst)
@@ -61,6 +62,14 @@
 	return fmt.Sprintf("%s, p99 %.2f x bound %.0f", quantiles(c.Quantiles), c.Ratio, c.Bound.P99)
 }
 
+func loads(r Report) string {
+	var parts []string
+	for _, l := range r.Loads {
+		parts = append(parts, fmt.Sprintf("%d (%d) p50 %.0f ms", l.Count, l.Unused, l.P50))
+	}
+	return strings.Join(parts, " / ")
+}
+
 func idle(r Report) string {
 	return fmt.Sprintf("%.2f (%.0f%% of held), %.2f x clairvoyant %.2f", r.Idle.GiBHours, 100*r.Idle.Share, r.Idle.Ratio, r.Idle.BoundGiBHours)
 }
--- a/workload/plan.go
+++ b/workload/plan.go
@@ -42,8 +42,10 @@
 	}
 }
 
-// The spread of a burst, and the number of requests whose mean charge is taken.
+// The bounds of what is drawn.
 const (
+	// largestPart divides a team's burst into the largest request drawn.
+	largestPart   = 2
 	burstSpread   = 100 * time.Millisecond
 	chargeSamples = 200
 )
@@ -102,13 +104,26 @@
 	models := slices.Clone(t.Models)
 	p.draw.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
 	zipf := rand.NewZipf(p.draw, 1.6, 2, uint64(len(models)-1))
-	next := func() Completion { return p.completion(models[zipf.Uint64()]) }
+	next := func() Completion {
+		return p.within(t, func() Completion { return p.completion(models[zipf.Uint64()]) })
+	}
 	perSecond := load * float64(t.Rate) / p.meanCharge(next)
 	for at := p.gap(perSecond); at < p.settings.Length; at += p.gap(perSecond) {
 		p.add(at, t.Name, next())
 	}
 }
 
+// within draws until a request fits well into the team's burst; a larger one
+// could never be admitted.
+func (p *planner) within(t config.Team, next func() Completion) Completion {
+	for {
+		work := next()
+		if work.charge() <= t.Burst/largestPart {
+			return work
+		}
+	}
+}
+
 func (p *planner) meanCharge(next func() Completion) float64 {
 	var sum team.Tokens
 	for range chargeSamples {
@@ -130,7 +145,7 @@
 		t := teams[p.draw.IntN(len(teams))]
 		name := t.Models[p.draw.IntN(len(t.Models))]
 		for range max(2, 2*p.settings.Hosts/3) {
-			work := p.completion(name)
+			work := p.within(t, func() Completion { return p.completion(name) })
 			work.MaxTokens = min(work.MaxTokens, 32)
 			p.add(at+time.Duration(p.draw.Int64N(int64(burstSpread))), t.Name, work)
 		}
