--- a/key/follow.go
+++ b/key/follow.go
@@ -48,7 +48,7 @@
 
 // followOnce reads all records first, and waits for changes from then on.
 func (r *Ring) followOnce(ctx context.Context, after *platform.Revision) error {
-	if *after == 0 {
+	if !r.isLoaded() {
 		return r.load(ctx, after)
 	}
 	return r.watch(ctx, after)
@@ -81,7 +81,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	*after = max(revision, 1)
+	*after = revision
 	r.touch.reached(asked)
 	r.updateTouch()
 	r.setLoaded()
--- a/key/gossip.go
+++ b/key/gossip.go
@@ -88,20 +88,44 @@
 	}
 }
 
+// asked is a peer's answer and when it was asked for.
+type asked struct {
+	peer   peer.Peer
+	at     time.Time
+	answer touchAnswer
+}
+
+// askRound asks a few peers at the same time and then takes what they know, one
+// after the other.
 func (r *Ring) askRound(ctx context.Context) {
+	r.round++
+	for _, a := range r.askAll(ctx, choosePeers(r.mesh.Self(), r.mesh.Peers(), r.round)) {
+		if err := r.learn(ctx, a); err != nil {
+			r.log.Debug("key: nothing learned from peer", "host", a.peer.Host, "error", err)
+		}
+	}
+	r.updateTouch()
+}
+
+func (r *Ring) askAll(ctx context.Context, peers []peer.Peer) []asked {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
-	r.round++
+	var mu sync.Mutex
+	var all []asked
 	var asking sync.WaitGroup
-	for _, p := range choosePeers(r.mesh.Self(), r.mesh.Peers(), r.round) {
+	for _, p := range peers {
 		asking.Go(func() {
-			if err := r.ask(ctx, p); err != nil {
-				r.log.Debug("key: peer not asked", "host", p.Host, "error", err)
+			a := asked{peer: p, at: r.clock.Now()}
+			if err := r.mesh.Call(ctx, p.Host, kindTouch, touchQuestion{}, &a.answer); err != nil {
+				return
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, a)
 		})
 	}
 	asking.Wait()
-	r.updateTouch()
+	return all
 }
 
 // choosePeers returns the peers to ask: of the own domain those at distances
@@ -140,23 +164,18 @@
 	}
 }
 
-// ask takes what a peer knows.
-func (r *Ring) ask(ctx context.Context, p peer.Peer) error {
-	asked := r.clock.Now()
-	var answer touchAnswer
-	if err := r.mesh.Call(ctx, p.Host, kindTouch, touchQuestion{}, &answer); err != nil {
-		return trace.Wrap(err)
-	}
-	if !answer.Loaded {
+// learn takes what a peer knows.
+func (r *Ring) learn(ctx context.Context, a asked) error {
+	if !a.answer.Loaded {
 		return nil
 	}
-	if answer.Records != r.digest() || answer.Pending != r.pending.digest() {
-		if err := r.sync(ctx, p.Host); err != nil {
+	if a.answer.Records != r.digest() || a.answer.Pending != r.pending.digest() {
+		if err := r.sync(ctx, a.peer.Host); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 	r.setLoaded()
-	r.credit(p.Domain, answer, asked)
+	r.credit(a.peer.Domain, a.answer, a.at)
 	return nil
 }
 
@@ -173,8 +192,8 @@
 
 // sync takes all records and withdrawals that a peer has and this host has not.
 func (r *Ring) sync(ctx context.Context, from fleet.HostID) error {
-	r.syncing.Lock()
-	defer r.syncing.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
 	for {
 		var answer syncAnswer
 		err := r.mesh.Call(ctx, from, kindSync, syncQuestion{r.revisions()}, &answer)
--- a/key/ring.go
+++ b/key/ring.go
@@ -24,7 +24,7 @@
 
 // Directory is what the ring reads of the configuration and the membership.
 type Directory interface {
-	// Domains returns all failure domains.
+	// Domains returns the failure domains that have hosts.
 	Domains() []fleet.DomainID
 	// Hosts returns all hosts that are members.
 	Hosts() []fleet.HostID
@@ -47,8 +47,6 @@
 	// the host was in touch last.
 	began   time.Time
 	touched atomic.Int64
-	// syncing is held while the ring takes what a peer knows.
-	syncing sync.Mutex
 	// writing wakes the writer of withdrawals.
 	writing chan struct{}
 	loaded  chan struct{}
--- a/key/write.go
+++ b/key/write.go
@@ -93,8 +93,8 @@
 }
 
 // update changes a record by compare-and-swap, from what this host holds. On a
-// conflict or a lost answer it reads the record and goes on until the change is
-// in it or the context ends. It fails with an error that wraps
+// conflict, which also follows a lost answer to a swap that had effect, it reads
+// the record and goes on until the change is in it or the context ends. It fails with an error that wraps
 // platform.ErrUnknown if the change may be in the record then.
 func (r *Ring) update(ctx context.Context, bucket int, edit change) error {
 	failure := platform.ErrUnavailable
@@ -107,7 +107,7 @@
 			failure = platform.ErrUnknown
 		}
 		var conflict *platform.ConflictError
-		if errors.As(err, &conflict) || errors.Is(err, platform.ErrUnknown) {
+		if errors.As(err, &conflict) {
 			err = r.reload(ctx, bucket)
 		}
 		if err != nil {
