Stand in for the network between failure domains

Cause: a domain has to be cut off from others without privileges. Ruled out: packet filters and network namespaces (need rights); closing connections (a partition keeps them open and silent). Change: standin/link: relays that hold connections still across a cut and know the dialler's domain by its process. Conclusion: measure can cut a domain once hosts can be told which peer address to give to others.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -162,13 +162,20 @@
 
 // save writes the report and the plots of one run.
 func (o *options) save(left measure.Run, report measure.Report) error {
-	text, err := json.MarshalIndent(report, "", "  ")
-	if err != nil {
+	base := fmt.Sprintf("%s-%s", report.Case, report.System)
+	if err := o.saveJSON(base+".json", report); err != nil {
 		return trace.Wrap(err)
 	}
-	name := fmt.Sprintf("%s-%s.json", report.Case, report.System)
-	if err := os.WriteFile(filepath.Join(o.Out, name), append(text, '\n'), 0o644); err != nil {
+	if err := o.saveJSON(base+"-engines.json", left.Engines); err != nil {
 		return trace.Wrap(err)
 	}
 	return trace.Wrap(left.WritePlots(o.Out))
 }
+
+func (o *options) saveJSON(name string, value any) error {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(o.Out, name), append(text, '\n'), 0o644)
+}
--- /dev/null
+++ b/standin/link/network_test.go
@@ -0,0 +1,58 @@
+package link
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestProcessesFindThisProcess(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	defer dialled.Close()
+	accepted, err := listener.Accept()
+	must.NoError(t, err)
+	defer accepted.Close()
+
+	p := NewProcesses()
+	must.Eq(t, "", p.Domain(accepted.RemoteAddr()))
+	p.Add(os.Getpid(), "d1")
+	must.Eq(t, "d1", p.Domain(accepted.RemoteAddr()))
+}
+
+func TestCutHoldsConnectionsAcrossDomains(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	}))
+	defer server.Close()
+	processes := NewProcesses()
+	processes.Add(os.Getpid(), "d1")
+	network := NewNetwork(processes.Domain)
+	near, err := network.Relay(t.Context(), "127.0.0.1:0", server.Listener.Addr().String(), "d1")
+	must.NoError(t, err)
+	far, err := network.Relay(t.Context(), "127.0.0.1:0", server.Listener.Addr().String(), "d2")
+	must.NoError(t, err)
+	get := func(address string) error {
+		client := http.Client{Timeout: 200 * time.Millisecond}
+		resp, err := client.Get("http://" + address)
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		return err
+	}
+	must.NoError(t, get(far))
+	network.Cut("d1")
+	must.NoError(t, get(near))
+	must.Error(t, get(far))
+	network.Heal()
+	must.NoError(t, get(far))
+}
