--- /dev/null
+++ b/placers.go
@@ -0,0 +1,161 @@
+package hawthornway
+
+import (
+	"context"
+	"time"
+
+	"hawthornway/call"
+	"hawthornway/fair"
+	"hawthornway/gate"
+	"hawthornway/model"
+	"hawthornway/openai"
+	"hawthornway/outcome"
+	"hawthornway/replica"
+	"hawthornway/retry"
+	"hawthornway/route"
+	"hawthornway/service"
+	"hawthornway/target"
+	"hawthornway/team"
+)
+
+// maxPicks bounds how often a target is picked that turns out to be going.
+const maxPicks = 8
+
+// enginePlacer finds replicas for generations.
+type enginePlacer struct {
+	router   route.Router
+	replicas replica.Controller
+	gate     gate.Gate
+	// pool returns the pool whose engines serve a model or an adapter.
+	pool     func(name model.Name) target.Pool
+	priority func(c *call.Call) int
+}
+
+// Place picks a ready replica, or waits for one to be loaded. A first attempt
+// waits for its turn at the pool; one that follows has had it.
+func (p *enginePlacer) Place(ctx context.Context, c *call.Call, gen *call.Generation, tried []target.ID) (openai.Place, *outcome.NotRun) {
+	cold := len(p.replicas.Ready(gen.Model)) == 0
+	if cold {
+		if refused := p.ensure(ctx, c, gen.Model); refused != nil {
+			return openai.Place{}, refused
+		}
+	}
+	var ticket fair.Ticket = noTicket{}
+	if len(tried) == 0 {
+		var refused *outcome.NotRun
+		if ticket, refused = p.enter(ctx, c, gen); refused != nil {
+			return openai.Place{}, refused
+		}
+	}
+	choice, refused := p.choose(ctx, c, gen, tried)
+	if refused != nil {
+		ticket.Done(0)
+		return openai.Place{}, refused
+	}
+	return p.place(c, choice, cold, ticket), nil
+}
+
+// noTicket is that of an attempt that doesn't wait for a turn.
+type noTicket struct{}
+
+// Done has no effect.
+func (noTicket) Done(team.Tokens) {}
+
+func (p *enginePlacer) enter(ctx context.Context, c *call.Call, gen *call.Generation) (fair.Ticket, *outcome.NotRun) {
+	return p.gate.Enter(ctx, p.pool(gen.Model), fair.Entry{
+		Team:     c.Team,
+		Cost:     c.Cost(),
+		Bytes:    int64(len(c.Body)),
+		Deadline: c.Deadline,
+	})
+}
+
+// choose picks a replica that was not tried yet, or else any, or else one that
+// is loaded meanwhile.
+func (p *enginePlacer) choose(ctx context.Context, c *call.Call, gen *call.Generation, tried []target.ID) (route.Choice, *outcome.NotRun) {
+	if choice, ok := p.pick(c, gen, tried); ok {
+		return choice, nil
+	}
+	for range maxPicks {
+		if choice, ok := p.pick(c, gen, nil); ok {
+			return choice, nil
+		}
+		if refused := p.ensure(ctx, c, gen.Model); refused != nil {
+			return route.Choice{}, refused
+		}
+	}
+	return route.Choice{}, &outcome.NotRun{
+		Reason:     outcome.ReasonNoTarget,
+		RetryAfter: time.Second,
+		Detail:     "the model's replicas are all leaving",
+	}
+}
+
+func (p *enginePlacer) pick(c *call.Call, gen *call.Generation, tried []target.ID) (route.Choice, bool) {
+	request := route.Request{
+		Model:    gen.Model,
+		Prefix:   route.PrefixHash(gen.Prefix),
+		Priority: p.priority(c),
+		Exclude:  tried,
+	}
+	return pickAndSend(p.router, request)
+}
+
+// pickAndSend picks targets until one takes the attempt.
+func pickAndSend(router route.Router, request route.Request) (route.Choice, bool) {
+	for range maxPicks {
+		choice, ok := router.Pick(request)
+		if !ok {
+			return route.Choice{}, false
+		}
+		if router.Sent(&choice) {
+			return choice, true
+		}
+		request.Exclude = append(request.Exclude[:len(request.Exclude):len(request.Exclude)], choice.Target)
+	}
+	return route.Choice{}, false
+}
+
+func (p *enginePlacer) place(c *call.Call, choice route.Choice, cold bool, ticket fair.Ticket) openai.Place {
+	return openai.Place{
+		Target:  choice.Target,
+		Domain:  choice.Domain,
+		Address: choice.Address,
+		Cold:    cold,
+		Done: func(result retry.Result) {
+			p.router.Done(choice, result)
+			ticket.Done(c.Trace.Used())
+		},
+	}
+}
+
+func (p *enginePlacer) ensure(ctx context.Context, c *call.Call, name model.Name) *outcome.NotRun {
+	_, refused := p.replicas.Ensure(ctx, replica.Want{
+		Model:    name,
+		Team:     c.Team,
+		Deadline: c.Deadline,
+	})
+	return refused
+}
+
+// servicePlacer finds plain services for routes.
+type servicePlacer struct {
+	router route.Router
+}
+
+// Place picks a service of the route's pool that was not tried yet.
+func (p *servicePlacer) Place(_ context.Context, _ *call.Call, s *call.Service, tried []target.ID) (service.Place, *outcome.NotRun) {
+	choice, ok := pickAndSend(p.router, route.Request{Pool: s.Route.Pool, Exclude: tried})
+	if !ok {
+		return service.Place{}, &outcome.NotRun{
+			Reason: outcome.ReasonNoTarget,
+			Detail: "no target of the route takes the call",
+		}
+	}
+	return service.Place{
+		Target:  choice.Target,
+		Domain:  choice.Domain,
+		Address: choice.Address,
+		Done:    func(result retry.Result) { p.router.Done(choice, result) },
+	}, nil
+}
