Prove placement under seeded faults and with mechanisms switched off

Cause: the single faults passed at once; a mix of them had to show what they miss. It found, and this change mends: an unload order of an earlier owner that comes late and ends requests (unloads are recorded before they are ordered and adopted by the next owner); an unload adopted after an owner without a record had kept the replica; a restart after which a missing replica was never proved gone (fresh reports are asked while a replica is missing); copies of an unload that a restarted engine takes again. Found by reading and mended: a replica decided under the present fence counted as fenced off. Ruled out: the release mark for hand-overs within a shard; membership asks Released before it says handed over. Left, and counted apart: an unload that an owner gave in an outage and could not record may arrive after its successor began, at engines that ignore fences. TestMutations: each of the four mechanisms off gives the violation, on gives none.

--- a/replica/controller.go
+++ b/replica/controller.go
@@ -105,6 +105,9 @@
 		view:    newView(),
 		runners: make(map[GroupKey]*runner),
 		gate:    func() {},
+
+		beforeOrder: func() {},
+		trace:       func(Input, []Effect) {},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -138,6 +141,10 @@
 	off     mechanisms
 	// gate is passed before each step; tests hold it to freeze the host.
 	gate func()
+	// beforeOrder is called before the hold is checked for an order.
+	beforeOrder func()
+	// trace is called with each step of a group; tests log it.
+	trace func(in Input, effects []Effect)
 
 	view *view
 
--- a/replica/drain.go
+++ b/replica/drain.go
@@ -143,8 +143,7 @@
 			switch {
 			case !g.acting(e):
 			case g.drained(en):
-				en.state = entryUnloading
-				e.changed()
+				en.endUse()
 			case g.now.Sub(en.drainAt) > drainBound:
 				g.callOffDrain(en)
 			}
--- a/replica/ensure.go
+++ b/replica/ensure.go
@@ -205,6 +205,8 @@
 		return answerWire{}, trace.Wrap(errNotOwner)
 	}
 	want := Want{Model: w.Model, Team: w.Team, Deadline: c.clock.Now().Add(time.Duration(w.LeftMS) * time.Millisecond)}
+	ctx, cancel := clockwork.WithDeadline(ctx, c.clock, want.Deadline)
+	defer cancel()
 	id, answers := r.want(ctx, want, w.Stay)
 	select {
 	case a := <-answers:
--- a/replica/entry.go
+++ b/replica/entry.go
@@ -46,16 +46,6 @@
 	refusals int
 }
 
-// forgetCall counts a running call as one without an answer.
-func (o *orderCopies) forgetCall(now time.Time) {
-	if !o.inFlight {
-		return
-	}
-	o.inFlight = false
-	o.unknown = true
-	o.lastSent = now
-}
-
 // entry is one replica that was decided, or that an engine reports. Its memory
 // is reserved until the entry is proved gone.
 type entry struct {
@@ -65,12 +55,17 @@
 	team   team.ID
 	item   *Item
 	state  entryState
+	// fence is that of the last order that this host gave for the entry.
+	fence target.Fence
 	// version is that of the engine's decisions in which the entry first stood.
 	version uint64
 	source  Source
 	load    orderCopies
 	unload  orderCopies
 
+	// missing says that the last report did not show the entry and proved
+	// nothing.
+	missing bool
 	// seen says that a report has shown the entry.
 	seen         bool
 	seenBoot     engine.Boot
@@ -85,6 +80,12 @@
 	expected    time.Duration
 	readyAt     time.Time
 	lastUse     time.Time
+	// unloadVersion is that of the engine's decisions in which the unload first
+	// stood.
+	unloadVersion uint64
+	// lateUnload is when no unload order of an earlier owner can arrive any
+	// more.
+	lateUnload time.Time
 	// drainFrom is the digest that told hosts to send nothing more.
 	drainFrom uint64
 	drainAt   time.Time
@@ -96,10 +97,20 @@
 // coming reports whether the entry is on its way to be ready.
 func (en *entry) coming() bool { return en.state == entryDecided || en.state == entryLoading }
 
+// endUse has the entry unloaded. The unload order follows once that is
+// recorded.
+func (en *entry) endUse() {
+	en.state = entryUnloading
+	en.engine.changed()
+	en.unloadVersion = en.engine.version
+}
+
 // decision returns what the record holds of the entry.
 func (en *entry) decision() Decision {
 	d := Decision{ID: en.load.id, Ref: en.ref, Bytes: en.bytes, Team: en.team, State: DecisionDecided}
 	switch {
+	case en.state == entryUnloading:
+		d.State = DecisionUnloading
 	case en.state == entryReady || en.state == entryDraining:
 		d.State = DecisionReady
 	case en.seen || en.load.accepted && !en.load.unknown:
--- a/replica/group.go
+++ b/replica/group.go
@@ -134,6 +134,9 @@
 	g.endDrains()
 	for _, e := range g.engines {
 		g.takeOver(e)
+		if g.off.noRecordFirst {
+			g.giveOrders(e)
+		}
 		g.writeRecord(e)
 		g.giveOrders(e)
 		g.askReport(e)
--- a/replica/ordering.go
+++ b/replica/ordering.go
@@ -56,6 +56,9 @@
 	if en.unload.accepted || en.unload.inFlight || en.load.inFlight || g.now.Before(en.unload.retryAt) {
 		return false
 	}
+	if en.unloadVersion > en.engine.recorded && !en.engine.outage {
+		return false
+	}
 	return !g.hasAdapters(en)
 }
 
@@ -72,6 +75,7 @@
 
 // give sends a copy of an order.
 func (g *Group) give(en *entry, o *orderCopies, kind engine.OrderKind) {
+	en.fence = en.engine.fence
 	o.sent = true
 	o.inFlight = true
 	o.retryAt = g.now.Add(retryEvery)
@@ -146,10 +150,13 @@
 	switch {
 	case !en.load.sent, en.load.inFlight, en.unload.inFlight:
 		return false
-	case en.engine.cfg.ChecksFence && en.load.lastSent.Before(en.engine.fencedAt):
-		return in.Fresh && !in.AskedAt.Before(en.engine.fencedAt)
-	case en.unload.unknown && !en.unload.accepted:
-		// A late unload would end a later load of the same model.
+	case g.fencedOff(en) && in.Fresh && !in.AskedAt.Before(en.engine.fencedAt):
+		return true
+	case in.AskedAt.Before(en.lateUnload):
+		return false
+	case en.unload.unknown && (!en.unload.accepted || in.Report.Boot != en.seenBoot):
+		// A late unload would end a later load of the same model; an engine that
+		// restarted takes a copy again.
 		return in.Fresh && !in.AskedAt.Before(en.unload.lastSent.Add(OrderHorizon))
 	case en.seen:
 		return g.goneAfterSeen(en, in)
@@ -163,6 +170,12 @@
 	}
 }
 
+// fencedOff reports whether the engine refuses all copies of an entry's load
+// order, since they were sent under an older fence.
+func (g *Group) fencedOff(en *entry) bool {
+	return en.engine.cfg.ChecksFence && en.fence < en.engine.fence
+}
+
 // goneAfterSeen decides for an entry that an earlier report showed.
 func (g *Group) goneAfterSeen(en *entry, in Reported) bool {
 	newer := in.Report.Boot == en.seenBoot && in.Report.Sequence > en.seenSequence
@@ -211,6 +224,9 @@
 		return !e.reported || !g.now.Before(e.proveFrom)
 	}
 	return slices.ContainsFunc(e.entries, func(en *entry) bool {
+		if en.missing {
+			return true
+		}
 		switch en.state {
 		case entryLoading:
 			return en.load.sent
--- a/replica/record.go
+++ b/replica/record.go
@@ -54,6 +54,9 @@
 	DecisionAccepted DecisionState = "accepted"
 	// DecisionReady says that the engine reported the load as done.
 	DecisionReady DecisionState = "ready"
+	// DecisionUnloading says that an unload order may reach the engine at any
+	// time.
+	DecisionUnloading DecisionState = "unloading"
 )
 
 type recordWire struct {
--- a/replica/recording.go
+++ b/replica/recording.go
@@ -19,6 +19,9 @@
 	if e.writing != "" || e.reading || e.recorded >= e.version || g.now.Before(e.writeAt) {
 		return
 	}
+	if open && g.off.noRecordFirst && e.calling() {
+		return
+	}
 	if open && !e.claimed {
 		// The takeover went on without the record: read it first.
 		e.reading = true
--- a/replica/reporting.go
+++ b/replica/reporting.go
@@ -27,7 +27,8 @@
 		g.shown(e, r, in)
 	}
 	for _, en := range slices.Clone(e.entries) {
-		if !shows(in.Report, en) && g.provedGone(en, in) {
+		en.missing = en.load.sent && !shows(in.Report, en)
+		if en.missing && g.provedGone(en, in) {
 			g.ended(en)
 		}
 	}
@@ -138,9 +139,8 @@
 	if en.state == entryUnloading {
 		return
 	}
-	en.state = entryUnloading
+	en.endUse()
 	en.unload.accepted, en.unload.acceptedAt = true, g.now
-	en.engine.changed()
 }
 
 // ended drops an entry that is proved gone.
@@ -154,10 +154,9 @@
 // cancel gives a load up: it is unloaded, and the model avoids the engine for a
 // while.
 func (g *Group) cancel(en *entry) {
-	en.state = entryUnloading
 	en.engine.failures++
 	en.engine.avoid[en.ref.Name] = g.now.Add(avoidAfterFailure)
-	en.engine.changed()
+	en.endUse()
 }
 
 // unloadAgain gives a new unload order for a replica that is still there though
--- a/replica/runner.go
+++ b/replica/runner.go
@@ -109,7 +109,9 @@
 }
 
 func (r *runner) stepLocked(ctx context.Context, in Input) {
-	for _, effect := range r.group.Step(r.c.clock.Now(), in) {
+	effects := r.group.Step(r.c.clock.Now(), in)
+	r.c.trace(in, effects)
+	for _, effect := range effects {
 		r.perform(ctx, effect)
 	}
 }
@@ -187,6 +189,7 @@
 // giveOrder sends an order if this host still holds the shard under the order's
 // fence.
 func (r *runner) giveOrder(ctx context.Context, t config.Target, e GiveOrder) Input {
+	r.c.beforeOrder()
 	in := Ordered{Target: e.Target, Order: e.Order.ID, Result: OrderNotHeld{}}
 	hold, ok := r.c.owners.Hold(r.key.Shard, t.ChecksFence)
 	if !r.c.off.noHoldCheck && (!ok || hold.Fence != e.Order.Fence) {
--- /dev/null
+++ b/replica/seeds_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package replica
+
+const defaultSeeds = 150
--- a/replica/takeover.go
+++ b/replica/takeover.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// startTakeover begins to act for an engine under a new fence. What was known
-// of its decisions is kept as reserved; the record and a fresh report tell the
-// rest.
+// startTakeover begins to act for an engine under a new fence. The record and a
+// fresh report tell what stands there; what this host knew under an older fence
+// may be out of date.
 func (g *Group) startTakeover(e *engineState, h *Held) {
 	e.phase = phaseReading
 	e.fence = h.Hold.Fence
@@ -50,10 +50,7 @@
 	e.writing = ""
 	e.nextID = 0
 	e.reported = false
-	for _, en := range e.entries {
-		en.load.forgetCall(g.now)
-		en.unload.forgetCall(g.now)
-	}
+	g.forget(e)
 	g.readRecord(e)
 }
 
@@ -137,6 +134,10 @@
 			en.load.accepted, en.load.acceptedAt = true, g.now
 		case DecisionAccepted:
 			en.load.accepted, en.load.acceptedAt = true, g.now
+		case DecisionUnloading:
+			en.state = entryUnloading
+			en.load.unknown = true
+			en.lateUnload = g.now.Add(OrderHorizon)
 		default:
 			en.load.unknown = true
 		}
@@ -180,8 +181,21 @@
 
 // proved opens an engine once a report shows all that earlier owners did.
 func (g *Group) proved(e *engineState, askedAt time.Time) {
-	if e.phase == phaseProving && !askedAt.Before(e.proveFrom) {
-		e.phase = phaseOpen
+	if e.phase != phaseProving || askedAt.Before(e.proveFrom) {
+		return
+	}
+	e.phase = phaseOpen
+	if !e.cfg.ChecksFence {
+		return
+	}
+	// An unload of an earlier owner can't arrive any more; an owner since may
+	// have kept the replica.
+	for _, en := range e.entries {
+		if en.state == entryUnloading && en.seen && !en.unload.sent && !en.unload.accepted {
+			en.state = entryLoading
+			en.startedAt = g.now
+			e.changed()
+		}
 	}
 }
 
