Choose targets by prefix, load, domain and what is known of leaving

Cause: the router took the least loaded, so that hosts with the same report all chose the same target. Ruled out: least loaded with own sends counted (hosts don't see each other's sends between reports). Change: the better of two drawn by rendezvous hashing on the prefix, the next in the draw beyond a bound over the least loaded, other domains when they save more than the way, requests sent since the report counted, failures and refusals steering the next choices; plain services by a draw of four. Conclusion: tests of each rule pass.

--- /dev/null
+++ b/route/router_test.go
@@ -0,0 +1,195 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"hawthornway/config"
+	"hawthornway/fleet"
+	"hawthornway/model"
+	"hawthornway/replica"
+	"hawthornway/retry"
+	"hawthornway/target"
+)
+
+// fakeReplicas lists replicas of one model at targets "t0", "t1", ...
+type fakeReplicas struct {
+	replicas []replica.Replica
+	loads    map[target.ID]replica.Load
+	going    map[target.ID]bool
+}
+
+func (f *fakeReplicas) Ready(model.Name) []replica.Replica { return f.replicas }
+
+func (f *fakeReplicas) Load(id target.ID) (replica.Load, bool) {
+	l, ok := f.loads[id]
+	return l, ok
+}
+
+func (f *fakeReplicas) Begin(id target.ID, _ model.Name) (end func(), ok bool) {
+	return func() {}, !f.going[id]
+}
+
+func newFakeReplicas(loads ...replica.Load) *fakeReplicas {
+	f := &fakeReplicas{loads: make(map[target.ID]replica.Load), going: make(map[target.ID]bool)}
+	for i, l := range loads {
+		id := target.ID(fmt.Sprintf("t%d", i))
+		f.replicas = append(f.replicas, replica.Replica{Ref: model.Ref{Name: "m", Version: "1"}, Target: id, Domain: "d"})
+		f.loads[id] = l
+	}
+	return f
+}
+
+func newTestRouter(f *fakeReplicas, opts ...Option) (Router, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	cfg := &config.Config{Targets: []config.Target{
+		{Name: "s0", Pool: "plain", Domain: "d"}, {Name: "s1", Pool: "plain", Domain: "far"},
+	}}
+	base := []Option{
+		WithReplicas(f), WithDomain("d"), WithClock(clock), WithConfig(func() *config.Config { return cfg }),
+	}
+	return New(append(base, opts...)...), clock
+}
+
+func slots(running, queued int) replica.Load {
+	return replica.Load{Running: running, Queued: queued, Slots: 4}
+}
+
+func TestPickAvoids(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		loads   []replica.Load
+		domains []fleet.DomainID
+		request Request
+		option  Option
+		want    target.ID
+	}{
+		{"leaving by report", []replica.Load{{Slots: 4, Leaving: true}, slots(4, 4)}, nil, Request{}, nil, "t1"},
+		{
+			"leaving by the host list",
+			[]replica.Load{slots(0, 0), slots(4, 4)},
+			nil,
+			Request{},
+			WithLeaving(func(id target.ID) bool { return id == "t0" }), "t1",
+		},
+		{"tried targets", []replica.Load{slots(0, 0), slots(4, 4)}, nil, Request{Exclude: []target.ID{"t0"}}, nil, "t1"},
+		{"load beyond the bound", []replica.Load{slots(4, 8), slots(0, 0)}, nil, Request{}, nil, "t1"},
+		{"other domains", []replica.Load{slots(0, 0), slots(2, 0)}, []fleet.DomainID{"far", "d"}, Request{}, nil, "t1"},
+		{
+			"a long queue in its own domain",
+			[]replica.Load{slots(0, 0), slots(4, 4)},
+			[]fleet.DomainID{"far", "d"},
+			Request{},
+			nil, "t0",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFakeReplicas(c.loads...)
+			for i, domain := range c.domains {
+				f.replicas[i].Domain = domain
+			}
+			var opts []Option
+			if c.option != nil {
+				opts = append(opts, c.option)
+			}
+			r, _ := newTestRouter(f, opts...)
+			c.request.Model = "m"
+			for i := range 50 {
+				c.request.Prefix = PrefixHash(i * 7919)
+				choice, ok := r.Pick(c.request)
+				must.True(t, ok)
+				must.Eq(t, c.want, choice.Target)
+			}
+		})
+	}
+}
+
+func TestPickKeepsPrefixUntilLoaded(t *testing.T) {
+	f := newFakeReplicas(slots(0, 0), slots(0, 0), slots(0, 0), slots(0, 0))
+	r, _ := newTestRouter(f)
+	request := Request{Model: "m", Prefix: HashPrefix([]byte("guardian"))}
+	first, ok := r.Pick(request)
+	must.True(t, ok)
+	seen := map[target.ID]int{}
+	for range 16 {
+		choice, ok := r.Pick(request)
+		must.True(t, ok)
+		must.True(t, r.Sent(&choice))
+		seen[choice.Target]++
+	}
+	must.Greater(t, 1, seen[first.Target])
+	must.MapLen(t, 4, seen)
+	for id, n := range seen {
+		must.LessEq(t, 7, n, must.Sprintf("target %s", id))
+	}
+}
+
+func TestReportTakesOverFromOwnCount(t *testing.T) {
+	f := newFakeReplicas(slots(0, 0), slots(0, 0))
+	r, clock := newTestRouter(f)
+	request := Request{Model: "m", Exclude: []target.ID{"t1"}}
+	for range 4 {
+		choice, _ := r.Pick(request)
+		must.True(t, r.Sent(&choice))
+	}
+	own := r.(*router).targets
+	must.Eq(t, 4, own.read("t0", time.Time{}, clock.Now()).since)
+	clock.Advance(time.Second)
+	must.Zero(t, own.read("t0", clock.Now(), clock.Now()).since)
+}
+
+func TestResultsSteerTheNextChoice(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		result retry.Result
+		after  time.Duration
+	}{
+		{"leaving", retry.RefusedNotRun{Refusal: retry.RefusalLeaving}, leavingFor},
+		{"not loaded", retry.RefusedNotRun{Refusal: retry.RefusalNotLoaded}, lacksFor},
+		{"not sent", retry.NotSent{}, failedFor},
+		{"no answer", retry.SentNoAnswer{}, failedFor},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFakeReplicas(slots(0, 0), slots(2, 0))
+			r, clock := newTestRouter(f)
+			choice, _ := r.Pick(Request{Model: "m", Exclude: []target.ID{"t1"}})
+			must.True(t, r.Sent(&choice))
+			r.Done(choice, c.result)
+			again := map[target.ID]bool{}
+			for i := range 50 {
+				choice, _ := r.Pick(Request{Model: "m", Prefix: PrefixHash(i + 1)})
+				again[choice.Target] = true
+			}
+			must.False(t, again["t0"])
+			clock.Advance(c.after)
+			for i := range 50 {
+				choice, _ := r.Pick(Request{Model: "m", Prefix: PrefixHash(i + 1)})
+				again[choice.Target] = true
+			}
+			must.True(t, again["t0"])
+		})
+	}
+}
+
+func TestSentRefusesGoingReplica(t *testing.T) {
+	f := newFakeReplicas(slots(0, 0))
+	f.going["t0"] = true
+	r, _ := newTestRouter(f)
+	choice, ok := r.Pick(Request{Model: "m"})
+	must.True(t, ok)
+	must.False(t, r.Sent(&choice))
+}
+
+func TestPlainServicesOfOwnDomainFirst(t *testing.T) {
+	r, _ := newTestRouter(newFakeReplicas())
+	choice, ok := r.Pick(Request{Pool: "plain"})
+	must.True(t, ok)
+	must.Eq(t, "s0", choice.Target)
+	choice, ok = r.Pick(Request{Pool: "plain", Exclude: []target.ID{"s0"}})
+	must.True(t, ok)
+	must.Eq(t, "s1", choice.Target)
+}
