--- a/replica/controller.go
+++ b/replica/controller.go
@@ -125,6 +125,8 @@
 	stepEvery = 100 * time.Millisecond
 	// pollEvery is the time between reports of each target.
 	pollEvery = time.Second
+	// tellEvery is the time between looks at what owners are to be told.
+	tellEvery = 250 * time.Millisecond
 )
 
 type controller struct {
@@ -159,7 +161,7 @@
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error { return c.every(ctx, stepEvery, c.step) })
 	tasks.Go(func() error { return c.every(ctx, pollEvery, c.poll) })
-	tasks.Go(func() error { return c.every(ctx, pollEvery, c.tellOwners) })
+	tasks.Go(func() error { return c.every(ctx, tellEvery, c.tellOwners) })
 	err := tasks.Wait()
 	c.wait()
 	if ctx.Err() != nil {
--- a/replica/drain.go
+++ b/replica/drain.go
@@ -73,6 +73,7 @@
 		return
 	}
 	en.lastUse = g.now
+	en.usedOnce = true
 	if base := e.find(en.ref.Base); base != nil {
 		base.lastUse = g.now
 	}
--- a/replica/engine_test.go
+++ b/replica/engine_test.go
@@ -129,7 +129,12 @@
 		return
 	}
 	boot := e.boot
-	time.AfterFunc(e.loadTime(o.Ref), func() { e.finish(l, boot) })
+	took := e.loadTime(o.Ref)
+	if e.world.weights != nil && !o.Ref.IsAdapter() && !e.isCached(o.Ref) {
+		e.world.weights.load(took, func() { e.finish(l, boot) })
+		return
+	}
+	time.AfterFunc(took, func() { e.finish(l, boot) })
 }
 
 func (e *fakeEngine) loadTime(ref model.Ref) time.Duration {
@@ -138,12 +143,16 @@
 		return time.Second
 	}
 	t := time.Duration(e.slowdown * float64(item.LoadTime))
-	if slices.ContainsFunc(e.cached, func(c engine.Cached) bool { return c.Name == ref.Name }) {
+	if e.isCached(ref) {
 		return t / 4
 	}
 	return t
 }
 
+func (e *fakeEngine) isCached(ref model.Ref) bool {
+	return slices.ContainsFunc(e.cached, func(c engine.Cached) bool { return c.Name == ref.Name })
+}
+
 func (e *fakeEngine) finish(l *fakeReplica, boot engine.Boot) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -245,7 +254,7 @@
 func (c fakeClient) Report(_ context.Context, freshness engine.Freshness) (engine.Report, error) {
 	time.Sleep(time.Millisecond)
 	report, err := c.engine.report(freshness)
-	time.Sleep(c.host.w.random(200 * time.Millisecond))
+	time.Sleep(c.host.w.random(c.host.w.reportDelay))
 	return report, err
 }
 
--- a/replica/entry.go
+++ b/replica/entry.go
@@ -80,6 +80,8 @@
 	expected    time.Duration
 	readyAt     time.Time
 	lastUse     time.Time
+	// usedOnce says that a host has told of a request since it was ready.
+	usedOnce bool
 	// unloadVersion is that of the engine's decisions in which the unload first
 	// stood.
 	unloadVersion uint64
--- a/replica/group.go
+++ b/replica/group.go
@@ -25,7 +25,7 @@
 	freshEvery = 100 * time.Millisecond
 	// answerMargin is how long before its deadline a want is refused, so that
 	// the refusal still reaches the host.
-	answerMargin = 50 * time.Millisecond
+	answerMargin = 150 * time.Millisecond
 )
 
 // mechanisms switches single mechanisms off, to test that the proofs notice.
@@ -62,11 +62,11 @@
 	uses    map[fleet.HostID]*hostUse
 	traffic map[model.Name]*traffic
 
-	speed       *loadSpeed
-	weights     Weights
-	weightsRead bool
-	started     int
-	pace        pace
+	speed   *loadSpeed
+	weights Weights
+	// others counts the model loads of other groups when they were last read.
+	others int
+	pace   pace
 
 	listed []Listing
 	number uint64
@@ -254,7 +254,6 @@
 	g.addEntry(en)
 	g.line.charge(id, g.catalog.Weight(id), en.expected)
 	if source == SourceRemote && !item.Ref.IsAdapter() {
-		g.started++
 		g.pace.take(g.now, g.weights.RatePerSecond)
 	}
 	return en
@@ -265,6 +264,5 @@
 		return
 	}
 	g.weights = w
-	g.weightsRead = true
-	g.started = 0
+	g.others = max(0, w.Running+w.Waiting-g.ownFetching())
 }
--- a/replica/groupkey.go
+++ b/replica/groupkey.go
@@ -51,6 +51,7 @@
 	targets map[GroupKey][]config.Target
 	pools   map[target.Pool][]GroupKey
 	byID    map[target.ID]config.Target
+	groupOf map[target.ID]GroupKey
 	catalog *Catalog
 }
 
@@ -68,6 +69,7 @@
 		targets: make(map[GroupKey][]config.Target),
 		pools:   make(map[target.Pool][]GroupKey),
 		byID:    make(map[target.ID]config.Target),
+		groupOf: make(map[target.ID]GroupKey),
 		catalog: NewCatalog(cfg),
 	}
 	for _, t := range cfg.Targets {
@@ -76,6 +78,7 @@
 		key := newGroupKey(t.Domain, t.Pool, index, parts)
 		l.targets[key] = append(l.targets[key], t)
 		l.byID[t.Name] = t
+		l.groupOf[t.Name] = key
 	}
 	for key := range l.targets {
 		l.groups = append(l.groups, key)
--- a/replica/line.go
+++ b/replica/line.go
@@ -169,6 +169,11 @@
 	return out
 }
 
+// meanLoad returns the mean time of the loads so far.
+func (l *line) meanLoad() time.Duration {
+	return time.Duration(l.unit * float64(time.Second))
+}
+
 // len returns the number of waiting models.
 func (l *line) len() int { return len(l.byName) }
 
--- a/replica/ordering.go
+++ b/replica/ordering.go
@@ -111,6 +111,7 @@
 		o.accepted = true
 		o.acceptedAt = g.now
 		o.sequence = r.Sequence
+		en.engine.askFrom = g.now
 		en.engine.changed()
 	case OrderUnknown:
 		o.unknown = true
--- a/replica/placing.go
+++ b/replica/placing.go
@@ -34,11 +34,51 @@
 	if g.line.len() == 0 || !g.open() {
 		return
 	}
-	for _, w := range g.line.order(maxStarts) {
+	for i, w := range g.line.order(maxStarts) {
 		g.tryStart(w)
+		if i == 0 && w.blocked && w.plan == "" {
+			g.holdRoom(w)
+		}
+	}
+}
+
+// holdRoom keeps the engine that has the most memory free of requests for the
+// first model of the line, so that smaller ones behind it don't take what
+// becomes free.
+func (g *Group) holdRoom(w *waiting) {
+	item := g.catalog.Item(w.name)
+	if item == nil || item.Ref.IsAdapter() {
+		return
+	}
+	var best *engineState
+	var most model.Bytes
+	for _, e := range g.engines {
+		if !g.mayPlace(e, item) {
+			continue
+		}
+		room := e.memory() - e.overhead() - g.planned(e, w)
+		for _, en := range e.entries {
+			if en.coming() || g.mustStay(en) || g.running(en) > 0 {
+				room -= en.bytes
+			}
+		}
+		if best == nil || room > most {
+			best, most = e, room
+		}
+	}
+	if best != nil {
+		w.plan = best.cfg.Name
 	}
 }
 
+// mayPlace reports whether a model may be loaded at an engine at all.
+func (g *Group) mayPlace(e *engineState, item *Item) bool {
+	if !e.takes() || !g.acting(e) || item.Bytes > e.memory() {
+		return false
+	}
+	return !g.now.Before(e.avoid[item.Ref.Name]) && e.find(item.Ref.Name) == nil
+}
+
 // tryStart decides the load of a waiting model if an engine has room and the
 // source has a free slot. Otherwise it begins to make room.
 func (g *Group) tryStart(w *waiting) {
@@ -117,14 +157,14 @@
 
 // placeAt weighs one engine for a model.
 func (g *Group) placeAt(e *engineState, item *Item, w *waiting) (placement, bool) {
-	if !e.takes() || !g.acting(e) || g.now.Before(e.avoid[item.Ref.Name]) || e.find(item.Ref.Name) != nil {
+	if !g.mayPlace(e, item) {
 		return placement{}, false
 	}
 	if item.Ref.IsAdapter() && !baseServing(e, item.Ref.Base) {
 		return placement{}, false
 	}
 	p := placement{engine: e, source: e.source(item.Ref)}
-	p.cost = g.speed.expect(item, p.source).Seconds() + busyCost*e.busyPart() + failureCost*float64(e.failures)
+	p.cost = (g.sourceDelay(item, p.source) + g.speed.expect(item, p.source)).Seconds() + busyCost*e.busyPart() + failureCost*float64(e.failures)
 	short := item.Bytes + g.adapterBytes(item) - (e.memory() - g.taken(e) - g.planned(e, w))
 	if short <= 0 {
 		return p, true
@@ -196,9 +236,20 @@
 	}
 }
 
-// fetching returns the model loads that the weight store has to run: the
-// fleet's when they were last read and the group's since, or the group's.
-func (g *Group) fetching() int {
+// sourceDelay returns the time until a load from a source would start.
+func (g *Group) sourceDelay(item *Item, source Source) time.Duration {
+	if source != SourceRemote || item.Ref.IsAdapter() {
+		return 0
+	}
+	return queueDelay(g.weights, g.fetching(), 0, g.speed.expect(item, SourceRemote))
+}
+
+// fetching returns the model loads that the weight store has to run: this
+// group's now, and those of others when they were last read.
+func (g *Group) fetching() int { return g.ownFetching() + g.others }
+
+// ownFetching counts the group's model loads from the weight store.
+func (g *Group) ownFetching() int {
 	own := 0
 	for _, e := range g.engines {
 		for _, en := range e.entries {
@@ -207,10 +258,7 @@
 			}
 		}
 	}
-	if !g.weightsRead {
-		return own
-	}
-	return max(own, g.weights.Running+g.weights.Waiting+g.started)
+	return own
 }
 
 // adaptersLoading returns the adapter loads in flight.
@@ -281,9 +329,9 @@
 }
 
 const (
-	// readyGrace is the time after its load in which a replica isn't evicted, so
-	// that those who waited can use it.
-	readyGrace = 5 * time.Second
+	// readyGrace is the time after its load in which a replica isn't evicted
+	// unless it was used, so that those who waited can use it.
+	readyGrace = 3 * time.Second
 	// activeSpan is the time after a request in which a replica isn't evicted.
 	activeSpan = time.Second
 	// lossHorizon is the time over which a loss is weighed, in seconds.
@@ -293,22 +341,24 @@
 // evictable reports whether a replica, with its adapters, has no request and
 // need not stay.
 func (g *Group) evictable(en *entry) bool {
-	if !en.serving() || !g.idle(en, activeSpan) || g.now.Sub(en.readyAt) < readyGrace {
-		return false
-	}
-	if g.mustStay(en) {
+	if !g.resting(en) || g.mustStay(en) {
 		return false
 	}
 	for _, o := range en.engine.entries {
-		if !en.ref.IsAdapter() && o.ref.Base == en.ref.Name {
-			if !o.serving() || !g.idle(o, activeSpan) || g.now.Sub(o.readyAt) < readyGrace {
-				return false
-			}
+		if !en.ref.IsAdapter() && o.ref.Base == en.ref.Name && !g.resting(o) {
+			return false
 		}
 	}
 	return true
 }
 
+// resting reports whether a replica has no request and those who waited for it
+// have had the time to use it.
+func (g *Group) resting(en *entry) bool {
+	waitedFor := !en.usedOnce && g.now.Sub(en.readyAt) < readyGrace
+	return en.serving() && !waitedFor && g.idle(en, activeSpan)
+}
+
 // mustStay reports whether a replica is one of the least number that the group
 // keeps of its model.
 func (g *Group) mustStay(en *entry) bool {
--- a/replica/publish.go
+++ b/replica/publish.go
@@ -24,9 +24,12 @@
 	// allLoadsEvery is the number of polls after which unchanged loads are sent
 	// too.
 	allLoadsEvery = 10
-	// farUseEvery is the time between notices of a host without requests to an
-	// owner in another domain.
-	farUseEvery = 10 * time.Second
+	// useEvery is the time between notices of a host with requests.
+	useEvery = time.Second
+	// restEvery is the time between notices of a host without requests to an
+	// owner in its domain, and farRestEvery to one in another domain.
+	restEvery    = time.Second
+	farRestEvery = 10 * time.Second
 )
 
 type digestWire struct {
@@ -80,6 +83,7 @@
 // domain the loads too.
 func (r *runner) publish() {
 	r.mu.Lock()
+	r.publishing = false
 	d, ok := r.group.Digest()
 	if !ok {
 		r.mu.Unlock()
@@ -146,12 +150,6 @@
 	return loads
 }
 
-func (r *runner) lastPublished() DigestSequence {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.told[r.c.self.Host].sequence
-}
-
 // handleDigest takes in what an owner tells.
 func (c *controller) handleDigest(_ context.Context, _ fleet.Member, body []byte) (any, error) {
 	var m digestWire
@@ -191,11 +189,7 @@
 func (c *controller) tellOwners(context.Context) {
 	now := c.clock.Now()
 	for _, key := range c.currentLayout().groups {
-		every := farUseEvery
-		if key.Domain == c.self.Domain || c.view.busy(key) {
-			every = 0
-		}
-		if c.view.due(key, now, every) {
+		if c.view.due(key, now, key.Domain == c.self.Domain) {
 			c.tellOwner(key)
 		}
 	}
--- a/replica/runner.go
+++ b/replica/runner.go
@@ -47,10 +47,12 @@
 	asking  map[target.ID]bool
 	loads   map[target.ID]Load
 	// told is the last digest sent to each host.
-	told    map[fleet.HostID]told
-	seen    map[fleet.HostID]DigestSequence
-	polls   int
-	changed map[target.ID]bool
+	told  map[fleet.HostID]told
+	seen  map[fleet.HostID]DigestSequence
+	polls int
+	// publishing says that a publication is about to run.
+	publishing bool
+	changed    map[target.ID]bool
 }
 
 // answered is the answer to a want, with the digest that lists its replica.
@@ -114,6 +116,24 @@
 	for _, effect := range effects {
 		r.perform(ctx, effect)
 	}
+	r.publishSoon()
+}
+
+// publishSoon publishes a digest that has changed, once the step has ended.
+func (r *runner) publishSoon() {
+	if r.publishing || r.group.Sequence() == r.told[r.c.self.Host].sequence {
+		return
+	}
+	if _, ok := r.group.Digest(); !ok {
+		return
+	}
+	r.publishing = true
+	r.calls.Add(1)
+	go func() {
+		defer r.calls.Done()
+		r.c.gate()
+		r.publish()
+	}()
 }
 
 // perform starts one effect. Its result comes back as a step.
@@ -292,15 +312,10 @@
 		r.hosts = hosts
 		r.stepLocked(ctx, HostsChanged{Hosts: hosts})
 	}
-	held := r.group.Held()
-	if held {
+	if r.group.Held() {
 		r.stepLocked(ctx, Tick{})
 	}
-	sequence := r.group.Sequence()
 	r.mu.Unlock()
-	if held && sequence != r.lastPublished() {
-		r.publish()
-	}
 }
 
 func (r *runner) readHold(ctx context.Context, checksFence bool) {
--- a/replica/view.go
+++ b/replica/view.go
@@ -23,6 +23,8 @@
 	seen     DigestSequence
 	listings []Listing
 	toldAt   time.Time
+	// toldRunning counts the replicas with requests when the owner was told.
+	toldRunning int
 }
 
 // view is what a host knows of replicas and of the load of targets.
@@ -125,12 +127,8 @@
 func (v *view) use(key GroupKey) (seen DigestSequence, uses []Use) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	targets := make(map[target.ID]bool)
-	for _, t := range v.layout.targets[key] {
-		targets[t.Name] = true
-	}
 	for k, c := range v.counters {
-		if !targets[k.target] {
+		if !v.ofGroup(k, key) {
 			continue
 		}
 		u := Use{Target: k.target, Model: k.name, Started: int(c.started.Swap(0)), Running: int(c.running.Load())}
@@ -147,18 +145,53 @@
 	return seen, uses
 }
 
-// due reports whether a group's owner is to be told again, and notes it.
-func (v *view) due(key GroupKey, now time.Time, every time.Duration) bool {
+// due reports whether a group's owner is to be told again, and notes it: at once
+// when requests have ended, else from time to time.
+func (v *view) due(key GroupKey, now time.Time, near bool) bool {
+	running, started := v.requests(key)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	g := v.group(key)
+	every := farRestEvery
+	switch {
+	case running < g.toldRunning:
+		every = 0
+	case running > 0 || started:
+		every = useEvery
+	case near:
+		every = restEvery
+	}
 	if now.Sub(g.toldAt) < every {
 		return false
 	}
 	g.toldAt = now
+	g.toldRunning = running
 	return true
 }
 
+// requests counts the replicas of a group at which this host has requests, and
+// reports whether any request was begun since the owner was told.
+func (v *view) requests(key GroupKey) (running int, started bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	for k, c := range v.counters {
+		if !v.ofGroup(k, key) {
+			continue
+		}
+		if c.running.Load() > 0 {
+			running++
+		}
+		started = started || c.started.Load() > 0
+	}
+	return running, started
+}
+
+// ofGroup reports whether a replica's target is in a group.
+func (v *view) ofGroup(k replicaKey, key GroupKey) bool {
+	at, ok := v.layout.groupOf[k.target]
+	return ok && at == key
+}
+
 func (v *view) group(key GroupKey) *groupView {
 	g, ok := v.groups[key]
 	if !ok {
@@ -201,17 +234,3 @@
 	r := Replica{Ref: l.Ref, Target: l.Target, Address: t.Address, Domain: t.Domain}
 	v.replicas[l.Ref.Name] = append(v.replicas[l.Ref.Name], r)
 }
-
-// busy reports whether this host has requests at a group's replicas.
-func (v *view) busy(key GroupKey) bool {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	for _, t := range v.layout.targets[key] {
-		for k, c := range v.counters {
-			if k.target == t.Name && (c.running.Load() > 0 || c.started.Load() > 0) {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/replica/want.go
+++ b/replica/want.go
@@ -142,7 +142,7 @@
 	delay := time.Duration(0)
 	if source == SourceRemote && !item.Ref.IsAdapter() {
 		ahead := g.line.ahead(w.Team, g.catalog.Weight(w.Team), w.Deadline)
-		delay = queueDelay(g.weights, g.fetching(), ahead, g.speed.expect(item, SourceRemote))
+		delay = queueDelay(g.weights, g.fetching(), ahead, g.line.meanLoad())
 	}
 	if waits := g.line.find(w.Model); waits != nil && (waits.plan != "" || waits.blocked) {
 		delay += drainExpected
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -31,12 +31,17 @@
 	t       *testing.T
 	off     mechanisms
 	cfg     *config.Config
+	items   *Catalog
 	network *peertest.Network
 	store   *kvstore.Store
 	owners  *fakeOwners
 	engines map[target.ID]*fakeEngine
 	hosts   []*testHost
 
+	// reportDelay is the most time that a report takes on its way.
+	reportDelay time.Duration
+	// weights bounds the loads from the weight store; nil doesn't.
+	weights *fakeWeights
 	// quiet keeps the log of what happened from the test's output.
 	quiet bool
 	// traced adds the steps of the groups to the log.
@@ -209,7 +214,8 @@
 // newWorld returns a new world of some hosts in one domain.
 func newWorld(t *testing.T, hosts int, cfg *config.Config, opts ...worldOption) *world {
 	w := &world{
-		t: t, cfg: cfg, draw: rand.New(rand.NewPCG(1, 2)), network: peertest.NewNetwork(1), store: kvstore.New(), engines: make(map[target.ID]*fakeEngine),
+		t: t, cfg: cfg, draw: rand.New(rand.NewPCG(1, 2)), reportDelay: 200 * time.Millisecond,
+		items: NewCatalog(cfg), network: peertest.NewNetwork(1), store: kvstore.New(), engines: make(map[target.ID]*fakeEngine),
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -239,6 +245,7 @@
 		WithStore(hostStore{w.store, h}),
 		WithEngines(h),
 		WithLogger(slog.New(slog.DiscardHandler)),
+		WithWeightStore(w.readWeights),
 		func(c *controller) {
 			c.off = w.off
 			c.gate = h.gate
@@ -294,7 +301,7 @@
 	return slices.Clone(w.violations)
 }
 
-func (w *world) catalog() *Catalog { return NewCatalog(w.cfg) }
+func (w *world) catalog() *Catalog { return w.items }
 
 // setStore sets the faults of the key-value service.
 func (w *world) setStore(faults kvstore.Faults) {
@@ -391,7 +398,7 @@
 		return wait, refusal
 	}
 	if refusal != nil {
-		w.log("refused at %s: %+v", h.member.Host, *refusal)
+		w.log("refused %s at %s: %+v", name, h.member.Host, *refusal)
 		w.mu.Lock()
 		w.refused++
 		w.mu.Unlock()
