--- a/host.go
+++ b/host.go
@@ -42,8 +42,15 @@
 	clock clockwork.Clock
 	log   *slog.Logger
 	store platform.Store
+	// keyStore is the same service, whose watches end soon enough to tell that
+	// it is reached.
+	keyStore platform.Store
 }
 
+// keyWatchWait bounds a watch of the keys. It is below the time after which a
+// host counts as cut off.
+const keyWatchWait = 1500 * time.Millisecond
+
 // WithClock sets the clock.
 func WithClock(clock clockwork.Clock) Option {
 	return func(o *options) { o.clock = clock }
@@ -57,7 +64,7 @@
 // WithStore sets the platform's key-value service in place of the one that the
 // settings name.
 func WithStore(store platform.Store) Option {
-	return func(o *options) { o.store = store }
+	return func(o *options) { o.store, o.keyStore = store, store }
 }
 
 // New returns a new Host with its listeners bound. Nothing is served before
@@ -69,6 +76,7 @@
 	}
 	if o.store == nil {
 		o.store = platform.NewClient(s.Platform.KeyValue)
+		o.keyStore = platform.NewClient(s.Platform.KeyValue, platform.WithWatchWait(keyWatchWait))
 	}
 	h := &host{settings: s, options: o, leaving: make(chan struct{})}
 	if err := h.build(); err != nil {
--- a/parts.go
+++ b/parts.go
@@ -93,7 +93,7 @@
 func (p *parts) addState(self fleet.Member, o *options) {
 	p.configs = config.NewStore(o.store, p.links, config.WithClock(o.clock), config.WithLogger(o.log))
 	p.directory = directory{p.configs}
-	p.keys = key.NewRing(o.store, p.links, keyDirectory{p.directory, p.members}, key.WithClock(o.clock), key.WithLogger(o.log))
+	p.keys = key.NewRing(o.keyStore, p.links, keyDirectory{p.directory, p.members}, key.WithClock(o.clock), key.WithLogger(o.log))
 	p.limiter = limit.New(p.members, p.links, o.store, p.directory.Limit,
 		limit.WithClock(o.clock),
 		limit.WithLogger(o.log),
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -7,10 +7,14 @@
 	"path/filepath"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
+// scenarioTimeout bounds all scenarios together.
+const scenarioTimeout = 3 * time.Minute
+
 // programs is the folder of the programs under test.
 var programs string
 
@@ -45,7 +49,8 @@
 
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir: filepath.Join("testdata"),
+		Dir:      filepath.Join("testdata"),
+		Deadline: time.Now().Add(scenarioTimeout),
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("IP", address())
 			env.Setenv("PATH", programs+string(os.PathListSeparator)+env.Getenv("PATH"))
