Cut a failure domain off in measure

Cause: the case of a domain cut off had no fault. Ruled out: one advertised address for each pair of domains (the relay tells the dialler's domain by its process instead). The baseline is not run: its hosts share a process.

--- a/cluster/hosts.go
+++ b/cluster/hosts.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"hawthornway/baseline"
+	"hawthornway/fleet"
 	"hawthornway/standin"
 	"hawthornway/team"
 )
@@ -43,6 +44,7 @@
 	logs       string
 	deployment Deployment
 	standins   *standin.Running
+	started    func(pid int, domain fleet.DomainID)
 	keys       map[team.ID]string
 
 	mu       sync.Mutex
@@ -50,9 +52,9 @@
 }
 
 // NewProcesses returns new Hosts that run `binary serve` each. Their logs go to
-// the folder logs.
-func NewProcesses(binary, logs string, d Deployment, standins *standin.Running) Hosts {
-	return &processes{binary: binary, logs: logs, deployment: d, standins: standins}
+// the folder logs. Started is told each process and its domain.
+func NewProcesses(binary, logs string, d Deployment, standins *standin.Running, started func(pid int, domain fleet.DomainID)) Hosts {
+	return &processes{binary: binary, logs: logs, deployment: d, standins: standins, started: started}
 }
 
 // Start starts the hosts and waits until all are ready.
@@ -88,6 +90,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	p.started(command.Process.Pid, host.Settings.Domain)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.commands = append(p.commands, command)
--- /dev/null
+++ b/cluster/links.go
@@ -0,0 +1,112 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/goccy/go-yaml"
+	"github.com/gravitational/trace"
+
+	"hawthornway/fleet"
+	"hawthornway/settings"
+	"hawthornway/standin/link"
+)
+
+// portShift is the distance between a relay's port and the one behind it.
+const portShift = 1000
+
+// Links are relays before the platform, the targets and the hosts' peer
+// listeners of a deployment.
+type Links struct {
+	*link.Network
+	processes *link.Processes
+	relays    []relay
+}
+
+type relay struct {
+	listen, to string
+	domain     fleet.DomainID
+}
+
+// WithLinks returns the deployment behind new Links: what listened on an address
+// listens on another port, and a relay on the address. The hosts' changed
+// settings are written to a folder. Start starts the relays.
+func WithLinks(d Deployment, folder string) (Deployment, *Links, error) {
+	processes := link.NewProcesses()
+	l := &Links{Network: link.NewNetwork(processes.Domain), processes: processes}
+	s := &d.Standins
+	s.KeyValue.Address = l.add(s.KeyValue.Address, "")
+	s.Weights.Address = l.add(s.Weights.Address, "")
+	s.Hosts.Address = l.add(s.Hosts.Address, "")
+	s.Engines = append(s.Engines[:0:0], s.Engines...)
+	for i, e := range s.Engines {
+		s.Engines[i].Address = l.add(e.Address, e.Domain)
+	}
+	s.Services = append(s.Services[:0:0], s.Services...)
+	for i, one := range s.Services {
+		s.Services[i].Address = l.add(one.Address, one.Domain)
+	}
+	d.Hosts = append(d.Hosts[:0:0], d.Hosts...)
+	for i, host := range d.Hosts {
+		path := filepath.Join(folder, "linked-"+filepath.Base(host.Path))
+		if err := l.rewrite(host, path); err != nil {
+			return d, nil, trace.Wrap(err)
+		}
+		changed, err := settings.Load(path)
+		if err != nil {
+			return d, nil, trace.Wrap(err)
+		}
+		d.Hosts[i] = HostFile{Path: path, Settings: changed}
+	}
+	return d, l, nil
+}
+
+// add adds a relay on an address and returns the address behind it.
+func (l *Links) add(address string, domain fleet.DomainID) string {
+	if address == "" {
+		return ""
+	}
+	listen := netip.MustParseAddrPort(address)
+	to := netip.AddrPortFrom(listen.Addr(), listen.Port()+portShift).String()
+	l.relays = append(l.relays, relay{listen: address, to: to, domain: domain})
+	return to
+}
+
+// rewrite writes a host's settings with its peer listener behind a relay.
+func (l *Links) rewrite(host HostFile, path string) error {
+	data, err := os.ReadFile(host.Path)
+	if err != nil {
+		return err
+	}
+	var document map[string]any
+	if err := yaml.Unmarshal(data, &document); err != nil {
+		return err
+	}
+	listen, isMap := document["listen"].(map[string]any)
+	if !isMap {
+		return fmt.Errorf("%s has no listeners", host.Path)
+	}
+	listen["peers-advertised"] = host.Settings.Listen.Peers
+	listen["peers"] = l.add(host.Settings.Listen.Peers, host.Settings.Domain)
+	changed, err := yaml.Marshal(document)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, changed, 0o600)
+}
+
+// Start binds the relays, until the context ends.
+func (l *Links) Start(ctx context.Context) error {
+	for _, r := range l.relays {
+		if _, err := l.Relay(ctx, r.listen, r.to, r.domain); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// Started tells which domain a host's process stands in.
+func (l *Links) Started(pid int, domain fleet.DomainID) { l.processes.Add(pid, domain) }
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -115,6 +115,10 @@
 	for _, system := range o.Systems {
 		fmt.Fprintf(os.Stderr, "%s: %s, %s, seed %d, %s\n", d.Name, c, system, o.Seed, o.Duration)
 		left, err := experiment.Run(ctx, o.settings(d, c, system))
+		if trace.IsNotImplemented(err) {
+			fmt.Fprintf(os.Stderr, "  not run: %s\n", trace.UserMessage(err))
+			continue
+		}
 		if err != nil {
 			return trace.Wrap(err, "%s", system)
 		}
@@ -124,6 +128,9 @@
 			return trace.Wrap(err)
 		}
 	}
+	if len(reports) == 0 {
+		return nil
+	}
 	fmt.Printf("\n%s, %s, seed %d, %s\n", d.Name, c, o.Seed, o.Duration)
 	return measure.WriteTable(os.Stdout, reports)
 }
--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"hawthornway/fleet"
 	"hawthornway/standin/kvstore"
 	"hawthornway/standin/weights"
 )
@@ -46,7 +47,9 @@
 		e.standins.KeyValue.SetFaults(kvstore.Faults{Outage: true})
 	case CaseSlowWeights:
 		e.standins.Weights.SetFaults(weights.Faults{Slowdown: weightsSlowdown})
-	case CaseDomainCut, CaseSteady:
+	case CaseDomainCut:
+		e.links.Cut(e.cutDomain())
+	case CaseSteady:
 	}
 	return nil
 }
@@ -55,10 +58,34 @@
 func (e *Experiment) end() {
 	e.standins.KeyValue.SetFaults(kvstore.Faults{})
 	e.standins.Weights.SetFaults(weights.Faults{})
+	if e.links != nil {
+		e.links.Heal()
+	}
+}
+
+// cutDomain returns the domain that is cut off: that of the last host.
+func (e *Experiment) cutDomain() fleet.DomainID {
+	hosts := e.settings.Deployment.Hosts
+	return hosts[len(hosts)-1].Settings.Domain
 }
 
 // faulted returns the indexes of the hosts that the fault touches.
 func (e *Experiment) faulted() map[int]bool {
+	faulted := make(map[int]bool)
+	switch e.settings.Case {
+	case CaseHostKilled:
+		faulted[killedHost] = true
+	case CaseDomainCut:
+		for i, host := range e.settings.Deployment.Hosts {
+			faulted[i] = host.Settings.Domain == e.cutDomain()
+		}
+	case CaseSteady, CasePlatformOutage, CaseSlowWeights:
+	}
+	return faulted
+}
+
+// killed returns the indexes of the hosts that are killed.
+func (e *Experiment) killed() map[int]bool {
 	if e.settings.Case == CaseHostKilled {
 		return map[int]bool{killedHost: true}
 	}
--- a/host.go
+++ b/host.go
@@ -99,6 +99,9 @@
 		return err
 	}
 	h.self.PeerAddress = h.servers.peersAddress.String()
+	if advertised := h.settings.Listen.PeersAdvertised; advertised != "" {
+		h.self.PeerAddress = advertised
+	}
 	h.parts = newParts(h.self, h.settings, h.options)
 	h.ready.missing = h.parts.missing
 	return h.bindOthers()
--- a/measure/report.go
+++ b/measure/report.go
@@ -17,14 +17,16 @@
 	Seconds    float64        `json:"seconds"`
 	Endings    map[string]int `json:"endings"`
 	// Reasons count the requests that were not served, in and out of the rate.
-	Reasons    map[string]int `json:"reasons"`
-	ColdStarts []ColdStarts   `json:"cold-starts"`
-	Loads      []LoadTimes    `json:"loads"`
-	Warm       Quantiles      `json:"warm-first-token"`
-	Idle       Idle           `json:"idle"`
-	Shares     []TeamShare    `json:"shares"`
-	Refusals   Refusals       `json:"refusals"`
-	Added      *Added         `json:"added-latency,omitempty"`
+	Reasons map[string]int `json:"reasons"`
+	// RefusedAt count the refused requests by reason and index of the host.
+	RefusedAt  map[string]map[int]int `json:"refused-at"`
+	ColdStarts []ColdStarts           `json:"cold-starts"`
+	Loads      []LoadTimes            `json:"loads"`
+	Warm       Quantiles              `json:"warm-first-token"`
+	Idle       Idle                   `json:"idle"`
+	Shares     []TeamShare            `json:"shares"`
+	Refusals   Refusals               `json:"refusals"`
+	Added      *Added                 `json:"added-latency,omitempty"`
 	// Platform are the key-value service's calls a second, by kind.
 	Platform map[string]float64 `json:"platform-calls-per-second"`
 	Promises Promises           `json:"promises"`
@@ -62,6 +64,7 @@
 		Seconds:    r.Length.Seconds(),
 		Endings:    make(map[string]int),
 		Reasons:    make(map[string]int),
+		RefusedAt:  r.refusedAt(),
 		ColdStarts: r.coldStarts(),
 		Loads:      r.loadTimes(),
 		Warm:       newQuantiles(r.warm(r.coldRequests())),
@@ -84,6 +87,21 @@
 	return report
 }
 
+func (r Run) refusedAt() map[string]map[int]int {
+	refused := make(map[string]map[int]int)
+	for _, result := range r.Results {
+		if result.Ending != loadgen.EndingNotRun {
+			continue
+		}
+		reason := string(result.Reason)
+		if refused[reason] == nil {
+			refused[reason] = make(map[int]int)
+		}
+		refused[reason][result.Arrival.Host]++
+	}
+	return refused
+}
+
 func (r Run) loadTimes() []LoadTimes {
 	times := make(map[engine.Source][]time.Duration)
 	unused := make(map[engine.Source]int)
--- a/measure/run.go
+++ b/measure/run.go
@@ -40,6 +40,8 @@
 	Through  []loadgen.Result
 	// Faulted says which hosts (by index) the fault touched.
 	Faulted map[int]bool
+	// Killed says which hosts (by index) were killed.
+	Killed map[int]bool
 }
 
 // EngineRecord is what one engine left behind.
--- a/settings/checker.go
+++ b/settings/checker.go
@@ -65,6 +65,9 @@
 }
 
 func (c *checker) listen(l Listen) {
+	if l.PeersAdvertised != "" {
+		c.address("listen.peers-advertised", l.PeersAdvertised)
+	}
 	listeners := []struct{ field, address string }{
 		{"listen.callers", l.Callers},
 		{"listen.operators", l.Operators},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,9 @@
 	Callers   string `yaml:"callers" json:"callers"`
 	Operators string `yaml:"operators" json:"operators"`
 	Peers     string `yaml:"peers" json:"peers"`
+	// PeersAdvertised is the address that other hosts dial instead of Peers,
+	// where something stands between the two; empty if nothing does.
+	PeersAdvertised string `yaml:"peers-advertised" json:"peers-advertised"`
 }
 
 // Platform holds the platform's base URLs, each with an IP number.
