--- a/replica/drain.go
+++ b/replica/drain.go
@@ -73,6 +73,7 @@
 		return
 	}
 	en.lastUse = g.now
+	en.usedOnce = true
 	if base := e.find(en.ref.Base); base != nil {
 		base.lastUse = g.now
 	}
@@ -143,8 +144,7 @@
 			switch {
 			case !g.acting(e):
 			case g.drained(en):
-				en.state = entryUnloading
-				e.changed()
+				en.endUse()
 			case g.now.Sub(en.drainAt) > drainBound:
 				g.callOffDrain(en)
 			}
