Remove the parts of configurations that are no longer in force

Cause: each applied change left up to 8 MiB in the platform's service for good. Ruled out: removing by age, which needs clocks that agree, and breaks an apply that was frozen between its parts and its head. Change: the host that moves the head removes the former head's parts by their revisions from before; an apply writes every part anew that is not in the head that it starts from. Without the writing anew, TestPartNeededAgain fails (one trial). Conclusion: parts of an apply that lost a race stay in the service.

--- a/config/apply.go
+++ b/config/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -75,7 +76,7 @@
 	if current.Revision != a.submission.Base {
 		return Accepted{}, true, a.conflict(ctx, current)
 	}
-	if err := a.writeParts(ctx); err != nil {
+	if err := a.writeParts(ctx, current); err != nil {
 		return Accepted{}, false, err
 	}
 	return a.move(ctx, current)
@@ -103,24 +104,36 @@
 	return newConflict(a.submission, a.content, current, inForce)
 }
 
-// writeParts writes the parts that the service does not hold yet. A part that
-// is there already holds the same, as it is named by its hash.
-func (a *application) writeParts(ctx context.Context) error {
+// writeParts writes the parts that are not those of the current head.
+func (a *application) writeParts(ctx context.Context, current head) error {
 	for i, name := range a.content.names() {
-		if _, ok := a.store.part(name); ok {
+		if slices.Contains(current.Parts, name) {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := a.store.platform.Swap(ctx, partPrefix+string(name), 0, a.content.parts[i])
-		cancel()
-		var exists *platform.ConflictError
-		if err != nil && !errors.As(err, &exists) {
+		if err := a.writePart(ctx, name, a.content.parts[i]); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 	return nil
 }
 
+// writePart writes a part. One that is there already, perhaps of an older
+// revision, is written anew: its removal, which expects the revision that it
+// had, then has no effect.
+func (a *application) writePart(ctx context.Context, name Hash, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var expected platform.Revision
+	for {
+		_, err := a.store.platform.Swap(ctx, partPrefix+string(name), expected, data)
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			return trace.Wrap(err)
+		}
+		expected = conflict.Current
+	}
+}
+
 // move writes the next head: the acceptance.
 func (a *application) move(ctx context.Context, current head) (Accepted, bool, error) {
 	next := current.next(a.submission, a.content, a.store.clock.Now())
@@ -133,11 +146,13 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	unused := a.store.unusedParts(call, current, next)
 	at, err := a.store.platform.Swap(call, headKey, current.at, value)
 	if err != nil {
 		a.unknown = a.unknown || errors.Is(err, platform.ErrUnknown)
 		return Accepted{}, false, trace.Wrap(err)
 	}
 	next.at = at
+	a.store.removeParts(ctx, unused)
 	return next.Accepted, true, a.store.install(next, a.content.parts)
 }
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -210,6 +210,49 @@
 	})
 }
 
+func TestOldPartsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		s := b.start("a", "h1")
+		settleFor(time.Second)
+		for i, name := range []string{"a", "b", "a", "c", "a"} {
+			_, err := s.Apply(t.Context(), submission(Revision(i), ChangeID(fmt.Sprint("c", i)), name))
+			must.NoError(t, err)
+		}
+		entries, _, err := b.kv.List(t.Context(), partPrefix)
+		must.NoError(t, err)
+		must.Len(t, 1, entries)
+		must.EqOp(t, partPrefix+string(s.head.Parts[0]), entries[0].Key)
+	})
+}
+
+// TestPartNeededAgain moves back to older content while its removal is late.
+func TestPartNeededAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		s := b.start("a", "h1")
+		settleFor(time.Second)
+		apply := func(base Revision, name string) head {
+			_, err := s.Apply(t.Context(), submission(base, ChangeID(fmt.Sprint("c", base)), name))
+			must.NoError(t, err)
+			h, _ := s.known()
+			return h
+		}
+		first := apply(0, "a")
+		late, err := b.kv.Get(t.Context(), partPrefix+string(first.Parts[0]))
+		must.NoError(t, err)
+		apply(1, "b")
+		_, err = b.kv.Swap(t.Context(), late.Key, 0, late.Value)
+		must.NoError(t, err)
+		stale, err := b.kv.Get(t.Context(), late.Key)
+		must.NoError(t, err)
+		apply(2, "a")
+		s.removeParts(t.Context(), []platform.Entry{late, stale})
+		_, err = b.kv.Get(t.Context(), late.Key)
+		must.NoError(t, err)
+	})
+}
+
 func must2[V any](v V, _ error) V { return v }
 
 // headModel is the sequential model of the head: a register that moves by one
@@ -283,6 +326,11 @@
 		inForce[a.Change] = a.Revision
 	}
 	must.Eq(t, accepted, inForce)
+	// All parts of the head are there for a host without peers.
+	b.kv.SetFaults(kvstore.Faults{})
+	b.network = peertest.NewNetwork(2)
+	hosts = append(hosts, b.start("d", "h4"))
+	settleFor(time.Second)
 	newest := slices.MaxFunc(hosts, func(a, b *Store) int { return int(a.Current().Revision()) - int(b.Current().Revision()) })
 	for _, host := range hosts {
 		must.EqOp(t, newest.Current().Revision(), host.Current().Revision())
