--- a/admin/client.go
+++ b/admin/client.go
@@ -64,7 +64,7 @@
 	Revision   config.Revision
 	Author     config.Author
 	AcceptedAt time.Time
-	// Age is how old the host's knowledge may be.
+	// Age is how old the host's knowledge may be, or config.AgeUnknown.
 	Age   time.Duration
 	Files []config.File
 }
@@ -99,6 +99,9 @@
 		AcceptedAt: wire.AcceptedAt,
 		Age:        time.Duration(wire.AgeMS) * time.Millisecond,
 	}
+	if wire.AgeMS < 0 {
+		got.Age = config.AgeUnknown
+	}
 	for _, f := range wire.Files {
 		got.Files = append(got.Files, config.File{Name: f.Name, Data: []byte(f.Data)})
 	}
--- a/admin/config.go
+++ b/admin/config.go
@@ -25,7 +25,8 @@
 	Revision   config.Revision `json:"revision"`
 	Author     config.Author   `json:"author,omitempty"`
 	AcceptedAt time.Time       `json:"accepted-at,omitzero"`
-	// AgeMS is how old the host's knowledge may be, in milliseconds.
+	// AgeMS is how old the host's knowledge may be, in milliseconds; -1 if
+	// that is not known.
 	AgeMS int64      `json:"age-ms"`
 	Files []wireFile `json:"files"`
 }
@@ -56,7 +57,7 @@
 		Revision:   now.Revision(),
 		Author:     now.Author(),
 		AcceptedAt: now.AcceptedAt(),
-		AgeMS:      h.Configs.Age().Milliseconds(),
+		AgeMS:      ageMS(h.Configs.Age()),
 		Files:      []wireFile{},
 	}
 	for _, f := range now.Files() {
@@ -65,6 +66,13 @@
 	return wire, nil
 }
 
+func ageMS(age time.Duration) int64 {
+	if age == config.AgeUnknown {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 func (h *handler) history(*http.Request) (any, error) {
 	return wireHistory{h.Configs.History()}, nil
 }
--- a/admin/status.go
+++ b/admin/status.go
@@ -33,7 +33,7 @@
 // ConfigStatus is the configuration in force on the host.
 type ConfigStatus struct {
 	Revision config.Revision `json:"revision"`
-	// AgeMS is how old the host's knowledge may be.
+	// AgeMS is how old the host's knowledge may be; -1 if that is not known.
 	AgeMS int64 `json:"age-ms"`
 }
 
--- a/config/relay.go
+++ b/config/relay.go
@@ -49,7 +49,7 @@
 	s.mesh.Handle(kindGet, s.handleGet)
 }
 
-func (s *Store) handleHead(ctx context.Context, from fleet.Member, body []byte) (any, error) {
+func (s *Store) handleHead(_ context.Context, from fleet.Member, body []byte) (any, error) {
 	var notice headNotice
 	if err := peer.Decode(body, &notice); err != nil {
 		return nil, trace.Wrap(err)
@@ -57,7 +57,8 @@
 	known, _ := s.known()
 	switch {
 	case notice.Revision > known.Revision:
-		return nil, s.pull(ctx, from.Host)
+		s.pullFrom(from.Host)
+		return nil, nil
 	case notice.Revision < known.Revision:
 		return nil, trace.Wrap(s.mesh.Notify(from.Host, kindHead, s.notice()))
 	default:
@@ -119,13 +120,31 @@
 	return message.Data, trace.Wrap(err)
 }
 
-// pull takes a peer's head, unless another is being taken: the peers' next
-// notices tell if that was not the newest.
-func (s *Store) pull(ctx context.Context, from fleet.HostID) error {
-	if !s.pulling.TryLock() {
-		return nil
+// pullFrom has a peer's head taken, unless another is waiting to be: the
+// peers' next notices tell if that was not the newest. It does not hold up the
+// link's notices.
+func (s *Store) pullFrom(host fleet.HostID) {
+	select {
+	case s.newer <- host:
+	default:
+	}
+}
+
+// pull takes newer heads of peers until the context ends.
+func (s *Store) pull(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case host := <-s.newer:
+			if err := s.pullOnce(ctx, host); err != nil {
+				s.log.Debug("config: head not taken from peer", "host", host, "error", err)
+			}
+		}
 	}
-	defer s.pulling.Unlock()
+}
+
+func (s *Store) pullOnce(ctx context.Context, from fleet.HostID) error {
 	message, err := s.headFromPeer(ctx, from)
 	if err != nil {
 		return trace.Wrap(err)
--- a/config/store.go
+++ b/config/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"hawthornway/fleet"
 	"hawthornway/peer"
 	"hawthornway/platform"
 )
@@ -52,8 +54,8 @@
 	subscribers map[chan *Snapshot]struct{}
 	// changed is closed and replaced with each new head.
 	changed chan struct{}
-	// pulling is held while a head is taken from a peer.
-	pulling sync.Mutex
+	// newer names a peer with a newer head.
+	newer chan fleet.HostID
 	// round counts the notices, to go round the peers.
 	round int
 }
@@ -81,6 +83,7 @@
 		parts:       map[Hash][]byte{},
 		subscribers: map[chan *Snapshot]struct{}{},
 		changed:     make(chan struct{}),
+		newer:       make(chan fleet.HostID, 1),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -92,15 +95,24 @@
 // Current returns the configuration in force, or nil if none was loaded yet.
 func (s *Store) Current() *Snapshot { return s.current.Load() }
 
+// AgeUnknown is the age of a configuration that the service was never known to
+// hold as its newest.
+const AgeUnknown time.Duration = math.MaxInt64
+
 // Age returns how old the configuration in force may be: the time since the
-// service was last known to hold no newer one.
+// service was last known to hold no newer one, or AgeUnknown.
 func (s *Store) Age() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.age()
 }
 
-func (s *Store) age() time.Duration { return s.clock.Since(s.confirmed) }
+func (s *Store) age() time.Duration {
+	if s.confirmed.IsZero() {
+		return AgeUnknown
+	}
+	return s.clock.Since(s.confirmed)
+}
 
 // History returns the latest accepted changes, newest first.
 func (s *Store) History() []Accepted {
@@ -131,6 +143,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { s.watch(ctx) })
 	running.Go(func() { s.gossip(ctx) })
+	running.Go(func() { s.pull(ctx) })
 	running.Wait()
 	return nil
 }
