--- a/replica/controller.go
+++ b/replica/controller.go
@@ -105,6 +105,9 @@
 		view:    newView(),
 		runners: make(map[GroupKey]*runner),
 		gate:    func() {},
+
+		beforeOrder: func() {},
+		trace:       func(Input, []Effect) {},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -122,6 +125,8 @@
 	stepEvery = 100 * time.Millisecond
 	// pollEvery is the time between reports of each target.
 	pollEvery = time.Second
+	// tellEvery is the time between looks at what owners are to be told.
+	tellEvery = 250 * time.Millisecond
 )
 
 type controller struct {
@@ -138,6 +143,10 @@
 	off     mechanisms
 	// gate is passed before each step; tests hold it to freeze the host.
 	gate func()
+	// beforeOrder is called before the hold is checked for an order.
+	beforeOrder func()
+	// trace is called with each step of a group; tests log it.
+	trace func(in Input, effects []Effect)
 
 	view *view
 
@@ -152,7 +161,7 @@
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error { return c.every(ctx, stepEvery, c.step) })
 	tasks.Go(func() error { return c.every(ctx, pollEvery, c.poll) })
-	tasks.Go(func() error { return c.every(ctx, pollEvery, c.tellOwners) })
+	tasks.Go(func() error { return c.every(ctx, tellEvery, c.tellOwners) })
 	err := tasks.Wait()
 	c.wait()
 	if ctx.Err() != nil {
