Benchmark placement at three sizes and close runners in order

Cause: no slopes were known, and the race detector found that a runner's calls were waited for while more were started (and fields of the test's world set after its hosts had begun). Change: runners start no calls once closed; listings are made anew only after what can change them; the fair division of memory is made once a step; groups are ranked by stored hashes.

--- a/replica/controller.go
+++ b/replica/controller.go
@@ -267,7 +267,7 @@
 // wait waits for the calls that are running.
 func (c *controller) wait() {
 	for _, r := range c.ownRunners() {
-		r.calls.Wait()
+		r.close()
 	}
 }
 
--- a/replica/digest.go
+++ b/replica/digest.go
@@ -65,6 +65,10 @@
 // relist gives the digest a new number if its replicas have changed. A drain
 // counts from the digest that no longer lists the replica.
 func (g *Group) relist() {
+	if !g.stale {
+		return
+	}
+	g.stale = false
 	var listings []Listing
 	for _, e := range g.engines {
 		for _, en := range e.entries {
--- a/replica/drain.go
+++ b/replica/drain.go
@@ -118,6 +118,7 @@
 	if !en.serving() {
 		return
 	}
+	g.stale = true
 	en.state = entryDraining
 	en.drainAt = g.now
 	en.drainFrom = 0
@@ -125,6 +126,7 @@
 
 // callOffDrain lets a replica serve on.
 func (g *Group) callOffDrain(en *entry) {
+	g.stale = true
 	en.state = entryReady
 	en.lastUse = g.now
 	for _, w := range g.line.byName {
--- a/replica/engine_test.go
+++ b/replica/engine_test.go
@@ -220,7 +220,7 @@
 	c.host.reach(beforeSend)
 	time.Sleep(time.Millisecond)
 	c.host.gate()
-	if ctx.Err() != nil && !c.host.w.lateSends {
+	if ctx.Err() != nil && !c.host.w.sendsLate() {
 		return engine.Accepted{}, jsonhttp.ErrNotSent
 	}
 	e := c.engine
--- a/replica/fair.go
+++ b/replica/fair.go
@@ -15,6 +15,15 @@
 	parts map[team.ID]model.Bytes
 }
 
+// fairShares returns the fair division of memory of this step.
+func (g *Group) fairShares() *fairMemory {
+	if g.fair == nil {
+		f := g.fairMemory()
+		g.fair = &f
+	}
+	return g.fair
+}
+
 // fairMemory divides the group's memory max-min fair by weight among the teams
 // that use or want some.
 func (g *Group) fairMemory() fairMemory {
@@ -71,7 +80,7 @@
 }
 
 // over returns one if the team of a replica has more than its part, else zero.
-func (f fairMemory) over(en *entry) int {
+func (f *fairMemory) over(en *entry) int {
 	if f.used[en.team] > f.parts[en.team] {
 		return 1
 	}
@@ -81,7 +90,7 @@
 // mayEvict reports whether a replica may go for a team that needs memory. A team
 // that is within its part doesn't lose a replica that it still uses to one that
 // would go beyond its own.
-func (f fairMemory) mayEvict(en *entry, id team.ID, need model.Bytes, now time.Time) bool {
+func (f *fairMemory) mayEvict(en *entry, id team.ID, need model.Bytes, now time.Time) bool {
 	switch {
 	case en.team == id, f.over(en) == 1:
 		return true
--- a/replica/group.go
+++ b/replica/group.go
@@ -70,6 +70,10 @@
 
 	listed []Listing
 	number uint64
+	// stale says that the listings may have changed.
+	stale bool
+	// fair is the fair division of memory of this step; nil until it is needed.
+	fair *fairMemory
 }
 
 // NewGroup returns a new Group of engines that self may come to own.
@@ -94,16 +98,20 @@
 func (g *Group) Step(now time.Time, in Input) []Effect {
 	g.now = now
 	g.effects = nil
+	g.fair = nil
 	switch in := in.(type) {
 	case Configured:
+		g.stale = true
 		g.configured(in)
 	case Held:
+		g.stale = true
 		g.held(in)
 	case Wanted:
 		g.wanted(in)
 	case Left:
 		g.left(in.ID)
 	case Reported:
+		g.stale = true
 		g.reported(in)
 	case Unreached:
 		g.unreached(in.Target)
@@ -224,6 +232,7 @@
 
 // addEntry puts an entry on its engine.
 func (g *Group) addEntry(en *entry) {
+	g.stale, g.fair = true, nil
 	e := en.engine
 	e.changed()
 	en.version = e.version
@@ -234,6 +243,7 @@
 
 // dropEntry removes an entry that is proved gone.
 func (g *Group) dropEntry(en *entry) {
+	g.stale, g.fair = true, nil
 	same := func(o *entry) bool { return o == en }
 	en.engine.changed()
 	en.engine.entries = slices.DeleteFunc(en.engine.entries, same)
--- a/replica/groupkey.go
+++ b/replica/groupkey.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/bits"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -45,11 +44,17 @@
 	return k
 }
 
+// hashedKey is a group with the hash of its name.
+type hashedKey struct {
+	key  GroupKey
+	hash uint64
+}
+
 // layout is how one configuration divides targets into groups.
 type layout struct {
 	groups  []GroupKey
 	targets map[GroupKey][]config.Target
-	pools   map[target.Pool][]GroupKey
+	pools   map[target.Pool][]hashedKey
 	byID    map[target.ID]config.Target
 	groupOf map[target.ID]GroupKey
 	catalog *Catalog
@@ -67,7 +72,7 @@
 	}
 	l := &layout{
 		targets: make(map[GroupKey][]config.Target),
-		pools:   make(map[target.Pool][]GroupKey),
+		pools:   make(map[target.Pool][]hashedKey),
 		byID:    make(map[target.ID]config.Target),
 		groupOf: make(map[target.ID]GroupKey),
 		catalog: NewCatalog(cfg),
@@ -85,7 +90,7 @@
 	}
 	slices.SortFunc(l.groups, compareKeys)
 	for _, key := range l.groups {
-		l.pools[key.Pool] = append(l.pools[key.Pool], key)
+		l.pools[key.Pool] = append(l.pools[key.Pool], hashedKey{key, xxhash.Sum64String(key.String())})
 	}
 	return l
 }
@@ -120,22 +125,32 @@
 		name = item.Ref.Base
 	}
 	type scored struct {
-		key   GroupKey
+		key   *GroupKey
 		score uint64
 	}
+	hash := xxhash.Sum64String(string(name))
 	groups := l.pools[item.Pool]
 	scores := make([]scored, 0, len(groups))
-	for _, key := range groups {
-		scores = append(scores, scored{key, xxhash.Sum64String(strings.Join([]string{key.String(), string(name)}, "\x00"))})
+	for i := range groups {
+		scores = append(scores, scored{&groups[i].key, spread(groups[i].hash ^ hash)})
 	}
 	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	ranked := make([]GroupKey, 0, len(scores))
 	for _, s := range scores {
-		ranked = append(ranked, s.key)
+		ranked = append(ranked, *s.key)
 	}
 	return ranked
 }
 
+// spread mixes the bits of a number.
+func spread(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // keeps returns the models whose least number of replicas a group keeps.
 func (l *layout) keeps(key GroupKey) []model.Name {
 	var names []model.Name
--- a/replica/measure_test.go
+++ b/replica/measure_test.go
@@ -241,12 +241,8 @@
 			cfg.Models[i].IdleAfter = 20 * time.Second
 		}
 	})
-	w := newWorld(t, hosts, cfg)
-	w.weights = &fakeWeights{rate: 3, slots: 4}
-	w.reportDelay = 2 * time.Millisecond
-	w.quiet = true
-	w.quiet = true
-	return w
+	weights := withWeights(&fakeWeights{rate: 3, slots: 4})
+	return newWorld(t, hosts, cfg, weights, withReportDelay(2*time.Millisecond), withQuiet(false))
 }
 
 // measure runs five minutes of requests: team a wakes its thirty models all the
--- a/replica/mix_test.go
+++ b/replica/mix_test.go
@@ -63,8 +63,7 @@
 func runMix(t *testing.T, seed uint64, off mechanisms) *mix {
 	m := &mix{rng: rand.New(rand.NewPCG(seed, 7))}
 	synctest.Test(t, func(t *testing.T) {
-		m.world = newWorld(t, 3+m.rng.IntN(2), m.config(), withOff(off))
-		m.quiet, m.traced = true, *historyTo != ""
+		m.world = newWorld(t, 3+m.rng.IntN(2), m.config(), withOff(off), withQuiet(*historyTo != ""))
 		defer m.close()
 		m.run(2 * time.Minute)
 		m.settle()
--- a/replica/mutation_test.go
+++ b/replica/mutation_test.go
@@ -40,8 +40,7 @@
 // runScenario runs a scenario on one engine with room for two models of three.
 func runScenario(t *testing.T, off mechanisms, run func(w *world)) (violations []string) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3, testConfig(1, 6), withOff(off))
-		w.quiet = true
+		w := newWorld(t, 3, testConfig(1, 6), withOff(off), withQuiet(false))
 		defer w.close()
 		run(w)
 		w.settle()
@@ -102,7 +101,7 @@
 // frozenBeforeSending has an owner freeze between the check of its hold and the
 // sending of an order, and send it when it wakes.
 func frozenBeforeSending(w *world) {
-	w.lateSends = true
+	w.setLateSends()
 	old := w.owner()
 	go w.ask(old, "m0", "a", 2*time.Minute, 0)
 	old.freezeBeforeSend()
--- a/replica/placing.go
+++ b/replica/placing.go
@@ -283,7 +283,7 @@
 			short -= en.bytes
 		}
 	}
-	fair := g.fairMemory()
+	fair := g.fairShares()
 	var candidates []*entry
 	for _, en := range e.entries {
 		if en.ref.Name != item.Ref.Base && g.evictable(en) && fair.mayEvict(en, id, item.Bytes, g.now) {
--- a/replica/runner.go
+++ b/replica/runner.go
@@ -34,7 +34,9 @@
 	// calls counts the running calls to targets and to the key-value service.
 	calls sync.WaitGroup
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// closed says that no more calls are started.
+	closed  bool
 	group   *Group
 	targets []config.Target
 	byID    map[target.ID]config.Target
@@ -128,12 +130,10 @@
 		return
 	}
 	r.publishing = true
-	r.calls.Add(1)
-	go func() {
-		defer r.calls.Done()
+	r.start(func() {
 		r.c.gate()
 		r.publish()
-	}()
+	})
 }
 
 // perform starts one effect. Its result comes back as a step.
@@ -157,16 +157,34 @@
 // context, so that their results are known.
 func (r *runner) call(ctx context.Context, run func(context.Context) Input) {
 	ctx = context.WithoutCancel(ctx)
-	r.calls.Add(1)
-	go func() {
-		defer r.calls.Done()
+	r.start(func() {
 		r.c.gate()
 		in := run(ctx)
 		r.c.gate()
 		r.step(ctx, in)
+	})
+}
+
+// start runs a call beside the group, unless the runner is closed.
+func (r *runner) start(call func()) {
+	if r.closed {
+		return
+	}
+	r.calls.Add(1)
+	go func() {
+		defer r.calls.Done()
+		call()
 	}()
 }
 
+// close waits for the calls that are running; no more are started.
+func (r *runner) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.calls.Wait()
+}
+
 func (r *runner) readRecord(ctx context.Context, e ReadRecord) Input {
 	ctx, cancel := clockwork.WithTimeout(ctx, r.c.clock, recordTimeout)
 	defer cancel()
@@ -241,9 +259,7 @@
 		return
 	}
 	r.asking[t.Name] = true
-	r.calls.Add(1)
-	go func() {
-		defer r.calls.Done()
+	r.start(func() {
 		r.c.gate()
 		ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), r.c.clock, reportTimeout)
 		defer cancel()
@@ -255,7 +271,7 @@
 		report, err := r.c.engines.Engine(t).Report(ctx, engine.Freshness(fresh))
 		r.c.gate()
 		r.engineReported(ctx, t, report, asked, fresh, err)
-	}()
+	})
 }
 
 func (r *runner) engineReported(ctx context.Context, t config.Target, report engine.Report, asked time.Time, fresh bool, err error) {
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -209,6 +209,22 @@
 
 type worldOption func(*world)
 
+// withQuiet keeps the log of what happened from the test's output, with the
+// steps of the groups if they are traced.
+func withQuiet(traced bool) worldOption {
+	return func(w *world) { w.quiet, w.traced = true, traced }
+}
+
+// withWeights bounds the loads from the weight store.
+func withWeights(weights *fakeWeights) worldOption {
+	return func(w *world) { w.weights = weights }
+}
+
+// withReportDelay sets the most time that a report takes on its way.
+func withReportDelay(most time.Duration) worldOption {
+	return func(w *world) { w.reportDelay = most }
+}
+
 func withOff(off mechanisms) worldOption { return func(w *world) { w.off = off } }
 
 // newWorld returns a new world of some hosts in one domain.
@@ -361,6 +377,18 @@
 	}
 }
 
+func (w *world) setLateSends() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateSends = true
+}
+
+func (w *world) sendsLate() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lateSends
+}
+
 // random draws a time up to most.
 func (w *world) random(most time.Duration) time.Duration {
 	w.mu.Lock()
--- /dev/null
+++ b/route/bench_test.go
@@ -0,0 +1,37 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"hawthornway/config"
+	"hawthornway/fleet"
+	"hawthornway/replica"
+	"hawthornway/retry"
+	"hawthornway/target"
+)
+
+// BenchmarkPick measures one choice with its count and its end: among a model's
+// replicas, and among a pool of plain services, of fleets of three sizes.
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []struct{ targets, replicas int }{{9, 2}, {170, 4}, {1700, 16}} {
+		f := newFakeReplicas(make([]replica.Load, size.replicas)...)
+		cfg := &config.Config{}
+		for i := range size.targets {
+			domain := fleet.DomainID(fmt.Sprintf("d%d", i%10))
+			cfg.Targets = append(cfg.Targets, config.Target{Name: target.ID(fmt.Sprintf("s%d", i)), Pool: "plain", Domain: domain})
+		}
+		r := New(WithReplicas(f), WithDomain("d0"), WithConfig(func() *config.Config { return cfg }))
+		for _, request := range []Request{{Model: "m"}, {Pool: "plain"}} {
+			b.Run(fmt.Sprintf("targets=%d/replicas=%d/model=%t", size.targets, size.replicas, request.Model != ""), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := range b.N {
+					request.Prefix = PrefixHash(i)
+					choice, _ := r.Pick(request)
+					r.Sent(&choice)
+					r.Done(choice, retry.Answered{})
+				}
+			})
+		}
+	}
+}
