--- a/replica/group.go
+++ b/replica/group.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hawthornway/config"
 	"hawthornway/engine"
 	"hawthornway/fleet"
@@ -41,6 +43,7 @@
 // used by one goroutine at a time.
 type Group struct {
 	key  GroupKey
+	hash uint64
 	self fleet.Member
 	off  mechanisms
 
@@ -79,7 +82,7 @@
 // NewGroup returns a new Group of engines that self may come to own.
 func NewGroup(key GroupKey, self fleet.Member) *Group {
 	return &Group{
-		key: key, self: self,
+		key: key, hash: xxhash.Sum64String(key.String()), self: self,
 		catalog: NewCatalog(&config.Config{}),
 		keeps:   make(map[model.Name]bool),
 		wants:   make(map[WantID]*want),
@@ -227,7 +230,13 @@
 // newID returns an id that no other order of any owner has.
 func (g *Group) newID(e *engineState) engine.OrderID {
 	e.nextID++
-	return engine.OrderID(fmt.Sprintf("%s-%d-%x-%d", e.cfg.Name, e.fence, uint64(g.self.Incarnation), e.nextID))
+	return engine.OrderID(g.ownID(e, e.nextID))
+}
+
+// ownID returns an id for the n-th of something of this owner. It names the
+// group, since an engine may move to another group of the same host.
+func (g *Group) ownID(e *engineState, n uint64) string {
+	return fmt.Sprintf("%s-%08x-%d-%x-%d", e.cfg.Name, uint32(g.hash), e.fence, uint64(g.self.Incarnation), n)
 }
 
 // addEntry puts an entry on its engine.
--- a/replica/mix_test.go
+++ b/replica/mix_test.go
@@ -63,7 +63,7 @@
 func runMix(t *testing.T, seed uint64, off mechanisms) *mix {
 	m := &mix{rng: rand.New(rand.NewPCG(seed, 7))}
 	synctest.Test(t, func(t *testing.T) {
-		m.world = newWorld(t, 3+m.rng.IntN(2), m.config(), withOff(off), withQuiet(*historyTo != ""))
+		m.world = newWorld(t, 3+m.rng.IntN(2), m.mixedConfig(), withOff(off), withQuiet(*historyTo != ""))
 		defer m.close()
 		m.run(2 * time.Minute)
 		m.settle()
@@ -71,7 +71,7 @@
 	return m
 }
 
-func (m *mix) config() *config.Config {
+func (m *mix) mixedConfig() *config.Config {
 	return testConfig(2+m.rng.IntN(2), 7, func(cfg *config.Config) {
 		for i := range cfg.Targets {
 			cfg.Targets[i].ChecksFence = m.rng.IntN(2) == 0
--- a/replica/record.go
+++ b/replica/record.go
@@ -6,8 +6,6 @@
 	"github.com/gravitational/trace"
 
 	"hawthornway/engine"
-	"hawthornway/fleet"
-	"hawthornway/member"
 	"hawthornway/model"
 	"hawthornway/target"
 	"hawthornway/team"
@@ -24,10 +22,10 @@
 type Record struct {
 	// Write identifies the write, to settle a lost answer.
 	Write WriteID
-	// Domain and Shard tell whose group the engine belongs to.
-	Domain fleet.DomainID
-	Shard  member.Shard
-	Fence  target.Fence
+	// Group names the group that the engine belongs to, as GroupKey's String
+	// gives it.
+	Group string
+	Fence target.Fence
 	// Released says that the owner gives no order any more, and that Decisions
 	// lists every order that may still take effect.
 	Released  bool
@@ -61,8 +59,7 @@
 
 type recordWire struct {
 	Write     WriteID        `json:"write"`
-	Domain    fleet.DomainID `json:"domain"`
-	Shard     member.Shard   `json:"shard"`
+	Group     string         `json:"group"`
 	Fence     target.Fence   `json:"fence"`
 	Released  bool           `json:"released,omitempty"`
 	Decisions []decisionWire `json:"decisions"`
@@ -80,7 +77,7 @@
 
 // encodeRecord returns the value that the service holds for a record.
 func encodeRecord(r Record) ([]byte, error) {
-	w := recordWire{Write: r.Write, Domain: r.Domain, Shard: r.Shard, Fence: r.Fence, Released: r.Released}
+	w := recordWire{Write: r.Write, Group: r.Group, Fence: r.Fence, Released: r.Released}
 	for _, d := range r.Decisions {
 		w.Decisions = append(w.Decisions, decisionWire{
 			ID: d.ID, Model: d.Ref.Name, Version: d.Ref.Version, Base: d.Ref.Base,
@@ -97,7 +94,7 @@
 	if err := json.Unmarshal(value, &w); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	r := &Record{Write: w.Write, Domain: w.Domain, Shard: w.Shard, Fence: w.Fence, Released: w.Released}
+	r := &Record{Write: w.Write, Group: w.Group, Fence: w.Fence, Released: w.Released}
 	for _, d := range w.Decisions {
 		r.Decisions = append(r.Decisions, Decision{
 			ID: d.ID, Ref: model.Ref{Name: d.Model, Version: d.Version, Base: d.Base},
--- a/replica/recording.go
+++ b/replica/recording.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -38,7 +37,7 @@
 // record returns the record of an engine as it is to be.
 func (g *Group) record(e *engineState) Record {
 	r := Record{
-		Write: e.writing, Domain: g.key.Domain, Shard: g.key.Shard, Fence: e.fence,
+		Write: e.writing, Group: g.key.String(), Fence: e.fence,
 		Released: e.releaseVersion > 0 && e.version >= e.releaseVersion,
 	}
 	for _, en := range e.entries {
@@ -105,7 +104,7 @@
 		// The write had no effect, or may have it yet; the next one takes its
 		// place by the revision.
 		e.writing = ""
-	case r != nil && (r.Fence > e.fence || r.Shard != g.key.Shard && !r.Released):
+	case r != nil && (r.Group != g.key.String() && !r.Released || r.Group == g.key.String() && r.Fence > e.fence):
 		g.lose(e)
 	case r != nil && r.Fence == e.fence && g.ownWrite(e, r.Write):
 		// An earlier write of this owner took effect late.
@@ -133,7 +132,7 @@
 
 // writeID returns the id of an owner's n-th write.
 func (g *Group) writeID(e *engineState, n uint64) WriteID {
-	return WriteID(fmt.Sprintf("%s-%d-%x-%d", e.cfg.Name, e.fence, uint64(g.self.Incarnation), n))
+	return WriteID(g.ownID(e, n))
 }
 
 // ownWrite reports whether a write is one of this owner's last.
--- a/replica/takeover.go
+++ b/replica/takeover.go
@@ -87,10 +87,10 @@
 		return
 	}
 	r := in.Record
-	if r != nil && r.Shard != g.key.Shard && !r.Released {
+	if r != nil && r.Group != g.key.String() && !r.Released {
 		return
 	}
-	if r != nil && r.Shard == g.key.Shard && r.Fence > e.fence {
+	if r != nil && r.Group == g.key.String() && r.Fence > e.fence {
 		return
 	}
 	e.revision = in.Revision
@@ -249,6 +249,7 @@
 
 // remove drops an engine with its entries.
 func (g *Group) remove(e *engineState) {
+	e.phase = phaseOff
 	g.forget(e)
 	g.engines = slices.DeleteFunc(slices.Clone(g.engines), func(o *engineState) bool { return o == e })
 }
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -255,7 +255,7 @@
 func (w *world) join(m fleet.Member) {
 	h := &testHost{w: w, member: m, done: make(chan struct{})}
 	h.controller = newController(
-		WithConfig(func() *config.Config { return w.cfg }),
+		WithConfig(w.config),
 		WithMesh(w.network.Join(m)),
 		WithOwnership(w.owners.view(h)),
 		WithStore(hostStore{w.store, h}),
@@ -377,6 +377,18 @@
 	}
 }
 
+func (w *world) config() *config.Config {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cfg
+}
+
+func (w *world) setConfig(cfg *config.Config) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cfg = cfg
+}
+
 func (w *world) setLateSends() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
