Raise the fence anew after a restart; drain all entries of a model together

An engine that checks fences restarted and forgot its fence, so a thawed earlier owner's load was taken beside the present owner's of the same model; the unload of one took the other's requests. Ruled out: a fault of the drain itself. Change: after a restart the fence is raised again and a fresh report awaited before further orders; entries of one model at one engine drain together. Conclusion: mended as far as engines allow.

--- a/replica/drain.go
+++ b/replica/drain.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"hawthornway/fleet"
@@ -119,16 +120,42 @@
 		return
 	}
 	g.stale = true
-	en.state = entryDraining
-	en.drainAt = g.now
-	en.drainFrom = 0
+	for _, twin := range twins(en) {
+		if !twin.serving() {
+			continue
+		}
+		twin.state = entryDraining
+		twin.drainAt = g.now
+		twin.drainFrom = 0
+	}
+}
+
+// twins returns the entries of a model on one engine. There are several when an
+// earlier owner's order came late; an unload order is for all of them.
+func twins(en *entry) []*entry {
+	var all []*entry
+	for _, o := range en.engine.entries {
+		if o.ref.Name == en.ref.Name {
+			all = append(all, o)
+		}
+	}
+	return all
 }
 
-// callOffDrain lets a replica serve on.
+// callOffDrain lets a replica serve on, unless an unload order may be given
+// already.
 func (g *Group) callOffDrain(en *entry) {
+	all := twins(en)
+	if slices.ContainsFunc(all, func(o *entry) bool { return o.state == entryUnloading }) {
+		return
+	}
 	g.stale = true
-	en.state = entryReady
-	en.lastUse = g.now
+	for _, twin := range all {
+		if twin.state == entryDraining {
+			twin.state = entryReady
+			twin.lastUse = g.now
+		}
+	}
 	for _, w := range g.line.byName {
 		if w.plan == en.engine.cfg.Name {
 			w.plan = ""
--- a/replica/reporting.go
+++ b/replica/reporting.go
@@ -18,6 +18,7 @@
 	if e.older(in.Report) {
 		return
 	}
+	restarted := e.reported && in.Report.Boot != e.report.Boot
 	e.reported = true
 	e.report = in.Report
 	if in.Fresh && in.AskedAt.After(e.askedAt) {
@@ -35,6 +36,10 @@
 	if in.Fresh {
 		g.proved(e, in.AskedAt)
 	}
+	if restarted && e.cfg.ChecksFence && (e.phase == phaseOpen || e.phase == phaseProving) {
+		// The engine has forgotten the fence.
+		g.giveFence(e)
+	}
 }
 
 // older reports whether a report is older than the last one.
--- a/replica/want.go
+++ b/replica/want.go
@@ -61,6 +61,9 @@
 	}
 	if draining != nil {
 		g.callOffDrain(draining)
+		if !draining.serving() {
+			return nil
+		}
 	}
 	return draining
 }
