--- a/replica/group.go
+++ b/replica/group.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hawthornway/config"
 	"hawthornway/engine"
 	"hawthornway/fleet"
@@ -41,6 +43,7 @@
 // used by one goroutine at a time.
 type Group struct {
 	key  GroupKey
+	hash uint64
 	self fleet.Member
 	off  mechanisms
 
@@ -70,12 +73,16 @@
 
 	listed []Listing
 	number uint64
+	// stale says that the listings may have changed.
+	stale bool
+	// fair is the fair division of memory of this step; nil until it is needed.
+	fair *fairMemory
 }
 
 // NewGroup returns a new Group of engines that self may come to own.
 func NewGroup(key GroupKey, self fleet.Member) *Group {
 	return &Group{
-		key: key, self: self,
+		key: key, hash: xxhash.Sum64String(key.String()), self: self,
 		catalog: NewCatalog(&config.Config{}),
 		keeps:   make(map[model.Name]bool),
 		wants:   make(map[WantID]*want),
@@ -94,16 +101,20 @@
 func (g *Group) Step(now time.Time, in Input) []Effect {
 	g.now = now
 	g.effects = nil
+	g.fair = nil
 	switch in := in.(type) {
 	case Configured:
+		g.stale = true
 		g.configured(in)
 	case Held:
+		g.stale = true
 		g.held(in)
 	case Wanted:
 		g.wanted(in)
 	case Left:
 		g.left(in.ID)
 	case Reported:
+		g.stale = true
 		g.reported(in)
 	case Unreached:
 		g.unreached(in.Target)
@@ -219,11 +230,18 @@
 // newID returns an id that no other order of any owner has.
 func (g *Group) newID(e *engineState) engine.OrderID {
 	e.nextID++
-	return engine.OrderID(fmt.Sprintf("%s-%d-%x-%d", e.cfg.Name, e.fence, uint64(g.self.Incarnation), e.nextID))
+	return engine.OrderID(g.ownID(e, e.nextID))
+}
+
+// ownID returns an id for the n-th of something of this owner. It names the
+// group, since an engine may move to another group of the same host.
+func (g *Group) ownID(e *engineState, n uint64) string {
+	return fmt.Sprintf("%s-%08x-%d-%x-%d", e.cfg.Name, uint32(g.hash), e.fence, uint64(g.self.Incarnation), n)
 }
 
 // addEntry puts an entry on its engine.
 func (g *Group) addEntry(en *entry) {
+	g.stale, g.fair = true, nil
 	e := en.engine
 	e.changed()
 	en.version = e.version
@@ -234,6 +252,7 @@
 
 // dropEntry removes an entry that is proved gone.
 func (g *Group) dropEntry(en *entry) {
+	g.stale, g.fair = true, nil
 	same := func(o *entry) bool { return o == en }
 	en.engine.changed()
 	en.engine.entries = slices.DeleteFunc(en.engine.entries, same)
