--- a/scenario/chat_test.go
+++ b/scenario/chat_test.go
@@ -88,13 +88,17 @@
 // chats streams many completions, a number at once, while the script goes on;
 // "chats wait" waits for them. All must be served whole. A host that can't be
 // connected to is passed over, as a balancer does:
-// chats start ADDRESS[,ADDRESS]... KEY MODEL COUNT AT-ONCE, chats wait.
+// chats start ADDRESS[,ADDRESS]... KEY MODEL COUNT AT-ONCE, chats wait. To send to
+// the hosts of domain d1 but one: chats start-except HOST IP KEY MODEL COUNT
+// AT-ONCE.
 func chats(ts *testscript.TestScript, neg bool, args []string) {
 	switch {
 	case neg || len(args) == 0:
 		ts.Fatalf("usage: chats start ADDRESS KEY MODEL COUNT AT-ONCE | chats wait")
 	case args[0] == "wait":
 		waitChats(ts)
+	case len(args) == 7 && args[0] == "start-except":
+		chats(ts, neg, append([]string{"start", othersThan(args[1], args[2])}, args[3:]...))
 	case len(args) == 6:
 		count, err := strconv.Atoi(args[4])
 		ts.Check(err)
@@ -104,6 +108,17 @@
 	}
 }
 
+// othersThan returns the callers' addresses of the hosts of domain d1 but one.
+func othersThan(host, ip string) string {
+	var addresses []string
+	for _, other := range []string{"h1", "h4", "h5"} {
+		if other != host {
+			addresses = append(addresses, ip+":7"+other[1:]+"01")
+		}
+	}
+	return strings.Join(addresses, ",")
+}
+
 // running holds the chats of each script.
 var running sync.Map // of *testscript.TestScript to chan error
 
--- a/scenario/command_test.go
+++ b/scenario/command_test.go
@@ -16,17 +16,6 @@
 // pollEvery is the time between two looks at a process that is to get somewhere.
 const pollEvery = 50 * time.Millisecond
 
-// expand replaces $NAME in files by the script's variables: expand FILE...
-func expand(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) == 0 {
-		ts.Fatalf("usage: expand FILE...")
-	}
-	for _, name := range args {
-		text := os.Expand(ts.ReadFile(name), ts.Getenv)
-		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
-	}
-}
-
 // eventually runs a program until it succeeds: eventually WITHIN PROGRAM ARG...
 // With "-match TEXT" after WITHIN its output must hold TEXT as well.
 func eventually(ts *testscript.TestScript, neg bool, args []string) {
@@ -138,3 +127,14 @@
 	}
 	ts.Fatalf("the last output has no word that starts with %q", args[1])
 }
+
+// pause lets the processes run for a while, since what is to be shown is that
+// nothing changes meanwhile: pause DURATION.
+func pause(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: pause DURATION")
+	}
+	wait, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(wait)
+}
