--- a/member/balance.go
+++ b/member/balance.go
@@ -16,6 +16,7 @@
 		switch {
 		case !give:
 			m.stopGiving(shard)
+		case !g.active && m.now.mono < g.notBefore:
 		case !g.active:
 			*g = givingShard{active: true, since: m.now}
 			m.emit(changed{})
@@ -23,6 +24,7 @@
 			m.give(p, shard, to)
 		case m.now.atMost(g.since) > m.settings.ReleaseTime:
 			m.stopGiving(shard)
+			g.notBefore = m.now.mono + giveAgainWait
 		}
 	}
 }
--- a/member/controller.go
+++ b/member/controller.go
@@ -46,6 +46,8 @@
 	started bool
 }
 
+var _ Ownership = (*Controller)(nil)
+
 // New returns a new Controller. WithSelf, WithStore and WithLinks are required.
 // It registers its message kinds with the links, so that it must be made before
 // they run.
--- a/member/failure_test.go
+++ b/member/failure_test.go
@@ -345,3 +345,47 @@
 		must.LessEq(c.t, 2*10*60/15, after.Watches-before.Watches)
 	})
 }
+
+func TestHoldTellsItsEndAndFence(t *testing.T) {
+	mustHold(t, 1, func(c *cluster) {
+		hosts := started(c, 2)
+		shard := hosts[0].shards()[0]
+		hold, ok := hosts[0].controller.Hold(shard, false)
+		must.True(c.t, ok)
+		must.Eq(c.t, shard, hold.Shard)
+		must.Positive(c.t, hold.Fence)
+		left := time.Until(hold.Until)
+		must.Between(c.t, 2*time.Second, left, defaultPledgeTime-defaultOrderMargin)
+		must.GreaterEq(c.t, 10*time.Second, time.Since(hold.Since))
+		fenced, ok := hosts[0].controller.Hold(shard, true)
+		must.True(c.t, ok)
+		must.True(c.t, fenced.Until.IsZero())
+		_, ok = hosts[1].controller.Hold(shard, true)
+		must.False(c.t, ok)
+		_, ok = hosts[0].controller.Hold(Shards, true)
+		must.False(c.t, ok)
+	})
+}
+
+func TestHostsReadWhenNoWatcherReachesTheService(t *testing.T) {
+	mustHold(t, 1, func(c *cluster) {
+		hosts := started(c, 4)
+		for _, h := range hosts {
+			if h.controller.watcher.isChosen() {
+				h.store.reach(false)
+			}
+		}
+		c.run(time.Minute)
+		c.domain = "b"
+		c.add()
+		took := c.await(40*time.Second, "far domain known to all", func() bool {
+			for _, h := range hosts {
+				if len(h.controller.Domains()) != 2 {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("known to all after %v", took)
+	})
+}
--- a/member/machine.go
+++ b/member/machine.go
@@ -95,6 +95,8 @@
 	active   bool
 	since    instant
 	released bool
+	// notBefore spaces the attempts, by the monotonic clock.
+	notBefore time.Duration
 }
 
 type joinRequest struct {
--- a/member/options.go
+++ b/member/options.go
@@ -19,6 +19,8 @@
 	SetPeers(members []fleet.Member)
 }
 
+var _ Links = (*peer.Links)(nil)
+
 // ListedHost is one host of the platform's host list.
 type ListedHost struct {
 	Host    fleet.HostID
--- a/member/settings.go
+++ b/member/settings.go
@@ -54,6 +54,9 @@
 	// readWait spaces reads of the record that this host needs at once.
 	readWait     = time.Second
 	slowReadWait = 10 * time.Second
+	// giveAgainWait is the wait before a shard whose orders were not answered
+	// in time is offered again.
+	giveAgainWait = 2 * time.Minute
 	// retryWait spaces writes after one failed.
 	retryWait = time.Second
 )
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -44,16 +44,18 @@
 
 // simProc is one process with its two clocks.
 type simProc struct {
-	sim       *sim
-	machine   *machine
-	member    fleet.Member
-	dead      bool
-	frozen    bool
-	held      []func()
-	started   time.Duration
-	frozenAt  time.Duration
-	suspends  bool
-	suspended time.Duration
+	sim      *sim
+	machine  *machine
+	member   fleet.Member
+	dead     bool
+	frozen   bool
+	held     []func()
+	started  time.Duration
+	frozenAt time.Duration
+	// unreleased says that the orders of its shards are never answered.
+	unreleased bool
+	suspends   bool
+	suspended  time.Duration
 }
 
 func newSim(seed uint64, checks checks) *sim {
@@ -135,7 +137,7 @@
 	p.take(hostsListed{listed: listed})
 	p.take(tick{linked: linked})
 	for i, g := range p.machine.giving {
-		if g.active && !g.released && p.sim.rng.IntN(2) == 0 {
+		if g.active && !g.released && !p.unreleased && p.sim.rng.IntN(2) == 0 {
 			p.take(shardReleased{shard: Shard(i)})
 		}
 	}
@@ -417,3 +419,22 @@
 		must.Eq(t, a.record, b.record)
 	}
 }
+
+func TestShardsThatAreNotReleasedStayHeld(t *testing.T) {
+	s := newSim(1, checks{})
+	owner := s.add()
+	s.run(5 * time.Second)
+	owner.unreleased = true
+	s.add()
+	held := 0
+	const samples = 240
+	for range samples {
+		s.run(time.Second)
+		if _, ok := owner.machine.holding(owner.instant(), 0, false); ok {
+			held++
+		}
+	}
+	must.Eq(t, Shards, s.record.load(processOf(owner.member)))
+	must.Greater(t, samples*8/10, held)
+	must.SliceEmpty(t, s.violations)
+}
