--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -115,6 +115,10 @@
 	for _, system := range o.Systems {
 		fmt.Fprintf(os.Stderr, "%s: %s, %s, seed %d, %s\n", d.Name, c, system, o.Seed, o.Duration)
 		left, err := experiment.Run(ctx, o.settings(d, c, system))
+		if trace.IsNotImplemented(err) {
+			fmt.Fprintf(os.Stderr, "  not run: %s\n", trace.UserMessage(err))
+			continue
+		}
 		if err != nil {
 			return trace.Wrap(err, "%s", system)
 		}
@@ -124,6 +128,9 @@
 			return trace.Wrap(err)
 		}
 	}
+	if len(reports) == 0 {
+		return nil
+	}
 	fmt.Printf("\n%s, %s, seed %d, %s\n", d.Name, c, o.Seed, o.Duration)
 	return measure.WriteTable(os.Stdout, reports)
 }
@@ -162,13 +169,20 @@
 
 // save writes the report and the plots of one run.
 func (o *options) save(left measure.Run, report measure.Report) error {
-	text, err := json.MarshalIndent(report, "", "  ")
-	if err != nil {
+	base := fmt.Sprintf("%s-%s", report.Case, report.System)
+	if err := o.saveJSON(base+".json", report); err != nil {
 		return trace.Wrap(err)
 	}
-	name := fmt.Sprintf("%s-%s.json", report.Case, report.System)
-	if err := os.WriteFile(filepath.Join(o.Out, name), append(text, '\n'), 0o644); err != nil {
+	if err := o.saveJSON(base+"-engines.json", left.Engines); err != nil {
 		return trace.Wrap(err)
 	}
 	return trace.Wrap(left.WritePlots(o.Out))
 }
+
+func (o *options) saveJSON(name string, value any) error {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(o.Out, name), append(text, '\n'), 0o644)
+}
--- a/replica/reporting.go
+++ b/replica/reporting.go
@@ -18,6 +18,7 @@
 	if e.older(in.Report) {
 		return
 	}
+	restarted := e.reported && in.Report.Boot != e.report.Boot
 	e.reported = true
 	e.report = in.Report
 	if in.Fresh && in.AskedAt.After(e.askedAt) {
@@ -27,13 +28,18 @@
 		g.shown(e, r, in)
 	}
 	for _, en := range slices.Clone(e.entries) {
-		if !shows(in.Report, en) && g.provedGone(en, in) {
+		en.missing = en.load.sent && !shows(in.Report, en)
+		if en.missing && g.provedGone(en, in) {
 			g.ended(en)
 		}
 	}
 	if in.Fresh {
 		g.proved(e, in.AskedAt)
 	}
+	if restarted && e.cfg.ChecksFence && (e.phase == phaseOpen || e.phase == phaseProving) {
+		// The engine has forgotten the fence.
+		g.giveFence(e)
+	}
 }
 
 // older reports whether a report is older than the last one.
@@ -138,9 +144,8 @@
 	if en.state == entryUnloading {
 		return
 	}
-	en.state = entryUnloading
+	en.endUse()
 	en.unload.accepted, en.unload.acceptedAt = true, g.now
-	en.engine.changed()
 }
 
 // ended drops an entry that is proved gone.
@@ -154,10 +159,9 @@
 // cancel gives a load up: it is unloaded, and the model avoids the engine for a
 // while.
 func (g *Group) cancel(en *entry) {
-	en.state = entryUnloading
 	en.engine.failures++
 	en.engine.avoid[en.ref.Name] = g.now.Add(avoidAfterFailure)
-	en.engine.changed()
+	en.endUse()
 }
 
 // unloadAgain gives a new unload order for a replica that is still there though
--- a/replica/want.go
+++ b/replica/want.go
@@ -61,6 +61,9 @@
 	}
 	if draining != nil {
 		g.callOffDrain(draining)
+		if !draining.serving() {
+			return nil
+		}
 	}
 	return draining
 }
@@ -142,7 +145,7 @@
 	delay := time.Duration(0)
 	if source == SourceRemote && !item.Ref.IsAdapter() {
 		ahead := g.line.ahead(w.Team, g.catalog.Weight(w.Team), w.Deadline)
-		delay = queueDelay(g.weights, g.fetching(), ahead, g.speed.expect(item, SourceRemote))
+		delay = queueDelay(g.weights, g.fetching(), ahead, g.line.meanLoad())
 	}
 	if waits := g.line.find(w.Model); waits != nil && (waits.plan != "" || waits.blocked) {
 		delay += drainExpected
