--- a/replica/entry.go
+++ b/replica/entry.go
@@ -148,7 +148,10 @@
 	// takeover.
 	proveFrom time.Time
 	fenceID   engine.OrderID
-	fencedAt  time.Time
+	// foreignSince is when the record was first found to name another group that
+	// has not released the engine; zero if it doesn't.
+	foreignSince time.Time
+	fencedAt     time.Time
 	// gone says that the configuration has moved the engine elsewhere.
 	gone bool
 
--- a/replica/ordering.go
+++ b/replica/ordering.go
@@ -59,7 +59,9 @@
 	if en.unloadVersion > en.engine.recorded && !en.engine.outage {
 		return false
 	}
-	return !g.hasAdapters(en)
+	// The order names the model, so it waits for all its entries.
+	twinStays := slices.ContainsFunc(twins(en), func(o *entry) bool { return o.state != entryUnloading })
+	return !twinStays && !g.hasAdapters(en)
 }
 
 func (g *Group) giveUnload(en *entry) {
--- a/replica/takeover.go
+++ b/replica/takeover.go
@@ -7,6 +7,9 @@
 	"hawthornway/engine"
 )
 
+// foreignPatience is how long another group is waited for to release an engine.
+const foreignPatience = time.Minute
+
 // held takes in whether this host may act for the shard.
 func (g *Group) held(in Held) {
 	i := 0
@@ -87,7 +90,7 @@
 		return
 	}
 	r := in.Record
-	if r != nil && r.Group != g.key.String() && !r.Released {
+	if r != nil && r.Group != g.key.String() && !r.Released && !g.abandoned(e) {
 		return
 	}
 	if r != nil && r.Group == g.key.String() && r.Fence > e.fence {
@@ -97,11 +100,26 @@
 	if r != nil {
 		g.adoptDecisions(e, r.Decisions)
 	}
-	g.setProof(e, r == nil || r.Released || g.hold(e).Hold.HandedOver)
+	if !e.foreignSince.IsZero() {
+		e.foreignSince = time.Time{}
+		e.since = g.now
+	}
+	handedOver := g.hold(e).Hold.HandedOver && r != nil && r.Group == g.key.String()
+	g.setProof(e, r == nil || r.Released || handedOver)
 	e.phase = phaseClaiming
 	e.changed()
 }
 
+// abandoned reports whether an engine's record has named another group, without
+// a release, for so long that nobody acts for that group: hosts have the present
+// configuration within seconds.
+func (g *Group) abandoned(e *engineState) bool {
+	if e.foreignSince.IsZero() {
+		e.foreignSince = g.now
+	}
+	return g.now.Sub(e.foreignSince) >= foreignPatience
+}
+
 // setProof sets the time from which a report shows all that earlier owners did.
 func (g *Group) setProof(e *engineState, clean bool) {
 	e.proveFrom = g.now
