--- a/replica/controller.go
+++ b/replica/controller.go
@@ -188,8 +188,9 @@
 // step lets time pass for all groups of this host's domain.
 func (c *controller) step(ctx context.Context) {
 	c.relayout()
+	all, near := c.hosts()
 	for _, r := range c.ownRunners() {
-		r.tick(ctx)
+		r.tick(ctx, all, near)
 	}
 }
 
--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -224,12 +224,17 @@
 		}
 	}
 	time.Sleep(90 * time.Second)
-	owner := w.owner()
-	if owner == nil {
+	if w.owner() == nil {
 		w.violate("no owner after all faults ended")
-		return
 	}
-	r := owner.ownRunners()[0]
+	for _, h := range w.hosts {
+		if r := h.ownRunners()[0]; h.alive() && r.held() {
+			w.compareAll(r)
+		}
+	}
+}
+
+func (w *world) compareAll(r *runner) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.group.engines {
--- a/replica/group.go
+++ b/replica/group.go
@@ -163,6 +163,7 @@
 	g.renewVersions()
 	g.scaleUp()
 	g.lineUpWants()
+	g.refuseBlocked()
 	g.endWants()
 }
 
--- a/replica/runner.go
+++ b/replica/runner.go
@@ -318,10 +318,9 @@
 }
 
 // tick takes in the holds and the hosts, and lets time pass.
-func (r *runner) tick(ctx context.Context) {
+func (r *runner) tick(ctx context.Context, hosts []fleet.HostID, near map[fleet.HostID]bool) {
 	r.readHold(ctx, false)
 	r.readHold(ctx, true)
-	hosts, near := r.c.hosts()
 	r.mu.Lock()
 	r.near = near
 	if !slices.Equal(hosts, r.hosts) {
--- a/replica/want.go
+++ b/replica/want.go
@@ -288,6 +288,21 @@
 	}
 }
 
+// refuseBlocked refuses the wants that are not to wait for memory and for which
+// there is none any more, so that their hosts ask another group.
+func (g *Group) refuseBlocked() {
+	for _, waits := range g.line.all() {
+		if !waits.blocked {
+			continue
+		}
+		for _, w := range slices.Clone(g.waits[waits.name]) {
+			if !w.stay {
+				g.judge(w)
+			}
+		}
+	}
+}
+
 // endWants refuses the wants whose deadlines are reached, and drops the models
 // that nobody returned for.
 func (g *Group) endWants() {
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -34,7 +34,9 @@
 	items   *Catalog
 	network *peertest.Network
 	store   *kvstore.Store
+	// owners are those of domain "d", far those of domain "far".
 	owners  *fakeOwners
+	far     *fakeOwners
 	engines map[target.ID]*fakeEngine
 	hosts   []*testHost
 
@@ -42,10 +44,14 @@
 	reportDelay time.Duration
 	// weights bounds the loads from the weight store; nil doesn't.
 	weights *fakeWeights
+	// farHosts is the number of hosts in domain "far".
+	farHosts int
 	// quiet keeps the log of what happened from the test's output.
 	quiet bool
 	// traced adds the steps of the groups to the log.
 	traced bool
+	// onStep is called with each step of a group; nil isn't.
+	onStep func(h *testHost, in Input, effects []Effect)
 	logMu  sync.Mutex
 	lines  []string
 	// lateSends lets a host that was frozen between the check of its hold and the
@@ -240,11 +246,15 @@
 	for _, c := range cfg.Targets {
 		w.engines[c.Name] = newFakeEngine(w, c)
 	}
-	w.owners = newFakeOwners(w)
+	w.owners, w.far = newFakeOwners(w), newFakeOwners(w)
 	for i := range hosts {
 		w.join(fleet.Member{Host: fleet.HostID(fmt.Sprintf("h%d", i)), Domain: "d", Incarnation: fleet.Incarnation(i + 1)})
 	}
+	for i := range w.farHosts {
+		w.join(fleet.Member{Host: fleet.HostID(fmt.Sprintf("f%d", i)), Domain: "far", Incarnation: fleet.Incarnation(100 + i)})
+	}
 	w.owners.start()
+	w.far.start()
 	for _, h := range w.hosts {
 		h.start()
 	}
@@ -257,7 +267,7 @@
 	h.controller = newController(
 		WithConfig(w.config),
 		WithMesh(w.network.Join(m)),
-		WithOwnership(w.owners.view(h)),
+		WithOwnership(w.ownersOf(m.Domain).view(h)),
 		WithStore(hostStore{w.store, h}),
 		WithEngines(h),
 		WithLogger(slog.New(slog.DiscardHandler)),
@@ -270,7 +280,19 @@
 		},
 	)
 	w.hosts = append(w.hosts, h)
-	w.owners.add(h)
+	w.ownersOf(m.Domain).add(h)
+}
+
+func (w *world) ownersOf(domain fleet.DomainID) *fakeOwners {
+	if domain == "far" {
+		return w.far
+	}
+	return w.owners
+}
+
+// withFarHosts adds hosts in domain "far".
+func withFarHosts(n int) worldOption {
+	return func(w *world) { w.farHosts = n }
 }
 
 func (h *testHost) start() {
@@ -284,6 +306,9 @@
 
 // trace logs a step of the host's group.
 func (h *testHost) trace(in Input, effects []Effect) {
+	if h.w.onStep != nil {
+		h.w.onStep(h, in, effects)
+	}
 	if _, tick := in.(Tick); tick && len(effects) == 0 || !h.w.traced {
 		return
 	}
@@ -301,6 +326,7 @@
 		<-h.done
 	}
 	w.owners.stop()
+	w.far.stop()
 	time.Sleep(2 * time.Minute)
 }
 
@@ -476,7 +502,7 @@
 // wasFrozen reports whether the host was frozen after a time. Callers of a
 // frozen host are not answered in time.
 func (h *testHost) wasFrozen(since time.Time) bool {
-	return h.w.owners.frozenAfter(h, since)
+	return h.w.ownersOf(h.member.Domain).frozenAfter(h, since)
 }
 
 // fakeOwners stands for membership: every host owns the shards that the table
@@ -642,22 +668,28 @@
 }
 
 func (v ownersView) Owner(domain fleet.DomainID, _ member.Shard) (fleet.Member, bool) {
-	v.o.mu.Lock()
-	defer v.o.mu.Unlock()
-	owner := v.o.ownerOf[v.o.knows[v.h]]
-	if owner == nil || domain != "d" {
+	o := v.o.w.ownersOf(domain)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := o.fence
+	if o == v.o {
+		known = o.knows[v.h]
+	}
+	owner := o.ownerOf[known]
+	if owner == nil {
 		return fleet.Member{}, false
 	}
 	return owner.member, true
 }
 
 func (v ownersView) Members(domain fleet.DomainID) []fleet.Member {
-	v.o.mu.Lock()
-	defer v.o.mu.Unlock()
+	o := v.o.w.ownersOf(domain)
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	var members []fleet.Member
-	for _, h := range v.o.hosts {
+	for _, h := range o.hosts {
 		h.mu.Lock()
-		if !h.dead && domain == "d" {
+		if !h.dead {
 			members = append(members, h.member)
 		}
 		h.mu.Unlock()
@@ -665,7 +697,7 @@
 	return members
 }
 
-func (v ownersView) Domains() []fleet.DomainID { return []fleet.DomainID{"d"} }
+func (v ownersView) Domains() []fleet.DomainID { return []fleet.DomainID{"d", "far"} }
 
 func (v ownersView) Reachable(fleet.DomainID) bool { return true }
 
