Kill, freeze and cut off in scenarios with real processes

Cause: the decisions had no proof with real processes under faults. Ruled out: fixed ports (two runs would meet); the scripts' own copies of the settings (they drifted). Change: scenarios owner-killed, owner-frozen and platform-outage on shared settings, each script with a loopback address of its own; a host is ready only once it is a member of its domain, or has waited 10 s for that.

--- a/parts.go
+++ b/parts.go
@@ -4,9 +4,12 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
 
 	"hawthornway/burn"
 	"hawthornway/call"
@@ -32,6 +35,8 @@
 
 // parts are the controllers and the front of one host.
 type parts struct {
+	clock     clockwork.Clock
+	made      time.Time
 	log       *slog.Logger
 	links     *peer.Links
 	members   *member.Controller
@@ -51,7 +56,7 @@
 }
 
 func newParts(self fleet.Member, s settings.Settings, o *options, dial *http.Client) *parts {
-	p := &parts{log: o.log, metrics: metric.New()}
+	p := &parts{log: o.log, metrics: metric.New(), clock: o.clock, made: o.clock.Now()}
 	p.machines = newMachines(s.Platform.HostList, o.clock, o.log)
 	p.links = peer.New(
 		peer.WithSelf(self),
@@ -270,5 +275,23 @@
 	default:
 		missing = append(missing, "keys are not loaded")
 	}
+	if !p.joined() {
+		missing = append(missing, "the host is not a member of its domain yet")
+	}
 	return missing
 }
+
+// joinPatience is the time after which a host serves without being a member, as
+// it must when it starts while the platform is down.
+const joinPatience = 10 * time.Second
+
+// joined reports whether the host is a member of its domain, or has waited long
+// enough for that.
+func (p *parts) joined() bool {
+	self := p.members.Self()
+	isSelf := func(m fleet.Member) bool { return m.Incarnation == self.Incarnation }
+	if slices.ContainsFunc(p.members.Members(self.Domain), isSelf) {
+		return true
+	}
+	return p.clock.Since(p.made) > joinPatience
+}
--- a/scenario/command_test.go
+++ b/scenario/command_test.go
@@ -106,6 +106,8 @@
 	for _, command := range ts.BackgroundCmds() {
 		if strings.Contains(strings.Join(command.Args, " "), args[1]) {
 			ts.Check(command.Process.Signal(signals[args[0]]))
+			// A program that is stopped could not be ended with the script.
+			ts.Defer(func() { _ = command.Process.Signal(syscall.SIGCONT) })
 			return
 		}
 	}
