Leave the warm-up out of the measures

Cause: the plot of cold starts showed the tail to be the first four seconds, in which all engines start empty. Ruled out: dropping the first results alone (the rates' buckets would start full in the replay, and refusals beyond the rate count as wrongful).

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -30,6 +30,7 @@
 	Cases      []experiment.Case   `long:"case" description:"case to run (repeatable): steady, host-killed, domain-cut, platform-outage, slow-weights; all if none is given"`
 	Systems    []experiment.System `long:"system" description:"system to run (repeatable): hawthornway, baseline; both if none is given"`
 	Duration   time.Duration       `long:"duration" default:"60s" description:"length of each run"`
+	WarmUp     time.Duration       `long:"warm-up" default:"15s" description:"traffic before each run that isn't measured"`
 	Seed       uint64              `long:"seed" default:"1" description:"seed of the traffic"`
 	Load       float64             `long:"load" default:"0.6" description:"part of its rate that each team offers"`
 	Excess     float64             `long:"excess" default:"4" description:"multiple of its rate that the team with the lowest rate offers"`
@@ -150,6 +151,7 @@
 		Case:       c,
 		System:     system,
 		Workload:   traffic,
+		WarmUp:     o.WarmUp,
 		Deadline:   o.Deadline,
 		Binary:     o.Binary,
 		Logs:       o.Out,
--- a/measure/cold.go
+++ b/measure/cold.go
@@ -80,7 +80,7 @@
 // it and their bounds.
 func (r Run) waitedLoads() map[model.Name][]*load {
 	loads := r.loads()
-	for _, result := range r.Results {
+	for _, result := range r.measured() {
 		work, isCompletion := result.Arrival.Work.(workload.Completion)
 		if !isCompletion || result.FirstToken == 0 {
 			continue
@@ -223,7 +223,7 @@
 		isCold[key{c.sent, c.first}] = true
 	}
 	var times []time.Duration
-	for _, result := range r.Results {
+	for _, result := range r.measured() {
 		sent := r.Start.Add(result.Arrival.At)
 		if result.FirstToken > 0 && result.Ending == loadgen.EndingServed && !isCold[key{sent, result.FirstToken}] {
 			times = append(times, result.FirstToken)
--- a/measure/idle.go
+++ b/measure/idle.go
@@ -98,7 +98,7 @@
 		bases[a.Name] = a.Base
 	}
 	spans := make(map[model.Name][]span)
-	for _, result := range r.Results {
+	for _, result := range r.measured() {
 		work, isCompletion := result.Arrival.Work.(workload.Completion)
 		if !isCompletion || !result.Served() {
 			continue
--- a/measure/plot.go
+++ b/measure/plot.go
@@ -146,7 +146,7 @@
 			counts[ending][i].X = float64(i)
 		}
 	}
-	for _, result := range r.Results {
+	for _, result := range r.measured() {
 		if points, counted := counts[result.Ending]; counted {
 			points[min(int(result.Arrival.At.Seconds()), seconds-1)].Y++
 		}
--- a/measure/report.go
+++ b/measure/report.go
@@ -76,7 +76,7 @@
 		Promises:   r.promises(),
 	}
 	var late []time.Duration
-	for _, result := range r.Results {
+	for _, result := range r.measured() {
 		report.Endings[string(result.Ending)]++
 		if !result.Served() {
 			report.Reasons[string(result.Ending)+"/"+string(result.Reason)]++
@@ -89,7 +89,7 @@
 
 func (r Run) refusedAt() map[string]map[int]int {
 	refused := make(map[string]map[int]int)
-	for _, result := range r.Results {
+	for _, result := range r.measured() {
 		if result.Ending != loadgen.EndingNotRun {
 			continue
 		}
--- a/measure/run.go
+++ b/measure/run.go
@@ -27,6 +27,7 @@
 	Config  config.Config
 	Weights weights.Settings
 	Engine  engine.Settings
+	// Results are those of the warm-up, at times below zero, and of the run.
 	Results []loadgen.Result
 	Engines map[target.ID]EngineRecord
 	// Executions are the runs of each call, over all targets.
@@ -58,3 +59,14 @@
 	Idle, Held engine.MemoryTime
 	Platform   kvstore.Counts
 }
+
+// measured returns the results without those of the warm-up.
+func (r Run) measured() []loadgen.Result {
+	var results []loadgen.Result
+	for _, result := range r.Results {
+		if result.Arrival.At >= 0 {
+			results = append(results, result)
+		}
+	}
+	return results
+}
