--- a/replica/controller.go
+++ b/replica/controller.go
@@ -188,8 +188,9 @@
 // step lets time pass for all groups of this host's domain.
 func (c *controller) step(ctx context.Context) {
 	c.relayout()
+	all, near := c.hosts()
 	for _, r := range c.ownRunners() {
-		r.tick(ctx)
+		r.tick(ctx, all, near)
 	}
 }
 
@@ -267,7 +268,7 @@
 // wait waits for the calls that are running.
 func (c *controller) wait() {
 	for _, r := range c.ownRunners() {
-		r.calls.Wait()
+		r.close()
 	}
 }
 
--- a/replica/want.go
+++ b/replica/want.go
@@ -61,6 +61,9 @@
 	}
 	if draining != nil {
 		g.callOffDrain(draining)
+		if !draining.serving() {
+			return nil
+		}
 	}
 	return draining
 }
@@ -285,6 +288,21 @@
 	}
 }
 
+// refuseBlocked refuses the wants that are not to wait for memory and for which
+// there is none any more, so that their hosts ask another group.
+func (g *Group) refuseBlocked() {
+	for _, waits := range g.line.all() {
+		if !waits.blocked {
+			continue
+		}
+		for _, w := range slices.Clone(g.waits[waits.name]) {
+			if !w.stay {
+				g.judge(w)
+			}
+		}
+	}
+}
+
 // endWants refuses the wants whose deadlines are reached, and drops the models
 // that nobody returned for.
 func (g *Group) endWants() {
--- a/scenario/chat_test.go
+++ b/scenario/chat_test.go
@@ -29,13 +29,31 @@
 		if err == nil {
 			ts.Fatalf("chat was served: %s", text)
 		}
-		_, _ = fmt.Fprintln(ts.Stdout(), err)
+		_, _ = fmt.Fprintln(ts.Stdout(), err, codeOf(err))
 		return
 	}
 	ts.Check(err)
 	_, _ = fmt.Fprintln(ts.Stdout(), text)
 }
 
+// detailOf returns the whole body of a refusal.
+func detailOf(err error) string {
+	var refused *openai.Error
+	if errors.As(err, &refused) {
+		return refused.RawJSON()
+	}
+	return ""
+}
+
+// codeOf returns the error code of a refusal.
+func codeOf(err error) string {
+	var refused *openai.Error
+	if errors.As(err, &refused) {
+		return refused.Code
+	}
+	return ""
+}
+
 // streamChat returns the text of a whole streamed answer.
 func streamChat(address, key, model, prompt string) (string, error) {
 	client := openai.NewClient(
@@ -70,13 +88,17 @@
 // chats streams many completions, a number at once, while the script goes on;
 // "chats wait" waits for them. All must be served whole. A host that can't be
 // connected to is passed over, as a balancer does:
-// chats start ADDRESS[,ADDRESS]... KEY MODEL COUNT AT-ONCE, chats wait.
+// chats start ADDRESS[,ADDRESS]... KEY MODEL COUNT AT-ONCE, chats wait. To send to
+// the hosts of domain d1 but one: chats start-except HOST IP KEY MODEL COUNT
+// AT-ONCE.
 func chats(ts *testscript.TestScript, neg bool, args []string) {
 	switch {
 	case neg || len(args) == 0:
 		ts.Fatalf("usage: chats start ADDRESS KEY MODEL COUNT AT-ONCE | chats wait")
 	case args[0] == "wait":
 		waitChats(ts)
+	case len(args) == 7 && args[0] == "start-except":
+		chats(ts, neg, append([]string{"start", othersThan(args[1], args[2])}, args[3:]...))
 	case len(args) == 6:
 		count, err := strconv.Atoi(args[4])
 		ts.Check(err)
@@ -86,6 +108,17 @@
 	}
 }
 
+// othersThan returns the callers' addresses of the hosts of domain d1 but one.
+func othersThan(host, ip string) string {
+	var addresses []string
+	for _, other := range []string{"h1", "h4", "h5"} {
+		if other != host {
+			addresses = append(addresses, ip+":7"+other[1:]+"01")
+		}
+	}
+	return strings.Join(addresses, ",")
+}
+
 // running holds the chats of each script.
 var running sync.Map // of *testscript.TestScript to chan error
 
@@ -119,8 +152,11 @@
 	for n := range addresses {
 		address := addresses[(i+n)%len(addresses)]
 		_, err = streamChat(address, key, model, fmt.Sprintf("question %d", i))
+		if err == nil {
+			return nil
+		}
 		if !errors.Is(err, syscall.ECONNREFUSED) {
-			return err
+			return fmt.Errorf("chat %d at %s: %w %s", i, address, err, detailOf(err))
 		}
 	}
 	return err
