Keep quiet about the service when the host stops

Cause: each stop logged that the service was not reached, as the watch ended with the host. Ruled out: telling the error's kind, which wraps several. Change: no such line once the context has ended. Conclusion: the tests of config and key pass.

--- a/config/watch.go
+++ b/config/watch.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		err := s.watchOnce(ctx, &after)
-		if err != nil && !failing {
+		if err != nil && !failing && ctx.Err() == nil {
 			s.log.Warn("config: service not reached", "error", err)
 		}
 		failing = err != nil
--- a/key/follow.go
+++ b/key/follow.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		err := r.followOnce(ctx, &after)
-		if err != nil && !failing {
+		if err != nil && !failing && ctx.Err() == nil {
 			r.log.Warn("key: service not reached", "error", err)
 		}
 		failing = err != nil
