Dial other hosts with the certificates that the files hold now

Cause: the transport between hosts kept the certificates of its start, so new files needed a restart of every host that dials. Ruled out: verifying by hand in one lasting configuration; a client's connection state does not name a server that is dialled by IP number. Change: certificate.Source.DialTLS reads the files' state for each connection; the links use it. Figures: three pairs of files in turn are each used for the next connection (TestDialTLSFollowsTheFiles). Conclusion: listeners and links both follow changed files.

--- a/certificate/source.go
+++ b/certificate/source.go
@@ -3,9 +3,11 @@
 package certificate
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"log/slog"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -19,6 +21,9 @@
 // checkPause is the shortest time between two looks at the files.
 const checkPause = 5 * time.Second
 
+// dialTimeout bounds the opening of a connection, without its handshake.
+const dialTimeout = time.Second
+
 // Source holds the certificate and the authorities that are in the files.
 type Source struct {
 	files settings.Files
@@ -93,6 +98,14 @@
 	return c
 }
 
+// DialTLS opens a TLS connection to "IP:port" with what is in the files now. It
+// is for http.Transport.DialTLSContext, which would keep one configuration.
+func (s *Source) DialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &tls.Dialer{NetDialer: &net.Dialer{Timeout: dialTimeout}, Config: s.ClientConfig()}
+	conn, err := dialer.DialContext(ctx, network, address)
+	return conn, trace.Wrap(err)
+}
+
 // ClientConfig returns the TLS configuration of a connection to be made now.
 func (s *Source) ClientConfig() *tls.Config {
 	now := s.current()
--- a/certificate/source_test.go
+++ b/certificate/source_test.go
@@ -99,3 +99,30 @@
 		must.EqOp(t, step.want, got, must.Sprint(step.name))
 	}
 }
+
+func TestDialTLSFollowsTheFiles(t *testing.T) {
+	folder := t.TempDir()
+	files := settings.Files{Cert: filepath.Join(folder, "cert.pem"), Key: filepath.Join(folder, "key.pem")}
+	files.CA = files.Cert
+	writePair(t, files, 1)
+	clock := clockwork.NewFakeClock()
+	source, err := NewSource(files, WithClock(clock), WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	must.NoError(t, err)
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", source.ServerConfig())
+	must.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+	}()
+	for serial := int64(1); serial <= 3; serial++ {
+		writePair(t, files, serial)
+		clock.Advance(checkPause)
+		conn, err := source.DialTLS(t.Context(), "tcp", listener.Addr().String())
+		must.NoError(t, err)
+		state := conn.(*tls.Conn).ConnectionState()
+		must.EqOp(t, serial, state.PeerCertificates[0].SerialNumber.Int64())
+		must.NoError(t, conn.Close())
+	}
+}
--- a/certificates.go
+++ b/certificates.go
@@ -43,7 +43,7 @@
 		DialContext: (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 	}
 	if source != nil {
-		transport.TLSClientConfig = source.ClientConfig()
+		transport.DialTLSContext = source.DialTLS
 	}
 	return &http.Client{Transport: transport}
 }
