Let the last orders of a former owner arrive before its successor acts

Ruled out: leaving it to the order horizon, which only placement keeps. Change: a former owner counts as stopped one order margin after it told so; the run sends orders that take up to the margin and checks in which order they arrive; a test that the margin is needed. Conclusion: the margin is now kept on each way to a new owner, but for proofs of death, where the order horizon has to do.

--- a/member/hold.go
+++ b/member/hold.go
@@ -52,11 +52,14 @@
 }
 
 // hasLearned reports whether a process told that it knows a record in which
-// this host owns the shard.
+// this host owns the shard, so long ago that its last orders have arrived.
 func (m *machine) hasLearned(p process, shard Shard) bool {
 	if p == m.me {
 		return true
 	}
 	s := m.peers[p]
-	return s != nil && s.last.Revision >= m.owned[shard].seen
+	if s == nil || s.last.Revision < m.owned[shard].seen {
+		return false
+	}
+	return m.now.atLeast(s.revisionAt) >= m.settings.OrderMargin
 }
--- a/member/pledge.go
+++ b/member/pledge.go
@@ -18,6 +18,8 @@
 	acked   instant
 	isAcked bool
 	last    heartbeat
+	// revisionAt is when the peer's revision changed last.
+	revisionAt instant
 	// pledgedUntil is the end of this host's own pledge to the peer, by the
 	// monotonic clock.
 	pledgedUntil time.Duration
@@ -139,6 +141,9 @@
 	if hb.Sequence <= s.heard {
 		return
 	}
+	if hb.Revision != s.last.Revision {
+		s.revisionAt = m.now
+	}
 	s.heard, s.heardAt, s.last = hb.Sequence, m.now, hb
 	m.noteRevision(from.Host, hb)
 	m.noteAck(s, hb)
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -12,6 +12,7 @@
 
 	"hawthornway/fleet"
 	"hawthornway/platform"
+	"hawthornway/target"
 )
 
 // sim runs machines alone, in one thread, over messages and writes that can be
@@ -31,7 +32,12 @@
 	maxDelay time.Duration
 	// lossless is false while messages are lost and repeated at random.
 	lossless bool
+	settings Settings
 
+	// arrived is the order with the highest fence that reached each shard's
+	// target.
+	arrived    [Shards]fenceSeen
+	orders     int
 	fences     [Shards]fenceSeen
 	violations []string
 }
@@ -54,8 +60,10 @@
 	frozenAt time.Duration
 	// unreleased says that the orders of its shards are never answered.
 	unreleased bool
-	suspends   bool
-	suspended  time.Duration
+	// inFlight counts the orders on their way by shard.
+	inFlight  [Shards]int
+	suspends  bool
+	suspended time.Duration
 }
 
 func newSim(seed uint64, checks checks) *sim {
@@ -65,6 +73,7 @@
 		cuts:     map[[2]fleet.HostID]bool{},
 		maxDelay: 5 * time.Millisecond,
 		lossless: true,
+		settings: Settings{HostListLag: 15 * time.Second},
 	}
 }
 
@@ -99,7 +108,7 @@
 func (s *sim) start(id fleet.HostID, address string) *simProc {
 	self := fleet.Member{Host: id, Domain: domainA, Incarnation: fleet.Incarnation(s.now + 1), PeerAddress: address}
 	p := &simProc{sim: s, member: self, started: s.now}
-	p.machine = newMachine(self, Settings{HostListLag: 15 * time.Second}, s.checks, p.instant())
+	p.machine = newMachine(self, s.settings, s.checks, p.instant())
 	s.procs = append(s.procs, p)
 	s.after(s.random(tickEvery), p.tick)
 	return p
@@ -137,10 +146,43 @@
 	p.take(hostsListed{listed: listed})
 	p.take(tick{linked: linked})
 	for i, g := range p.machine.giving {
-		if g.active && !g.released && !p.unreleased && p.sim.rng.IntN(2) == 0 {
+		if g.active && !g.released && !p.unreleased && p.inFlight[i] == 0 {
 			p.take(shardReleased{shard: Shard(i)})
 		}
 	}
+	p.order()
+}
+
+// order sends an order for each shard that the process may act for. It arrives
+// within the margin for orders in flight.
+func (p *simProc) order() {
+	s := p.sim
+	for shard := range Shard(Shards) {
+		if _, ok := p.machine.holding(p.instant(), shard, false); !ok {
+			continue
+		}
+		fence := p.machine.owned[shard].entry.Fence
+		p.inFlight[shard]++
+		s.orders++
+		s.after(s.random(defaultOrderMargin), func() { p.arrive(shard, fence) })
+	}
+}
+
+// arrive notes an order that reached the target after one of a later owner,
+// which is another process: a process that owns a shard again knows its orders.
+// Orders of a process that was proved dead are the business of the order
+// horizon.
+func (p *simProc) arrive(shard Shard, fence target.Fence) {
+	s := p.sim
+	p.inFlight[shard]--
+	last := s.arrived[shard]
+	if uint64(fence) >= last.fence {
+		s.arrived[shard] = fenceSeen{uint64(fence), processOf(p.member)}
+		return
+	}
+	if last.holder != processOf(p.member) && !p.dead {
+		s.violate("shard %d: order with fence %d of %v arrived after one with %d of %v", shard, fence, p.member, last.fence, last.holder)
+	}
 }
 
 // take gives the machine an input, or holds it while the process is frozen.
@@ -398,16 +440,31 @@
 }
 
 func TestRandomMixOfFaultsOverMachines(t *testing.T) {
-	steps := 0
+	steps, orders := 0, 0
 	for seed := *fromSeed; seed < *fromSeed+2**seeds; seed++ {
 		s := newSim(seed, checks{})
 		whole := s.play()
 		steps += s.order
+		orders += s.orders
 		replay := must.Sprintf("replay: go test ./member -run TestRandomMixOfFaultsOverMachines -from-seed %d -seeds 1", seed)
-		must.SliceEmpty(t, s.violations, replay)
+		must.SliceEmpty(t, s.violations, replay, must.Sprint(s.violations))
 		must.True(t, whole, replay)
 	}
-	t.Logf("%d seeds, 20 faults each, %d events", 2**seeds, steps)
+	t.Logf("%d seeds, 20 faults each, %d events, %d orders", 2**seeds, steps, orders)
+}
+
+func TestOrderMarginIsNeeded(t *testing.T) {
+	late := 0
+	for seed := uint64(1); seed <= 40; seed++ {
+		s := newSim(seed, checks{})
+		s.settings.OrderMargin = time.Millisecond
+		s.play()
+		if len(s.violations) > 0 {
+			late++
+		}
+	}
+	t.Logf("without a margin orders arrived late in %d of 40 seeds", late)
+	must.Positive(t, late)
 }
 
 func TestSeedReplaysExactly(t *testing.T) {
