--- a/replica/drain.go
+++ b/replica/drain.go
@@ -13,6 +13,8 @@
 	// drainPatience is the time that a host is given to say that it sends
 	// nothing more to a replica. After it an engine without any request counts.
 	drainPatience = 10 * time.Second
+	// gonePatience is how long the requests of a removed host count.
+	gonePatience = time.Minute
 	// drainBound is the time after which a drain is called off.
 	drainBound = time.Minute
 )
@@ -27,7 +29,8 @@
 type hostUse struct {
 	seen    DigestSequence
 	running map[replicaKey]int
-	heardAt time.Time
+	// goneAt is when the host was removed from its domain; zero if it wasn't.
+	goneAt time.Time
 }
 
 // traffic is how a model is used.
@@ -51,7 +54,7 @@
 
 // used takes in what a host does with the replicas.
 func (g *Group) used(in Used) {
-	u := &hostUse{seen: in.Seen, running: make(map[replicaKey]int), heardAt: g.now}
+	u := &hostUse{seen: in.Seen, running: make(map[replicaKey]int)}
 	for _, use := range in.Uses {
 		if use.Running > 0 {
 			u.running[replicaKey{use.Target, use.Model}] = use.Running
@@ -63,6 +66,30 @@
 	g.uses[in.Host] = u
 }
 
+// hostsChanged takes in the hosts. The requests of a host that was removed count
+// for a while, since it may only be cut off.
+func (g *Group) hostsChanged(hosts []fleet.HostID) {
+	g.hosts = slices.Clone(hosts)
+	for host, u := range g.uses {
+		present := slices.Contains(hosts, host)
+		switch {
+		case present:
+			u.goneAt = time.Time{}
+		case u.goneAt.IsZero():
+			u.goneAt = g.now
+		}
+	}
+}
+
+// dropGone forgets the hosts that were removed a while ago.
+func (g *Group) dropGone() {
+	for host, u := range g.uses {
+		if !u.goneAt.IsZero() && g.now.Sub(u.goneAt) > gonePatience {
+			delete(g.uses, host)
+		}
+	}
+}
+
 // noteUse counts a use of a replica, and of the model under an adapter.
 func (g *Group) noteUse(use Use) {
 	e := g.engine(use.Target)
--- a/replica/engine_test.go
+++ b/replica/engine_test.go
@@ -200,6 +200,11 @@
 	return true
 }
 
+// restartRequests ends all requests, as when the connections of a host close.
+func (e *fakeEngine) restartRequests() {
+	e.set(func(e *fakeEngine) { clear(e.running) })
+}
+
 // set changes a fault.
 func (e *fakeEngine) set(change func(*fakeEngine)) {
 	e.mu.Lock()
--- a/replica/group.go
+++ b/replica/group.go
@@ -127,7 +127,7 @@
 	case Used:
 		g.used(in)
 	case HostsChanged:
-		g.hosts = slices.Clone(in.Hosts)
+		g.hostsChanged(in.Hosts)
 	case WeightsRead:
 		g.weightsKnown(in.Weights)
 	case Tick:
@@ -157,6 +157,7 @@
 
 // tick does what depends on time only.
 func (g *Group) tick() {
+	g.dropGone()
 	g.cancelHungLoads()
 	g.releaseIdle()
 	g.keepLeast()
--- a/replica/policy_test.go
+++ b/replica/policy_test.go
@@ -54,6 +54,16 @@
 		}},
 		{"a new version takes the place of the old one", 2, nil, newVersion},
 		{"an engine moves to another group", 2, nil, movedEngine},
+		{"a dead host's requests don't keep a replica for ever", 1, nil, func(t *testing.T, w *world) {
+			go w.ask(w.hosts[2], "m0", "a", 10*time.Second, 3*time.Minute)
+			time.Sleep(10 * time.Second)
+			w.engines["e0"].restartRequests()
+			w.hosts[2].kill()
+			time.Sleep(30 * time.Second)
+			must.True(t, w.engines["e0"].holds("m0"))
+			time.Sleep(90 * time.Second)
+			must.False(t, w.engines["e0"].holds("m0"))
+		}},
 		{"a quiet team keeps its model while a loud one needs memory", 1, nil, quietTeam},
 		{"a leaving engine gets no load and its model is loaded elsewhere", 2, nil, func(t *testing.T, w *world) {
 			w.askAll("m0", 10*time.Second)
