--- /dev/null
+++ b/caller/filter_test.go
@@ -0,0 +1,133 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"hawthornway/call"
+	"hawthornway/config"
+	"hawthornway/limit"
+	"hawthornway/outcome"
+	"hawthornway/team"
+)
+
+func newCall(subject call.Subject) *call.Call {
+	request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(""))
+	request.Header.Set("Authorization", "Bearer hw_good")
+	now := time.Now()
+	return &call.Call{
+		ID: "r1", Writer: call.NewWriter(httptest.NewRecorder()), Request: request,
+		Received: now, Deadline: now.Add(time.Minute), Subject: subject,
+	}
+}
+
+// withdrawableKeys is one valid key that can be withdrawn.
+type withdrawableKeys struct{ withdrawn chan struct{} }
+
+func (k withdrawableKeys) Check(string) (team.ID, <-chan struct{}, *outcome.NotRun) {
+	return "escorts", k.withdrawn, nil
+}
+
+func TestWithdrawnKeyEndsCallInProgress(t *testing.T) {
+	keys := withdrawableKeys{make(chan struct{})}
+	handler := KeyFilter(keys)(func(ctx context.Context, _ *call.Call) outcome.Outcome {
+		close(keys.withdrawn)
+		<-ctx.Done()
+		var revoked *call.RevokedError
+		must.True(t, errors.As(context.Cause(ctx), &revoked))
+		return outcome.Unknown{Reason: outcome.ReasonKeyWithdrawn}
+	})
+	ended := handler(t.Context(), newCall(&call.Generation{}))
+	must.EqOp(t, "unknown", ended.Header())
+}
+
+// openRoute must be passed without a key, and no other subject may be.
+func TestOnlyOpenRoutesNeedNoKey(t *testing.T) {
+	cases := []struct {
+		name    string
+		subject call.Subject
+		passed  bool
+	}{
+		{"open route", &call.Service{Route: config.Route{Open: true}}, true},
+		{"closed route", &call.Service{}, false},
+		{"generation", &call.Generation{}, false},
+		{"listing", &call.Listing{}, false},
+	}
+	for _, tc := range cases {
+		passed := false
+		handler := KeyFilter(fakeKeys{})(func(context.Context, *call.Call) outcome.Outcome {
+			passed = true
+			return outcome.Served{}
+		})
+		c := newCall(tc.subject)
+		c.Request.Header.Del("Authorization")
+		handler(t.Context(), c)
+		must.EqOp(t, tc.passed, passed, must.Sprint(tc.name))
+	}
+}
+
+// countingLimiter notes what was charged and settled.
+type countingLimiter struct{ charged, settled team.Tokens }
+
+func (l *countingLimiter) Reserve(_ context.Context, _ team.ID, most team.Tokens) (limit.Charge, *limit.Refusal) {
+	l.charged = most
+	return l, nil
+}
+
+func (l *countingLimiter) Settle(used team.Tokens) { l.settled = used }
+
+func TestChargesAreSettledByWhatIsKnown(t *testing.T) {
+	generation := func() call.Subject { return &call.Generation{PromptTokens: 30, MaxTokens: 70} }
+	cases := []struct {
+		name      string
+		subject   call.Subject
+		ended     outcome.Outcome
+		prompt    team.Tokens
+		generated team.Tokens
+		want      team.Tokens
+	}{
+		{"served", generation(), outcome.Served{}, 20, 10, 30},
+		{"more than charged", generation(), outcome.Served{}, 90, 70, 160},
+		{"not run", generation(), outcome.NotRun{}, 0, 0, 0},
+		{"unknown", generation(), outcome.Unknown{}, 0, 10, 100},
+		{"served without a count", generation(), outcome.Served{}, 0, 10, 100},
+		{"service", &call.Service{Route: config.Route{Cost: 5}}, outcome.Served{}, 0, 0, 5},
+	}
+	for _, tc := range cases {
+		limiter := &countingLimiter{}
+		handler := LimitFilter(limiter)(func(_ context.Context, c *call.Call) outcome.Outcome {
+			c.Trace.Prompt, c.Trace.Generated = tc.prompt, tc.generated
+			return tc.ended
+		})
+		c := newCall(tc.subject)
+		c.Team = "escorts"
+		handler(t.Context(), c)
+		must.EqOp(t, c.Cost(), limiter.charged, must.Sprint(tc.name))
+		must.EqOp(t, tc.want, limiter.settled, must.Sprint(tc.name))
+	}
+}
+
+func TestStreamsOfTeamAreBounded(t *testing.T) {
+	directory := fakeDirectory{}
+	inside := 0
+	var handler call.Handler
+	handler = StreamFilter(directory)(func(ctx context.Context, c *call.Call) outcome.Outcome {
+		inside++
+		return handler(ctx, c) // one call within the other, until the bound
+	})
+	c := newCall(&call.Listing{})
+	c.Team = "escorts"
+	ended := handler(t.Context(), c)
+	must.EqOp(t, 4, inside)
+	must.Eq[outcome.Outcome](t, outcome.NotRun{
+		Reason: outcome.ReasonQueueFull,
+		Detail: "the team has 4 calls in progress at this host already",
+	}, ended)
+}
--- a/scenario/owner_test.go
+++ b/scenario/owner_test.go
@@ -28,7 +28,7 @@
 	client := admin.NewClient(args[1], settings.Secret(ts.Getenv("HAWTHORNWAY_OPERATOR_TOKEN")))
 	end := time.Now().Add(stepTimeout)
 	for time.Now().Before(end) {
-		owner := ownerSeenBy(ts, client)
+		owner := ownerSeenBy(client)
 		if owner != "" && (len(args) < 3 || owner != args[2]) {
 			ts.Setenv(args[0], owner)
 			return
@@ -41,7 +41,7 @@
 // stepTimeout bounds the wait for one step of a scenario.
 const stepTimeout = 30 * time.Second
 
-func ownerSeenBy(ts *testscript.TestScript, client *admin.Client) string {
+func ownerSeenBy(client *admin.Client) string {
 	status, err := client.Status(context.Background())
 	if err != nil {
 		return ""
