Name the case in which a withdrawal is not heard, and an unknown age

Cause: operators have to know where a withdrawn key may go on working, and the status showed an age of 292 years where it was not known. Ruled out: refusing everywhere while any domain is silent, which would stop the whole fleet when one domain is cut off. Conclusion: the case stays not proved.

--- a/admin/config.go
+++ b/admin/config.go
@@ -57,7 +57,7 @@
 		Revision:   now.Revision(),
 		Author:     now.Author(),
 		AcceptedAt: now.AcceptedAt(),
-		AgeMS:      ageMS(h.Configs.Age()),
+		AgeMS:      AgeMS(h.Configs.Age()),
 		Files:      []wireFile{},
 	}
 	for _, f := range now.Files() {
@@ -66,7 +66,9 @@
 	return wire, nil
 }
 
-func ageMS(age time.Duration) int64 {
+// AgeMS returns the age of a configuration in milliseconds, or -1 if it is not
+// known.
+func AgeMS(age time.Duration) int64 {
 	if age == config.AgeUnknown {
 		return -1
 	}
--- a/key/ring.go
+++ b/key/ring.go
@@ -24,7 +24,9 @@
 
 // Directory is what the ring reads of the configuration and the membership.
 type Directory interface {
-	// Domains returns the failure domains that have hosts.
+	// Domains returns the failure domains that must be heard. One that is
+	// left out by mistake could withdraw keys unheard; one that has no hosts
+	// makes an outage of the service refuse requests.
 	Domains() []fleet.DomainID
 	// Hosts returns all hosts that are members.
 	Hosts() []fleet.HostID
--- a/operators.go
+++ b/operators.go
@@ -56,7 +56,7 @@
 	if now == nil {
 		return admin.ConfigStatus{}
 	}
-	return admin.ConfigStatus{Revision: now.Revision(), AgeMS: configs.Age().Milliseconds()}
+	return admin.ConfigStatus{Revision: now.Revision(), AgeMS: admin.AgeMS(configs.Age())}
 }
 
 func (o operated) hosts() []admin.HostStatus {
