--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -14,7 +14,6 @@
 	"hawthornway/config"
 	"hawthornway/engine"
 	"hawthornway/fleet"
-	"hawthornway/member"
 	"hawthornway/model"
 	"hawthornway/outcome"
 	"hawthornway/peer/peertest"
@@ -34,7 +33,9 @@
 	items   *Catalog
 	network *peertest.Network
 	store   *kvstore.Store
+	// owners are those of domain "d", far those of domain "far".
 	owners  *fakeOwners
+	far     *fakeOwners
 	engines map[target.ID]*fakeEngine
 	hosts   []*testHost
 
@@ -42,10 +43,14 @@
 	reportDelay time.Duration
 	// weights bounds the loads from the weight store; nil doesn't.
 	weights *fakeWeights
+	// farHosts is the number of hosts in domain "far".
+	farHosts int
 	// quiet keeps the log of what happened from the test's output.
 	quiet bool
 	// traced adds the steps of the groups to the log.
 	traced bool
+	// onStep is called with each step of a group; nil isn't.
+	onStep func(h *testHost, in Input, effects []Effect)
 	logMu  sync.Mutex
 	lines  []string
 	// lateSends lets a host that was frozen between the check of its hold and the
@@ -240,11 +245,15 @@
 	for _, c := range cfg.Targets {
 		w.engines[c.Name] = newFakeEngine(w, c)
 	}
-	w.owners = newFakeOwners(w)
+	w.owners, w.far = newFakeOwners(w), newFakeOwners(w)
 	for i := range hosts {
 		w.join(fleet.Member{Host: fleet.HostID(fmt.Sprintf("h%d", i)), Domain: "d", Incarnation: fleet.Incarnation(i + 1)})
 	}
+	for i := range w.farHosts {
+		w.join(fleet.Member{Host: fleet.HostID(fmt.Sprintf("f%d", i)), Domain: "far", Incarnation: fleet.Incarnation(100 + i)})
+	}
 	w.owners.start()
+	w.far.start()
 	for _, h := range w.hosts {
 		h.start()
 	}
@@ -257,7 +266,7 @@
 	h.controller = newController(
 		WithConfig(w.config),
 		WithMesh(w.network.Join(m)),
-		WithOwnership(w.owners.view(h)),
+		WithOwnership(w.ownersOf(m.Domain).view(h)),
 		WithStore(hostStore{w.store, h}),
 		WithEngines(h),
 		WithLogger(slog.New(slog.DiscardHandler)),
@@ -270,7 +279,19 @@
 		},
 	)
 	w.hosts = append(w.hosts, h)
-	w.owners.add(h)
+	w.ownersOf(m.Domain).add(h)
+}
+
+func (w *world) ownersOf(domain fleet.DomainID) *fakeOwners {
+	if domain == "far" {
+		return w.far
+	}
+	return w.owners
+}
+
+// withFarHosts adds hosts in domain "far".
+func withFarHosts(n int) worldOption {
+	return func(w *world) { w.farHosts = n }
 }
 
 func (h *testHost) start() {
@@ -284,6 +305,9 @@
 
 // trace logs a step of the host's group.
 func (h *testHost) trace(in Input, effects []Effect) {
+	if h.w.onStep != nil {
+		h.w.onStep(h, in, effects)
+	}
 	if _, tick := in.(Tick); tick && len(effects) == 0 || !h.w.traced {
 		return
 	}
@@ -301,6 +325,7 @@
 		<-h.done
 	}
 	w.owners.stop()
+	w.far.stop()
 	time.Sleep(2 * time.Minute)
 }
 
@@ -476,201 +501,5 @@
 // wasFrozen reports whether the host was frozen after a time. Callers of a
 // frozen host are not answered in time.
 func (h *testHost) wasFrozen(since time.Time) bool {
-	return h.w.owners.frozenAfter(h, since)
-}
-
-// fakeOwners stands for membership: every host owns the shards that the table
-// gives it while its pledges last.
-type fakeOwners struct {
-	w      *world
-	ending chan struct{}
-
-	mu      sync.Mutex
-	hosts   []*testHost
-	owner   *testHost
-	fence   target.Fence
-	since   time.Time
-	handed  bool
-	pledged map[*testHost]time.Time
-	// knows is the fence that a host knows of.
-	knows       map[*testHost]target.Fence
-	ownerOf     map[target.Fence]*testHost
-	frozenUntil map[*testHost]time.Time
-	// cuts counts the hosts that a host is cut off.
-	cuts     map[*testHost]int
-	changed  chan struct{}
-	yielding bool
-}
-
-const (
-	pledgeTime   = 6 * time.Second
-	pledgeMargin = time.Second
-)
-
-func newFakeOwners(w *world) *fakeOwners {
-	return &fakeOwners{
-		w: w, ending: make(chan struct{}), pledged: make(map[*testHost]time.Time), knows: make(map[*testHost]target.Fence),
-		ownerOf: make(map[target.Fence]*testHost), frozenUntil: make(map[*testHost]time.Time),
-		cuts: make(map[*testHost]int), changed: make(chan struct{}),
-	}
-}
-
-func (o *fakeOwners) add(h *testHost) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.hosts = append(o.hosts, h)
-	if o.owner == nil {
-		o.give(h, true)
-	}
-}
-
-// give makes a host the owner of all shards; the lock is held.
-func (o *fakeOwners) give(h *testHost, handed bool) {
-	o.owner = h
-	o.fence++
-	o.since = time.Now()
-	o.handed = handed
-	o.ownerOf[o.fence] = h
-	close(o.changed)
-	o.changed = make(chan struct{})
-}
-
-func (o *fakeOwners) start() {
-	o.step()
-	go func() {
-		ticker := time.NewTicker(500 * time.Millisecond)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-o.ending:
-				return
-			case <-ticker.C:
-				o.step()
-			}
-		}
-	}()
-}
-
-func (o *fakeOwners) stop() { close(o.ending) }
-
-// step renews the pledges of the hosts that are heard, and gives the shards of
-// an owner that is not heard away once its pledges have run out.
-func (o *fakeOwners) step() {
-	o.w.mu.Lock()
-	out := o.w.storeOut
-	o.w.mu.Unlock()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := time.Now()
-	for _, h := range o.hosts {
-		if !h.alive() {
-			o.frozenUntil[h] = now
-			continue
-		}
-		o.knows[h] = o.fence
-		if o.cuts[h] == 0 {
-			o.pledged[h] = now
-		}
-	}
-	if out || now.Sub(o.pledged[o.owner]) < pledgeTime {
-		return
-	}
-	for _, h := range o.hosts {
-		if h.alive() && h != o.owner {
-			o.give(h, false)
-			return
-		}
-	}
-}
-
-// handOver gives the shards to a host after the owner has released them.
-func (o *fakeOwners) handOver(to *testHost) {
-	o.mu.Lock()
-	o.yielding = true
-	from := o.owner
-	o.mu.Unlock()
-	for range 100 {
-		if from.Released(from.ownRunners()[0].key.Shard) {
-			break
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.yielding = false
-	o.give(to, true)
-}
-
-// cut counts a cut between two hosts, or its end.
-func (o *fakeOwners) cut(a, b *testHost, n int) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.cuts[a] += n
-	o.cuts[b] += n
-}
-
-func (o *fakeOwners) frozenAfter(h *testHost, since time.Time) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.frozenUntil[h].After(since)
-}
-
-func (o *fakeOwners) view(h *testHost) ownersView { return ownersView{o, h} }
-
-// ownersView is what one host sees of the owners.
-type ownersView struct {
-	o *fakeOwners
-	h *testHost
-}
-
-func (v ownersView) Self() fleet.Member { return v.h.member }
-
-func (v ownersView) Hold(shard member.Shard, checksFence bool) (member.Hold, bool) {
-	return v.hold(shard, checksFence)
-}
-
-func (v ownersView) hold(shard member.Shard, checksFence bool) (member.Hold, bool) {
-	v.o.mu.Lock()
-	defer v.o.mu.Unlock()
-	known := v.o.knows[v.h]
-	if known == 0 || v.o.ownerOf[known] != v.h || v.o.yielding {
-		return member.Hold{}, false
-	}
-	until := v.o.pledged[v.h].Add(pledgeTime - pledgeMargin)
-	hold := member.Hold{Shard: shard, Fence: known, Until: until, Since: v.o.since, HandedOver: v.o.handed}
-	return hold, checksFence || time.Now().Before(until)
-}
-
-func (v ownersView) Owner(domain fleet.DomainID, _ member.Shard) (fleet.Member, bool) {
-	v.o.mu.Lock()
-	defer v.o.mu.Unlock()
-	owner := v.o.ownerOf[v.o.knows[v.h]]
-	if owner == nil || domain != "d" {
-		return fleet.Member{}, false
-	}
-	return owner.member, true
-}
-
-func (v ownersView) Members(domain fleet.DomainID) []fleet.Member {
-	v.o.mu.Lock()
-	defer v.o.mu.Unlock()
-	var members []fleet.Member
-	for _, h := range v.o.hosts {
-		h.mu.Lock()
-		if !h.dead && domain == "d" {
-			members = append(members, h.member)
-		}
-		h.mu.Unlock()
-	}
-	return members
-}
-
-func (v ownersView) Domains() []fleet.DomainID { return []fleet.DomainID{"d"} }
-
-func (v ownersView) Reachable(fleet.DomainID) bool { return true }
-
-func (v ownersView) Changed() <-chan struct{} {
-	v.o.mu.Lock()
-	defer v.o.mu.Unlock()
-	return v.o.changed
+	return h.w.ownersOf(h.member.Domain).frozenAfter(h, since)
 }
