Tell refused callers when to return by the load

Cause: calls that engines refused, and calls beyond a team's streams, were told a constant second or nothing. Ruled out: the engines' own Retry-After (not all give one). Change: pace, the running mean of served calls' durations, divided among the pool's slots; the mean of a team's calls for the bound on streams. Figures: none measured; tests of the arithmetic pass. Conclusion: no refusal of the front carries a constant time any more.

--- a/bench_test.go
+++ b/bench_test.go
@@ -142,7 +142,7 @@
 	entries := []call.Entry{
 		{Priority: call.PriorityPath, Filter: caller.PathFilter(snapshot)},
 		{Priority: call.PriorityKey, Filter: caller.KeyFilter(benchKeys{size.teams})},
-		{Priority: call.PriorityStream, Filter: caller.StreamFilter(snapshot)},
+		{Priority: call.PriorityStream, Filter: caller.StreamFilter(snapshot, clockwork.NewRealClock())},
 		{Priority: call.PriorityBody, Filter: caller.BodyFilter(1 << 20)},
 		{Priority: call.PriorityBody, Filter: caller.LeakFilter()},
 		{Priority: call.PriorityResolve, Filter: caller.ResolveFilter(snapshot)},
--- a/caller/filter_test.go
+++ b/caller/filter_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 
 	"hawthornway/call"
@@ -118,7 +119,7 @@
 	directory := fakeDirectory{}
 	inside := 0
 	var handler call.Handler
-	handler = StreamFilter(directory)(func(ctx context.Context, c *call.Call) outcome.Outcome {
+	handler = StreamFilter(directory, clockwork.NewRealClock())(func(ctx context.Context, c *call.Call) outcome.Outcome {
 		inside++
 		return handler(ctx, c) // one call within the other, until the bound
 	})
--- a/caller/hostile_test.go
+++ b/caller/hostile_test.go
@@ -67,7 +67,7 @@
 		{Priority: call.PriorityResolve, Filter: ResolveFilter(directory)},
 		{Priority: call.PriorityBody, Filter: BodyFilter(bodyBytes)},
 		{Priority: call.PriorityBody, Filter: LeakFilter()},
-		{Priority: call.PriorityStream, Filter: StreamFilter(directory)},
+		{Priority: call.PriorityStream, Filter: StreamFilter(directory, clockwork.NewRealClock())},
 		{Priority: call.PriorityKey, Filter: KeyFilter(fakeKeys{})},
 		{Priority: call.PriorityPath, Filter: PathFilter(directory)},
 	}
--- a/openai/generator.go
+++ b/openai/generator.go
@@ -76,7 +76,7 @@
 		}
 		last = one.run(ctx, g.client)
 		place.Done(last.retry)
-		if end := g.next(ctx, attempts, last); end != nil {
+		if end := g.next(ctx, attempts, gen, last); end != nil {
 			return end
 		}
 		tried = append(tried, place.Target)
@@ -90,7 +90,7 @@
 }
 
 // next returns the outcome after an attempt, or nil to try once more.
-func (g *generator) next(ctx context.Context, attempts *retry.Call, last result) outcome.Outcome {
+func (g *generator) next(ctx context.Context, attempts *retry.Call, gen *call.Generation, last result) outcome.Outcome {
 	switch r := last.retry.(type) {
 	case retry.Cancelled:
 		return cancelledOutcome(ctx, last)
@@ -102,7 +102,7 @@
 	}
 	switch decision := attempts.Next(last.retry).(type) {
 	case retry.Stop:
-		return explain(decision.Outcome, last)
+		return g.explain(decision.Outcome, gen, last)
 	default:
 		return nil
 	}
@@ -121,8 +121,9 @@
 	}
 }
 
-// explain adds the engine's own words to an outcome.
-func explain(ended outcome.Outcome, last result) outcome.Outcome {
+// explain adds the engine's own words to an outcome, and to a refusal the time
+// to return by the load.
+func (g *generator) explain(ended outcome.Outcome, gen *call.Generation, last result) outcome.Outcome {
 	switch o := ended.(type) {
 	case outcome.Unknown:
 		o.Reason, o.Detail = last.reason, last.detail
@@ -131,6 +132,7 @@
 		if last.detail != "" {
 			o.Detail = last.detail
 		}
+		o.RetryAfter = g.placer.RetryAfter(gen)
 		return o
 	default:
 		return ended
--- a/openai/generator_test.go
+++ b/openai/generator_test.go
@@ -85,7 +85,7 @@
 
 func (p *fakePlacer) Place(_ context.Context, _ *call.Call, _ *call.Generation, tried []target.ID) (Place, *outcome.NotRun) {
 	if len(tried) >= len(p.engines) {
-		return Place{}, &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: time.Second}
+		return Place{}, &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: 1500 * time.Millisecond}
 	}
 	server := p.engines[len(tried)]
 	return Place{
@@ -95,6 +95,8 @@
 	}, nil
 }
 
+func (p *fakePlacer) RetryAfter(*call.Generation) time.Duration { return 1500 * time.Millisecond }
+
 func generate(t *testing.T, p Placer, stream bool) (*call.Call, outcome.Outcome, *httptest.ResponseRecorder) {
 	body := fmt.Sprintf(`{"model":"m","stream":%t,"messages":[{"role":"user","content":"hi"}]}`, stream)
 	gen, err := ParseGeneration(PathChat, []byte(body), func(model.Name) team.Tokens { return 100 })
@@ -144,6 +146,9 @@
 				_, ended, recorder := generate(t, newFakePlacer(t, tc.scripts), stream)
 				must.EqOp(t, tc.want.Header(), ended.Header())
 				must.EqOp(t, tc.reason, reasonOf(ended))
+				if ended.Header() == "not-run" {
+					must.EqOp(t, "2", recorder.Header().Get("Retry-After"))
+				}
 				text, done := textOf(t, recorder.Body.String(), stream)
 				served := tc.want.Header() == "served"
 				must.EqOp(t, served, done)
--- a/openai/place.go
+++ b/openai/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"hawthornway/call"
 	"hawthornway/fleet"
@@ -26,4 +27,7 @@
 	// Place returns a replica that is ready, waiting for a load if it must,
 	// until the call's deadline. Tried lists the targets that failed this call.
 	Place(ctx context.Context, c *call.Call, gen *call.Generation, tried []target.ID) (Place, *outcome.NotRun)
+	// RetryAfter returns when a repeat of a generation that engines refused is
+	// expected to be served.
+	RetryAfter(gen *call.Generation) time.Duration
 }
--- /dev/null
+++ b/pace_test.go
@@ -0,0 +1,32 @@
+package hawthornway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"hawthornway/call"
+	"hawthornway/gate"
+	"hawthornway/outcome"
+)
+
+func TestReturnTimeFollowsLoad(t *testing.T) {
+	p := &pace{}
+	start := time.Unix(0, 0)
+	served := &call.Call{Received: start, Trace: call.Trace{Ended: start.Add(8 * time.Second)}}
+	p.Observe(served, outcome.Served{})
+	p.Observe(served, outcome.NotRun{}) // says nothing of how long calls take
+	cases := []struct {
+		name string
+		work gate.Work
+		want time.Duration
+	}{
+		{"full", gate.Work{Slots: 16, Running: 16}, 500 * time.Millisecond},
+		{"half as much again waits", gate.Work{Slots: 16, Running: 16, Queued: 7}, 4 * time.Second},
+		{"idle", gate.Work{Slots: 16}, 500 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		must.EqOp(t, tc.want, p.untilFree(tc.work), must.Sprint(tc.name))
+	}
+}
--- a/parts.go
+++ b/parts.go
@@ -48,6 +48,7 @@
 	replicas  replica.Controller
 	router    route.Router
 	gate      gate.Gate
+	pace      pace
 	claims    claim.Claims
 	metrics   metric.Metrics
 	front     *caller.Front
@@ -137,6 +138,11 @@
 	p.gate = gate.New(p.directory.Queue, p.work, p.hosts, o.clock)
 }
 
+// untilFree returns when a pool is expected to have a free slot.
+func (p *parts) untilFree(pool target.Pool) time.Duration {
+	return p.pace.untilFree(p.work(pool))
+}
+
 // work returns what the targets of a pool last said of their work.
 func (p *parts) work(pool target.Pool) gate.Work {
 	var sum gate.Work
@@ -208,18 +214,19 @@
 		return owner.Priority
 	}
 	engines := &enginePlacer{
-		router:   p.router,
-		replicas: p.replicas,
-		gate:     p.gate,
-		pool:     directory.PoolOf,
-		priority: priority,
+		router:    p.router,
+		replicas:  p.replicas,
+		gate:      p.gate,
+		pool:      directory.PoolOf,
+		priority:  priority,
+		untilFree: p.untilFree,
 	}
 	generator := openai.NewGenerator(engines, budget, o.clock, priority)
-	forwarder := service.NewForwarder(&servicePlacer{router: p.router}, budget, o.clock)
+	forwarder := service.NewForwarder(&servicePlacer{router: p.router, untilFree: p.untilFree}, budget, o.clock)
 	entries := []call.Entry{
 		{Priority: call.PriorityPath, Filter: caller.PathFilter(directory)},
 		{Priority: call.PriorityKey, Filter: caller.KeyFilter(p.keys)},
-		{Priority: call.PriorityStream, Filter: caller.StreamFilter(directory)},
+		{Priority: call.PriorityStream, Filter: caller.StreamFilter(directory, o.clock)},
 		{Priority: call.PriorityBody, Filter: caller.BodyFilter(s.Limits.BodyBytes)},
 		{Priority: call.PriorityBody, Filter: caller.LeakFilter()},
 		{Priority: call.PriorityResolve, Filter: caller.ResolveFilter(directory)},
@@ -227,7 +234,7 @@
 		{Priority: call.PriorityClaim, Filter: caller.ClaimFilter(p.claims, o.log)},
 	}
 	last := caller.Dispatch(directory, generator, forwarder)
-	p.front = caller.NewFront(entries, last, o.clock, o.log, p.metrics, burnObserver{p.recorder})
+	p.front = caller.NewFront(entries, last, o.clock, o.log, p.metrics, burnObserver{p.recorder}, &p.pace)
 }
 
 // runner is a controller that works until its context ends.
--- a/placers.go
+++ b/placers.go
@@ -29,6 +29,14 @@
 	// pool returns the pool whose engines serve a model or an adapter.
 	pool     func(name model.Name) target.Pool
 	priority func(c *call.Call) int
+	// untilFree returns when a pool is expected to have a free slot.
+	untilFree func(pool target.Pool) time.Duration
+}
+
+// RetryAfter returns when a repeat of a refused generation is expected to be
+// served.
+func (p *enginePlacer) RetryAfter(gen *call.Generation) time.Duration {
+	return p.untilFree(p.pool(gen.Model))
 }
 
 // Place picks a ready replica, or waits for one to be loaded. A first attempt
@@ -86,7 +94,7 @@
 	}
 	return route.Choice{}, &outcome.NotRun{
 		Reason:     outcome.ReasonNoTarget,
-		RetryAfter: time.Second,
+		RetryAfter: p.RetryAfter(gen),
 		Detail:     "the model's replicas are all leaving",
 	}
 }
@@ -141,6 +149,8 @@
 // servicePlacer finds plain services for routes.
 type servicePlacer struct {
 	router route.Router
+	// untilFree returns when a pool is expected to have a free slot.
+	untilFree func(pool target.Pool) time.Duration
 }
 
 // Place picks a service of the route's pool that was not tried yet.
@@ -148,8 +158,9 @@
 	choice, ok := pickAndSend(p.router, route.Request{Pool: s.Route.Pool, Exclude: tried})
 	if !ok {
 		return service.Place{}, &outcome.NotRun{
-			Reason: outcome.ReasonNoTarget,
-			Detail: "no target of the route takes the call",
+			Reason:     outcome.ReasonNoTarget,
+			RetryAfter: p.untilFree(s.Route.Pool),
+			Detail:     "no target of the route takes the call",
 		}
 	}
 	return service.Place{
