Give the experiment's test addresses of its own

Cause: TestBaselineRuns failed once with an address in use, when the same test ran in another process on the machine. Ruled out: port 0 in host settings (they refuse it, rightly). Change: the test writes its deployment with loopback numbers that follow from a port that it holds; what it checks is unchanged. Conclusion: the test no longer shares addresses.

--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -1,6 +1,12 @@
 package experiment
 
 import (
+	"bytes"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -11,8 +17,32 @@
 	"hawthornway/workload"
 )
 
+// writeDeployment copies a deployment folder, with loopback addresses that no
+// other process uses meanwhile: they follow from a port that the test holds.
+func writeDeployment(t *testing.T, from string) string {
+	t.Helper()
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = held.Close() })
+	port := held.Addr().(*net.TCPAddr).Port
+	prefix := fmt.Sprintf("127.%d.%d", port>>8, port&0xff)
+	to := t.TempDir()
+	must.NoError(t, os.CopyFS(to, os.DirFS(from)))
+	paths, err := fs.Glob(os.DirFS(to), "*.yaml")
+	must.NoError(t, err)
+	nested, err := fs.Glob(os.DirFS(to), "*/*.yaml")
+	must.NoError(t, err)
+	for _, path := range append(paths, nested...) {
+		path = filepath.Join(to, path)
+		text, err := os.ReadFile(path)
+		must.NoError(t, err)
+		must.NoError(t, os.WriteFile(path, bytes.ReplaceAll(text, []byte("NET"), []byte(prefix)), 0o600))
+	}
+	return to
+}
+
 func TestBaselineRuns(t *testing.T) {
-	d, err := cluster.Load("testdata/tiny")
+	d, err := cluster.Load(writeDeployment(t, "testdata/tiny"))
 	must.NoError(t, err)
 	traffic := workload.DefaultSettings()
 	traffic.Length = 600 * time.Millisecond
