Draw incarnations from the start time

Cause: links take a higher incarnation of a host for the newer one; random ones had a restarted host refused until its old link fell silent (3 s). Ruled out: a counter in the key-value service (a write a start, and none in an outage). Change: the start time in nanoseconds.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,8 +10,8 @@
 // DomainID names one failure domain.
 type DomainID string
 
-// Incarnation tells one run of a host's process from the next. A host draws a
-// new incarnation at each start.
+// Incarnation tells one run of a host's process from the next. It is the time of
+// the start in nanoseconds since 1970, so that a later run has a higher one.
 type Incarnation uint64
 
 // Member is one run of a host in a failure domain.
--- a/host.go
+++ b/host.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -107,7 +106,7 @@
 	h.self = fleet.Member{
 		Host:        h.settings.Host,
 		Domain:      h.settings.Domain,
-		Incarnation: fleet.Incarnation(rand.Uint64()),
+		Incarnation: fleet.Incarnation(h.options.clock.Now().UnixNano()),
 	}
 	if err := h.bindPeers(); err != nil {
 		return err
