--- a/claim/claim.go
+++ b/claim/claim.go
@@ -37,17 +37,17 @@
 
 // Finish implements Claim.
 func (c *claim) Finish(ctx context.Context, answer Answer) error {
-	return c.end(ctx, c.mine.ended(stateDone, &answer))
+	return c.end(ctx, c.mine.ended(c.claims.clock.Now(), stateDone, &answer))
 }
 
 // Abandon implements Claim.
 func (c *claim) Abandon(ctx context.Context) error {
-	return c.end(ctx, c.mine.ended(stateAbandoned, nil))
+	return c.end(ctx, c.mine.ended(c.claims.clock.Now(), stateAbandoned, nil))
 }
 
 // Unknown implements Claim.
 func (c *claim) Unknown(ctx context.Context) error {
-	return c.end(ctx, c.mine.ended(stateUnknown, nil))
+	return c.end(ctx, c.mine.ended(c.claims.clock.Now(), stateUnknown, nil))
 }
 
 func (c *claim) end(ctx context.Context, end record) error {
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -206,7 +206,7 @@
 // giveUp refuses a call whose deadline came before a decision.
 func (c *claims) giveUp(key string, mine record, written, running bool, err error) Decision {
 	if written {
-		c.later(key, mine.ended(stateAbandoned, nil))
+		c.later(key, mine.ended(c.clock.Now(), stateAbandoned, nil))
 	}
 	c.log.Debug("claim: refused a call without a decision", "key", key, "running", running, "error", err)
 	if running {
--- a/claim/record.go
+++ b/claim/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -27,7 +28,9 @@
 	Attempt string       `json:"attempt"`
 	Host    fleet.HostID `json:"host"`
 	Digest  string       `json:"digest"`
-	Answer  *Answer      `json:"answer,omitempty"`
+	// EndedAt is zero while the call runs.
+	EndedAt time.Time `json:"ended-at,omitzero"`
+	Answer  *Answer   `json:"answer,omitempty"`
 	// TooLarge says that the answer was too large to be kept.
 	TooLarge bool `json:"too-large,omitempty"`
 }
@@ -57,9 +60,9 @@
 	return r.State == "" || r.State == stateAbandoned
 }
 
-// ended returns the record of the call's end.
-func (r record) ended(state string, answer *Answer) record {
-	r.State = state
+// ended returns the record of the call's end at a time.
+func (r record) ended(at time.Time, state string, answer *Answer) record {
+	r.State, r.EndedAt = state, at.UTC().Round(time.Millisecond)
 	if answer == nil {
 		return r
 	}
--- a/limit/account.go
+++ b/limit/account.go
@@ -11,6 +11,10 @@
 const (
 	// keepUnspent is how long a host keeps tokens that it does not spend.
 	keepUnspent = time.Second
+	// keepScarce is the same while the ledger has little left.
+	keepScarce = 200 * time.Millisecond
+	// scarcePart is the part of its capacity below which a ledger has little.
+	scarcePart = 0.25
 	// spendMargin is the time before the end of a grant when spending stops.
 	spendMargin = 100 * time.Millisecond
 	// trustView is how long a host trusts what a ledger said of its level.
@@ -269,6 +273,11 @@
 	return full
 }
 
+// scarce reports whether the ledger has little left, as far as the host knows.
+func (a *account) scarce(now time.Time) bool {
+	return a.levelAt(now) < scarcePart*a.view.capacity
+}
+
 func (a *account) levelAt(at time.Time) float64 {
 	if a.view.missing {
 		return 0
--- a/limit/controller.go
+++ b/limit/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -11,6 +12,7 @@
 
 	"hawthornway/fleet"
 	"hawthornway/member"
+	"hawthornway/outcome"
 	"hawthornway/peer"
 	"hawthornway/platform"
 	"hawthornway/team"
@@ -66,7 +68,6 @@
 		mesh:   mesh,
 		limits: limits,
 		clock:  clockwork.NewRealClock(),
-		urgent: make(chan *purse, maxUrgent),
 		keeper: &keeper{
 			own:     own,
 			mesh:    mesh,
@@ -75,7 +76,7 @@
 			domains: func() []fleet.DomainID { return nil },
 			teams:   func() []team.ID { return nil },
 			log:     slog.Default(),
-			wake:    make(chan *kept, maxUrgent),
+			wake:    make(chan *kept, maxWakes),
 		},
 	}
 	for _, opt := range opts {
@@ -89,8 +90,12 @@
 const (
 	// purseShards is the number of parts of the purses, each with its own lock.
 	purseShards = 64
-	// maxUrgent bounds the reports that are sent at once.
-	maxUrgent = 256
+	// longestWait is the longest time that a request waits for tokens.
+	longestWait = 250 * time.Millisecond
+	// maxWaiting bounds the requests of one team that wait for tokens.
+	maxWaiting = 64
+	// maxWakes bounds the notices of changed records that wait.
+	maxWakes = 256
 )
 
 type controller struct {
@@ -100,8 +105,8 @@
 	clock  clockwork.Clock
 	keeper *keeper
 	purses [purseShards]purseShard
-	// urgent takes purses whose reports should not wait.
-	urgent chan *purse
+	// running is the context of Run.
+	running atomic.Pointer[context.Context]
 }
 
 type purseShard struct {
@@ -122,6 +127,16 @@
 	}
 	p := c.purse(id)
 	need := microOf(most)
+	for begin := c.clock.Now(); ; {
+		charge, refusal := c.try(ctx, p, need)
+		if refusal == nil || !c.waitShortly(ctx, p, begin, refusal) {
+			return charge, refusal
+		}
+	}
+}
+
+// try charges a request with what the host holds, or asks the ledgers.
+func (c *controller) try(ctx context.Context, p *purse, need Micro) (Charge, *Refusal) {
 	if charged := c.take(p, need); charged != nil {
 		return charged, nil
 	}
@@ -132,8 +147,28 @@
 	return c.gather(ctx, p, need)
 }
 
+// waitShortly waits for tokens that will be there in a moment, rather than have
+// the caller come back for them. It reports false if the refusal is to stand.
+func (c *controller) waitShortly(ctx context.Context, p *purse, begin time.Time, refusal *Refusal) bool {
+	late := c.clock.Since(begin)+refusal.RetryAfter > longestWait
+	if refusal.Reason != outcome.ReasonRate || late {
+		return false
+	}
+	defer p.waiting.Add(-1)
+	if p.waiting.Add(1) > maxWaiting {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.clock.After(refusal.RetryAfter):
+		return true
+	}
+}
+
 // Run implements Controller.
 func (c *controller) Run(ctx context.Context) error {
+	c.running.Store(&ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -148,8 +183,6 @@
 			return nil
 		case <-ticker.Chan():
 			c.reportAll(ctx)
-		case p := <-c.urgent:
-			c.report(ctx, []*purse{p})
 		}
 	}
 }
@@ -186,7 +219,7 @@
 	if charged == nil {
 		return nil
 	}
-	charged.touched = c.touch
+	charged.changed, charged.clock = c.changed, c.clock
 	c.touch(p)
 	return charged
 }
--- a/limit/gather.go
+++ b/limit/gather.go
@@ -18,8 +18,14 @@
 	askTimeout = 250 * time.Millisecond
 	// extraSpan is the spending that a host borrows ahead.
 	extraSpan = 100 * time.Millisecond
+	// After asking in vain a host asks no ledger for a time that doubles each
+	// time, so that a team over its rate does not cost ever more messages.
+	shortestCalm = 5 * time.Millisecond
+	longestCalm  = 160 * time.Millisecond
 	// reportEvery is the time between two reports of a host.
 	reportEvery = 250 * time.Millisecond
+	// hastyPause gathers what is reported before the next round.
+	hastyPause = 2 * time.Millisecond
 )
 
 func (c *controller) shard(id team.ID) *purseShard {
@@ -36,6 +42,11 @@
 	if refusal := c.hopeless(p, accounts, most); refusal != nil {
 		return nil, refusal
 	}
+	if calm := p.calmUntil.Sub(c.clock.Now()); calm > 0 {
+		refusal := c.refuse(p, accounts, most)
+		refusal.RetryAfter = max(refusal.RetryAfter, calm)
+		return nil, refusal
+	}
 	for _, a := range accounts {
 		missing := p.missing(c.clock.Now(), most)
 		if missing <= 0 || ctx.Err() != nil {
@@ -46,11 +57,14 @@
 		}
 	}
 	if charged := c.take(p, most); charged != nil {
-		c.hasten(p, most)
+		p.calm = 0
+		c.changed(p, p.isLarge(most))
 		return charged, nil
 	}
+	p.calm = min(max(2*p.calm, shortestCalm), longestCalm)
+	p.calmUntil = c.clock.Now().Add(p.calm)
 	p.giveAllBack()
-	c.touch(p)
+	c.changed(p, true)
 	return nil, c.refuse(p, accounts, most)
 }
 
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -166,8 +166,7 @@
 	}
 	answer.Grant = l.Lend(now, Ask{Domain: from, Need: request.Need, Extra: request.Extra})
 	answer.Level = l.Level(now)
-	part := l.Share().Of(limit)
-	answer.Rate, answer.Capacity = part.Rate, part.Capacity
+	answer.Rate, answer.Capacity = l.Inflow(now), l.Share().Of(limit).Capacity
 	answer.ReadyMS = max(0, o.ready.Sub(now).Milliseconds())
 	return answer
 }
--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -68,6 +68,8 @@
 	line  []GrantID
 	last  GrantID
 	taken map[fleet.DomainID]taking
+	// back measures what hosts give back.
+	back meter
 }
 
 // taking is what one domain's hosts took.
@@ -155,16 +157,23 @@
 	for _, grant := range report.Returned {
 		tokens := l.close(grant)
 		l.bucket.Return(now, tokens)
+		l.back.add(now, tokens)
 		taken := l.taken[from]
 		taken.tokens -= tokens
 		l.taken[from] = taken
 	}
 	for _, refund := range report.Refunds {
-		l.bucket.Refund(now, refund.Mark, refund.Tokens)
+		l.back.add(now, l.bucket.Refund(now, refund.Mark, refund.Tokens))
 	}
 	return mark
 }
 
+// Inflow returns the millionths of tokens a second that come into the bucket:
+// its rate and what hosts gave back of late.
+func (l *Ledger) Inflow(now time.Time) float64 {
+	return l.share.Of(l.limit).Rate + l.back.rate(now)
+}
+
 // Level returns the tokens that can be lent.
 func (l *Ledger) Level(now time.Time) Micro {
 	l.expire(now)
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -18,7 +18,8 @@
 // Limiter admits requests within the rates and bursts of their teams.
 type Limiter interface {
 	// Reserve charges a request with the most tokens that it may use. It
-	// returns the charge, or the reason why the request is not admitted.
+	// returns the charge, or the reason why the request is not admitted. It
+	// waits a quarter of a second at most for tokens that are about to come.
 	Reserve(ctx context.Context, id team.ID, most team.Tokens) (Charge, *Refusal)
 }
 
--- a/limit/purse.go
+++ b/limit/purse.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"hawthornway/fleet"
 	"hawthornway/team"
 )
@@ -17,11 +20,19 @@
 	team team.ID
 	// turn is held by the one request that asks ledgers.
 	turn chan struct{}
+	// calm is the pause after asking in vain, and calmUntil its end. They are
+	// used by the holder of the turn only.
+	calm      time.Duration
+	calmUntil time.Time
 
 	mu sync.Mutex
 	// accounts begins with the host's own domain.
 	accounts []*account
 	spending meter
+	// hasty says that a report is about to be sent.
+	hasty atomic.Bool
+	// waiting is the number of requests that wait for tokens.
+	waiting atomic.Int64
 }
 
 func newPurse(id team.ID, own fleet.DomainID) *purse {
@@ -112,9 +123,13 @@
 	defer p.mu.Unlock()
 	idle := true
 	for _, a := range p.accounts {
+		keep := keepUnspent
+		if a.scarce(now) {
+			keep = keepScarce
+		}
 		kept := a.pieces[:0]
 		for _, piece := range a.pieces {
-			if mostPassed(piece.asked, now) >= keepUnspent {
+			if mostPassed(piece.asked, now) >= keep {
 				a.giveBack(piece)
 				continue
 			}
@@ -131,8 +146,9 @@
 	purse *purse
 	total Micro
 	parts []part
-	// touched marks the purse as one with something to report.
-	touched func(*purse)
+	// changed says that the purse has something to report.
+	changed func(p *purse, now bool)
+	clock   clockwork.Clock
 	settled bool
 }
 
@@ -161,6 +177,7 @@
 	}
 	c.settled = true
 	left := c.total - microOf(max(0, used))
+	now, scarce := c.clock.Now(), false
 	for _, p := range c.parts {
 		n := min(left, p.tokens)
 		if n <= 0 {
@@ -168,6 +185,7 @@
 		}
 		left -= n
 		p.account.refund(p, n)
+		scarce = scarce || p.account.scarce(now)
 	}
-	c.touched(c.purse)
+	c.changed(c.purse, scarce)
 }
--- a/limit/settle.go
+++ b/limit/settle.go
@@ -129,14 +129,21 @@
 	return true
 }
 
-// hasten reports a charge at once that is large for its ledgers. Until a ledger
-// knows that tokens are spent, it does not refill their place.
-func (c *controller) hasten(p *purse, n Micro) {
-	if !p.isLarge(n) {
-		return
+// changed marks a purse as one with something to report, soon or with the next
+// round of reports.
+func (c *controller) changed(p *purse, soon bool) {
+	c.touch(p)
+	if soon && p.hasty.CompareAndSwap(false, true) {
+		c.clock.AfterFunc(hastyPause, func() { c.reportNow(p) })
 	}
-	select {
-	case c.urgent <- p:
-	default:
+}
+
+// reportNow reports what a ledger should know soon: that a large part of its
+// tokens is spent, since it does not refill their place before; or that a
+// request did not use tokens that are scarce.
+func (c *controller) reportNow(p *purse) {
+	p.hasty.Store(false)
+	if ctx := c.running.Load(); ctx != nil && (*ctx).Err() == nil {
+		c.report(*ctx, []*purse{p})
 	}
 }
