--- a/host.go
+++ b/host.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -41,8 +42,15 @@
 	clock clockwork.Clock
 	log   *slog.Logger
 	store platform.Store
+	// keyStore is the same service, whose watches end soon enough to tell that
+	// it is reached.
+	keyStore platform.Store
 }
 
+// keyWatchWait bounds a watch of the keys. It is below the time after which a
+// host counts as cut off.
+const keyWatchWait = 1500 * time.Millisecond
+
 // WithClock sets the clock.
 func WithClock(clock clockwork.Clock) Option {
 	return func(o *options) { o.clock = clock }
@@ -56,7 +64,7 @@
 // WithStore sets the platform's key-value service in place of the one that the
 // settings name.
 func WithStore(store platform.Store) Option {
-	return func(o *options) { o.store = store }
+	return func(o *options) { o.store, o.keyStore = store, store }
 }
 
 // New returns a new Host with its listeners bound. Nothing is served before
@@ -68,8 +76,9 @@
 	}
 	if o.store == nil {
 		o.store = platform.NewClient(s.Platform.KeyValue)
+		o.keyStore = platform.NewClient(s.Platform.KeyValue, platform.WithWatchWait(keyWatchWait))
 	}
-	h := &host{settings: s, options: o}
+	h := &host{settings: s, options: o, leaving: make(chan struct{})}
 	if err := h.build(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -83,8 +92,13 @@
 	parts    *parts
 	servers  servers
 	ready    readiness
+	// leaving is closed when an operator asks the host to stop.
+	leaving chan struct{}
+	asked   sync.Once
 	// peerHandler is set once the parts are made.
 	peerHandler *late
+	// peerClient dials other hosts.
+	peerClient *http.Client
 }
 
 // build joins the parts and binds the listeners. The peers' listener comes
@@ -99,7 +113,10 @@
 		return err
 	}
 	h.self.PeerAddress = h.servers.peersAddress.String()
-	h.parts = newParts(h.self, h.settings, h.options)
+	if advertised := h.settings.Listen.PeersAdvertised; advertised != "" {
+		h.self.PeerAddress = advertised
+	}
+	h.parts = newParts(h.self, h.settings, h.options, h.peerClient)
 	h.ready.missing = h.parts.missing
 	return h.bindOthers()
 }
@@ -124,6 +141,8 @@
 	select {
 	case <-ctx.Done():
 		h.drain()
+	case <-h.leaving:
+		h.drain()
 	case <-working.Done():
 	}
 	h.stopServers()
@@ -160,6 +179,9 @@
 	}
 }
 
+// askToLeave begins the graceful stop, once.
+func (h *host) askToLeave() { h.asked.Do(func() { close(h.leaving) }) }
+
 // drain is the graceful stop: the host is unready first, then takes no new
 // calls, then lets calls in progress end, and hands its duties over.
 func (h *host) drain() {
--- a/measure/run.go
+++ b/measure/run.go
@@ -27,6 +27,7 @@
 	Config  config.Config
 	Weights weights.Settings
 	Engine  engine.Settings
+	// Results are those of the warm-up, at times below zero, and of the run.
 	Results []loadgen.Result
 	Engines map[target.ID]EngineRecord
 	// Executions are the runs of each call, over all targets.
@@ -40,6 +41,8 @@
 	Through  []loadgen.Result
 	// Faulted says which hosts (by index) the fault touched.
 	Faulted map[int]bool
+	// Killed says which hosts (by index) were killed.
+	Killed map[int]bool
 }
 
 // EngineRecord is what one engine left behind.
@@ -56,3 +59,14 @@
 	Idle, Held engine.MemoryTime
 	Platform   kvstore.Counts
 }
+
+// measured returns the results without those of the warm-up.
+func (r Run) measured() []loadgen.Result {
+	var results []loadgen.Result
+	for _, result := range r.Results {
+		if result.Arrival.At >= 0 {
+			results = append(results, result)
+		}
+	}
+	return results
+}
--- a/member/pledge.go
+++ b/member/pledge.go
@@ -18,6 +18,8 @@
 	acked   instant
 	isAcked bool
 	last    heartbeat
+	// revisionAt is when the peer's revision changed last.
+	revisionAt instant
 	// pledgedUntil is the end of this host's own pledge to the peer, by the
 	// monotonic clock.
 	pledgedUntil time.Duration
@@ -139,6 +141,9 @@
 	if hb.Sequence <= s.heard {
 		return
 	}
+	if hb.Revision != s.last.Revision {
+		s.revisionAt = m.now
+	}
 	s.heard, s.heardAt, s.last = hb.Sequence, m.now, hb
 	m.noteRevision(from.Host, hb)
 	m.noteAck(s, hb)
@@ -190,7 +195,7 @@
 // pledgesLeft returns how long all pledges that this host needs can still be
 // relied on. Alone is true when it needs none.
 func (m *machine) pledgesLeft(now instant) (left time.Duration, alone bool) {
-	needed := m.needed()
+	needed := m.neededNow
 	left = m.settings.PledgeTime
 	for i := 0; i < len(needed); i++ {
 		p := needed[i]
@@ -198,7 +203,9 @@
 		if left <= 0 {
 			return left, false
 		}
-		needed = m.appendMissing(needed, m.peers[p].pledge.adding)
+		if adding := m.peers[p].pledge.adding; len(adding) > 0 {
+			needed = m.appendMissing(slices.Clone(needed), adding)
+		}
 	}
 	return left, len(needed) == 0
 }
--- a/parts.go
+++ b/parts.go
@@ -4,10 +4,14 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
 
+	"hawthornway/burn"
 	"hawthornway/call"
 	"hawthornway/caller"
 	"hawthornway/claim"
@@ -31,6 +35,8 @@
 
 // parts are the controllers and the front of one host.
 type parts struct {
+	clock     clockwork.Clock
+	made      time.Time
 	log       *slog.Logger
 	links     *peer.Links
 	members   *member.Controller
@@ -42,24 +48,28 @@
 	replicas  replica.Controller
 	router    route.Router
 	gate      gate.Gate
+	pace      pace
 	claims    claim.Claims
 	metrics   metric.Metrics
 	front     *caller.Front
-	admin     http.Handler
+	burns     *burn.Collector
+	recorder  *burn.Recorder
 }
 
-func newParts(self fleet.Member, s settings.Settings, o *options) *parts {
-	p := &parts{log: o.log, metrics: metric.New()}
+func newParts(self fleet.Member, s settings.Settings, o *options, dial *http.Client) *parts {
+	p := &parts{log: o.log, metrics: metric.New(), clock: o.clock, made: o.clock.Now()}
 	p.machines = newMachines(s.Platform.HostList, o.clock, o.log)
 	p.links = peer.New(
 		peer.WithSelf(self),
 		peer.WithSecret([]byte(s.Secrets.Cluster)),
 		peer.WithClock(o.clock),
 		peer.WithLogger(o.log),
+		peer.WithHTTPClient(dial),
 	)
 	p.addMembers(self, s, o)
 	p.addState(self, o)
 	p.addPlacement(self, s, o)
+	p.addBurn(self, o)
 	p.addFront(s, o)
 	return p
 }
@@ -89,7 +99,7 @@
 func (p *parts) addState(self fleet.Member, o *options) {
 	p.configs = config.NewStore(o.store, p.links, config.WithClock(o.clock), config.WithLogger(o.log))
 	p.directory = directory{p.configs}
-	p.keys = key.NewRing(o.store, p.links, keyDirectory{p.directory, p.members}, key.WithClock(o.clock), key.WithLogger(o.log))
+	p.keys = key.NewRing(o.keyStore, p.links, keyDirectory{p.directory, p.members}, key.WithClock(o.clock), key.WithLogger(o.log))
 	p.limiter = limit.New(p.members, p.links, o.store, p.directory.Limit,
 		limit.WithClock(o.clock),
 		limit.WithLogger(o.log),
@@ -128,6 +138,11 @@
 	p.gate = gate.New(p.directory.Queue, p.work, p.hosts, o.clock)
 }
 
+// untilFree returns when a pool is expected to have a free slot.
+func (p *parts) untilFree(pool target.Pool) time.Duration {
+	return p.pace.untilFree(p.work(pool))
+}
+
 // work returns what the targets of a pool last said of their work.
 func (p *parts) work(pool target.Pool) gate.Work {
 	var sum gate.Work
@@ -170,6 +185,26 @@
 	}
 }
 
+// addBurn joins the service-level report.
+func (p *parts) addBurn(self fleet.Member, o *options) {
+	p.recorder = burn.NewRecorder(self.Host, o.clock)
+	p.burns = burn.NewCollector(p.recorder, p.links, keyDirectory{p.directory, p.members}.Hosts)
+}
+
+// followObjectives keeps the report's objectives those in force.
+func (p *parts) followObjectives(ctx context.Context) error {
+	updates, end := p.configs.Subscribe()
+	defer end()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case next := <-updates:
+			p.recorder.SetObjectives(next.Config().Objectives)
+		}
+	}
+}
+
 // addFront joins the callers' chain of filters.
 func (p *parts) addFront(s settings.Settings, o *options) {
 	directory := p.directory
@@ -179,18 +214,19 @@
 		return owner.Priority
 	}
 	engines := &enginePlacer{
-		router:   p.router,
-		replicas: p.replicas,
-		gate:     p.gate,
-		pool:     directory.PoolOf,
-		priority: priority,
+		router:    p.router,
+		replicas:  p.replicas,
+		gate:      p.gate,
+		pool:      directory.PoolOf,
+		priority:  priority,
+		untilFree: p.untilFree,
 	}
 	generator := openai.NewGenerator(engines, budget, o.clock, priority)
-	forwarder := service.NewForwarder(&servicePlacer{router: p.router}, budget, o.clock)
+	forwarder := service.NewForwarder(&servicePlacer{router: p.router, untilFree: p.untilFree}, budget, o.clock)
 	entries := []call.Entry{
 		{Priority: call.PriorityPath, Filter: caller.PathFilter(directory)},
 		{Priority: call.PriorityKey, Filter: caller.KeyFilter(p.keys)},
-		{Priority: call.PriorityStream, Filter: caller.StreamFilter(directory)},
+		{Priority: call.PriorityStream, Filter: caller.StreamFilter(directory, o.clock)},
 		{Priority: call.PriorityBody, Filter: caller.BodyFilter(s.Limits.BodyBytes)},
 		{Priority: call.PriorityBody, Filter: caller.LeakFilter()},
 		{Priority: call.PriorityResolve, Filter: caller.ResolveFilter(directory)},
@@ -198,7 +234,7 @@
 		{Priority: call.PriorityClaim, Filter: caller.ClaimFilter(p.claims, o.log)},
 	}
 	last := caller.Dispatch(directory, generator, forwarder)
-	p.front = caller.NewFront(entries, last, o.clock, o.log, p.metrics)
+	p.front = caller.NewFront(entries, last, o.clock, o.log, p.metrics, burnObserver{p.recorder}, &p.pace)
 }
 
 // runner is a controller that works until its context ends.
@@ -219,6 +255,7 @@
 		{"replica", p.replicas.Run},
 		{"gate", p.gate.Run},
 		{"claim", p.claims.Run},
+		{"burn", p.followObjectives},
 	}
 	for _, r := range runners {
 		running.Go(func() {
@@ -245,5 +282,23 @@
 	default:
 		missing = append(missing, "keys are not loaded")
 	}
+	if !p.joined() {
+		missing = append(missing, "the host is not a member of its domain yet")
+	}
 	return missing
 }
+
+// joinPatience is the time after which a host serves without being a member, as
+// it must when it starts while the platform is down.
+const joinPatience = 10 * time.Second
+
+// joined reports whether the host is a member of its domain, or has waited long
+// enough for that.
+func (p *parts) joined() bool {
+	self := p.members.Self()
+	isSelf := func(m fleet.Member) bool { return m.Incarnation == self.Incarnation }
+	if slices.ContainsFunc(p.members.Members(self.Domain), isSelf) {
+		return true
+	}
+	return p.clock.Since(p.made) > joinPatience
+}
--- a/replica/drain.go
+++ b/replica/drain.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"hawthornway/fleet"
@@ -12,6 +13,8 @@
 	// drainPatience is the time that a host is given to say that it sends
 	// nothing more to a replica. After it an engine without any request counts.
 	drainPatience = 10 * time.Second
+	// gonePatience is how long the requests of a removed host count.
+	gonePatience = time.Minute
 	// drainBound is the time after which a drain is called off.
 	drainBound = time.Minute
 )
@@ -26,7 +29,8 @@
 type hostUse struct {
 	seen    DigestSequence
 	running map[replicaKey]int
-	heardAt time.Time
+	// goneAt is when the host was removed from its domain; zero if it wasn't.
+	goneAt time.Time
 }
 
 // traffic is how a model is used.
@@ -50,7 +54,7 @@
 
 // used takes in what a host does with the replicas.
 func (g *Group) used(in Used) {
-	u := &hostUse{seen: in.Seen, running: make(map[replicaKey]int), heardAt: g.now}
+	u := &hostUse{seen: in.Seen, running: make(map[replicaKey]int)}
 	for _, use := range in.Uses {
 		if use.Running > 0 {
 			u.running[replicaKey{use.Target, use.Model}] = use.Running
@@ -62,6 +66,30 @@
 	g.uses[in.Host] = u
 }
 
+// hostsChanged takes in the hosts. The requests of a host that was removed count
+// for a while, since it may only be cut off.
+func (g *Group) hostsChanged(hosts []fleet.HostID) {
+	g.hosts = slices.Clone(hosts)
+	for host, u := range g.uses {
+		present := slices.Contains(hosts, host)
+		switch {
+		case present:
+			u.goneAt = time.Time{}
+		case u.goneAt.IsZero():
+			u.goneAt = g.now
+		}
+	}
+}
+
+// dropGone forgets the hosts that were removed a while ago.
+func (g *Group) dropGone() {
+	for host, u := range g.uses {
+		if !u.goneAt.IsZero() && g.now.Sub(u.goneAt) > gonePatience {
+			delete(g.uses, host)
+		}
+	}
+}
+
 // noteUse counts a use of a replica, and of the model under an adapter.
 func (g *Group) noteUse(use Use) {
 	e := g.engine(use.Target)
@@ -73,6 +101,7 @@
 		return
 	}
 	en.lastUse = g.now
+	en.usedOnce = true
 	if base := e.find(en.ref.Base); base != nil {
 		base.lastUse = g.now
 	}
@@ -117,15 +146,43 @@
 	if !en.serving() {
 		return
 	}
-	en.state = entryDraining
-	en.drainAt = g.now
-	en.drainFrom = 0
+	g.stale = true
+	for _, twin := range twins(en) {
+		if !twin.serving() {
+			continue
+		}
+		twin.state = entryDraining
+		twin.drainAt = g.now
+		twin.drainFrom = 0
+	}
 }
 
-// callOffDrain lets a replica serve on.
+// twins returns the entries of a model on one engine. There are several when an
+// earlier owner's order came late; an unload order is for all of them.
+func twins(en *entry) []*entry {
+	var all []*entry
+	for _, o := range en.engine.entries {
+		if o.ref.Name == en.ref.Name {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+// callOffDrain lets a replica serve on, unless an unload order may be given
+// already.
 func (g *Group) callOffDrain(en *entry) {
-	en.state = entryReady
-	en.lastUse = g.now
+	all := twins(en)
+	if slices.ContainsFunc(all, func(o *entry) bool { return o.state == entryUnloading }) {
+		return
+	}
+	g.stale = true
+	for _, twin := range all {
+		if twin.state == entryDraining {
+			twin.state = entryReady
+			twin.lastUse = g.now
+		}
+	}
 	for _, w := range g.line.byName {
 		if w.plan == en.engine.cfg.Name {
 			w.plan = ""
@@ -143,8 +200,7 @@
 			switch {
 			case !g.acting(e):
 			case g.drained(en):
-				en.state = entryUnloading
-				e.changed()
+				en.endUse()
 			case g.now.Sub(en.drainAt) > drainBound:
 				g.callOffDrain(en)
 			}
--- a/replica/group.go
+++ b/replica/group.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hawthornway/config"
 	"hawthornway/engine"
 	"hawthornway/fleet"
@@ -25,7 +27,7 @@
 	freshEvery = 100 * time.Millisecond
 	// answerMargin is how long before its deadline a want is refused, so that
 	// the refusal still reaches the host.
-	answerMargin = 50 * time.Millisecond
+	answerMargin = 150 * time.Millisecond
 )
 
 // mechanisms switches single mechanisms off, to test that the proofs notice.
@@ -41,6 +43,7 @@
 // used by one goroutine at a time.
 type Group struct {
 	key  GroupKey
+	hash uint64
 	self fleet.Member
 	off  mechanisms
 
@@ -62,20 +65,24 @@
 	uses    map[fleet.HostID]*hostUse
 	traffic map[model.Name]*traffic
 
-	speed       *loadSpeed
-	weights     Weights
-	weightsRead bool
-	started     int
-	pace        pace
+	speed   *loadSpeed
+	weights Weights
+	// others counts the model loads of other groups when they were last read.
+	others int
+	pace   pace
 
 	listed []Listing
 	number uint64
+	// stale says that the listings may have changed.
+	stale bool
+	// fair is the fair division of memory of this step; nil until it is needed.
+	fair *fairMemory
 }
 
 // NewGroup returns a new Group of engines that self may come to own.
 func NewGroup(key GroupKey, self fleet.Member) *Group {
 	return &Group{
-		key: key, self: self,
+		key: key, hash: xxhash.Sum64String(key.String()), self: self,
 		catalog: NewCatalog(&config.Config{}),
 		keeps:   make(map[model.Name]bool),
 		wants:   make(map[WantID]*want),
@@ -94,16 +101,20 @@
 func (g *Group) Step(now time.Time, in Input) []Effect {
 	g.now = now
 	g.effects = nil
+	g.fair = nil
 	switch in := in.(type) {
 	case Configured:
+		g.stale = true
 		g.configured(in)
 	case Held:
+		g.stale = true
 		g.held(in)
 	case Wanted:
 		g.wanted(in)
 	case Left:
 		g.left(in.ID)
 	case Reported:
+		g.stale = true
 		g.reported(in)
 	case Unreached:
 		g.unreached(in.Target)
@@ -116,7 +127,7 @@
 	case Used:
 		g.used(in)
 	case HostsChanged:
-		g.hosts = slices.Clone(in.Hosts)
+		g.hostsChanged(in.Hosts)
 	case WeightsRead:
 		g.weightsKnown(in.Weights)
 	case Tick:
@@ -134,6 +145,9 @@
 	g.endDrains()
 	for _, e := range g.engines {
 		g.takeOver(e)
+		if g.off.noRecordFirst {
+			g.giveOrders(e)
+		}
 		g.writeRecord(e)
 		g.giveOrders(e)
 		g.askReport(e)
@@ -143,12 +157,14 @@
 
 // tick does what depends on time only.
 func (g *Group) tick() {
+	g.dropGone()
 	g.cancelHungLoads()
 	g.releaseIdle()
 	g.keepLeast()
 	g.renewVersions()
 	g.scaleUp()
 	g.lineUpWants()
+	g.refuseBlocked()
 	g.endWants()
 }
 
@@ -216,11 +232,18 @@
 // newID returns an id that no other order of any owner has.
 func (g *Group) newID(e *engineState) engine.OrderID {
 	e.nextID++
-	return engine.OrderID(fmt.Sprintf("%s-%d-%x-%d", e.cfg.Name, e.fence, uint64(g.self.Incarnation), e.nextID))
+	return engine.OrderID(g.ownID(e, e.nextID))
+}
+
+// ownID returns an id for the n-th of something of this owner. It names the
+// group, since an engine may move to another group of the same host.
+func (g *Group) ownID(e *engineState, n uint64) string {
+	return fmt.Sprintf("%s-%08x-%d-%x-%d", e.cfg.Name, uint32(g.hash), e.fence, uint64(g.self.Incarnation), n)
 }
 
 // addEntry puts an entry on its engine.
 func (g *Group) addEntry(en *entry) {
+	g.stale, g.fair = true, nil
 	e := en.engine
 	e.changed()
 	en.version = e.version
@@ -231,6 +254,7 @@
 
 // dropEntry removes an entry that is proved gone.
 func (g *Group) dropEntry(en *entry) {
+	g.stale, g.fair = true, nil
 	same := func(o *entry) bool { return o == en }
 	en.engine.changed()
 	en.engine.entries = slices.DeleteFunc(en.engine.entries, same)
@@ -251,7 +275,6 @@
 	g.addEntry(en)
 	g.line.charge(id, g.catalog.Weight(id), en.expected)
 	if source == SourceRemote && !item.Ref.IsAdapter() {
-		g.started++
 		g.pace.take(g.now, g.weights.RatePerSecond)
 	}
 	return en
@@ -262,6 +285,5 @@
 		return
 	}
 	g.weights = w
-	g.weightsRead = true
-	g.started = 0
+	g.others = max(0, w.Running+w.Waiting-g.ownFetching())
 }
--- a/replica/runner.go
+++ b/replica/runner.go
@@ -34,7 +34,9 @@
 	// calls counts the running calls to targets and to the key-value service.
 	calls sync.WaitGroup
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// closed says that no more calls are started.
+	closed  bool
 	group   *Group
 	targets []config.Target
 	byID    map[target.ID]config.Target
@@ -47,10 +49,12 @@
 	asking  map[target.ID]bool
 	loads   map[target.ID]Load
 	// told is the last digest sent to each host.
-	told    map[fleet.HostID]told
-	seen    map[fleet.HostID]DigestSequence
-	polls   int
-	changed map[target.ID]bool
+	told  map[fleet.HostID]told
+	seen  map[fleet.HostID]DigestSequence
+	polls int
+	// publishing says that a publication is about to run.
+	publishing bool
+	changed    map[target.ID]bool
 }
 
 // answered is the answer to a want, with the digest that lists its replica.
@@ -109,9 +113,27 @@
 }
 
 func (r *runner) stepLocked(ctx context.Context, in Input) {
-	for _, effect := range r.group.Step(r.c.clock.Now(), in) {
+	effects := r.group.Step(r.c.clock.Now(), in)
+	r.c.trace(in, effects)
+	for _, effect := range effects {
 		r.perform(ctx, effect)
 	}
+	r.publishSoon()
+}
+
+// publishSoon publishes a digest that has changed, once the step has ended.
+func (r *runner) publishSoon() {
+	if r.publishing || r.group.Sequence() == r.told[r.c.self.Host].sequence {
+		return
+	}
+	if _, ok := r.group.Digest(); !ok {
+		return
+	}
+	r.publishing = true
+	r.start(func() {
+		r.c.gate()
+		r.publish()
+	})
 }
 
 // perform starts one effect. Its result comes back as a step.
@@ -135,16 +157,34 @@
 // context, so that their results are known.
 func (r *runner) call(ctx context.Context, run func(context.Context) Input) {
 	ctx = context.WithoutCancel(ctx)
-	r.calls.Add(1)
-	go func() {
-		defer r.calls.Done()
+	r.start(func() {
 		r.c.gate()
 		in := run(ctx)
 		r.c.gate()
 		r.step(ctx, in)
+	})
+}
+
+// start runs a call beside the group, unless the runner is closed.
+func (r *runner) start(call func()) {
+	if r.closed {
+		return
+	}
+	r.calls.Add(1)
+	go func() {
+		defer r.calls.Done()
+		call()
 	}()
 }
 
+// close waits for the calls that are running; no more are started.
+func (r *runner) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.calls.Wait()
+}
+
 func (r *runner) readRecord(ctx context.Context, e ReadRecord) Input {
 	ctx, cancel := clockwork.WithTimeout(ctx, r.c.clock, recordTimeout)
 	defer cancel()
@@ -187,6 +227,7 @@
 // giveOrder sends an order if this host still holds the shard under the order's
 // fence.
 func (r *runner) giveOrder(ctx context.Context, t config.Target, e GiveOrder) Input {
+	r.c.beforeOrder()
 	in := Ordered{Target: e.Target, Order: e.Order.ID, Result: OrderNotHeld{}}
 	hold, ok := r.c.owners.Hold(r.key.Shard, t.ChecksFence)
 	if !r.c.off.noHoldCheck && (!ok || hold.Fence != e.Order.Fence) {
@@ -218,9 +259,7 @@
 		return
 	}
 	r.asking[t.Name] = true
-	r.calls.Add(1)
-	go func() {
-		defer r.calls.Done()
+	r.start(func() {
 		r.c.gate()
 		ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), r.c.clock, reportTimeout)
 		defer cancel()
@@ -232,7 +271,7 @@
 		report, err := r.c.engines.Engine(t).Report(ctx, engine.Freshness(fresh))
 		r.c.gate()
 		r.engineReported(ctx, t, report, asked, fresh, err)
-	}()
+	})
 }
 
 func (r *runner) engineReported(ctx context.Context, t config.Target, report engine.Report, asked time.Time, fresh bool, err error) {
@@ -279,25 +318,19 @@
 }
 
 // tick takes in the holds and the hosts, and lets time pass.
-func (r *runner) tick(ctx context.Context) {
+func (r *runner) tick(ctx context.Context, hosts []fleet.HostID, near map[fleet.HostID]bool) {
 	r.readHold(ctx, false)
 	r.readHold(ctx, true)
-	hosts, near := r.c.hosts()
 	r.mu.Lock()
 	r.near = near
 	if !slices.Equal(hosts, r.hosts) {
 		r.hosts = hosts
 		r.stepLocked(ctx, HostsChanged{Hosts: hosts})
 	}
-	held := r.group.Held()
-	if held {
+	if r.group.Held() {
 		r.stepLocked(ctx, Tick{})
 	}
-	sequence := r.group.Sequence()
 	r.mu.Unlock()
-	if held && sequence != r.lastPublished() {
-		r.publish()
-	}
 }
 
 func (r *runner) readHold(ctx context.Context, checksFence bool) {
--- a/replica/takeover.go
+++ b/replica/takeover.go
@@ -7,6 +7,9 @@
 	"hawthornway/engine"
 )
 
+// foreignPatience is how long another group is waited for to release an engine.
+const foreignPatience = time.Minute
+
 // held takes in whether this host may act for the shard.
 func (g *Group) held(in Held) {
 	i := 0
@@ -39,9 +42,9 @@
 	}
 }
 
-// startTakeover begins to act for an engine under a new fence. What was known
-// of its decisions is kept as reserved; the record and a fresh report tell the
-// rest.
+// startTakeover begins to act for an engine under a new fence. The record and a
+// fresh report tell what stands there; what this host knew under an older fence
+// may be out of date.
 func (g *Group) startTakeover(e *engineState, h *Held) {
 	e.phase = phaseReading
 	e.fence = h.Hold.Fence
@@ -50,10 +53,7 @@
 	e.writing = ""
 	e.nextID = 0
 	e.reported = false
-	for _, en := range e.entries {
-		en.load.forgetCall(g.now)
-		en.unload.forgetCall(g.now)
-	}
+	g.forget(e)
 	g.readRecord(e)
 }
 
@@ -90,21 +90,36 @@
 		return
 	}
 	r := in.Record
-	if r != nil && r.Shard != g.key.Shard && !r.Released {
+	if r != nil && r.Group != g.key.String() && !r.Released && !g.abandoned(e) {
 		return
 	}
-	if r != nil && r.Shard == g.key.Shard && r.Fence > e.fence {
+	if r != nil && r.Group == g.key.String() && r.Fence > e.fence {
 		return
 	}
 	e.revision = in.Revision
 	if r != nil {
 		g.adoptDecisions(e, r.Decisions)
 	}
-	g.setProof(e, r == nil || r.Released || g.hold(e).Hold.HandedOver)
+	if !e.foreignSince.IsZero() {
+		e.foreignSince = time.Time{}
+		e.since = g.now
+	}
+	handedOver := g.hold(e).Hold.HandedOver && r != nil && r.Group == g.key.String()
+	g.setProof(e, r == nil || r.Released || handedOver)
 	e.phase = phaseClaiming
 	e.changed()
 }
 
+// abandoned reports whether an engine's record has named another group, without
+// a release, for so long that nobody acts for that group: hosts have the present
+// configuration within seconds.
+func (g *Group) abandoned(e *engineState) bool {
+	if e.foreignSince.IsZero() {
+		e.foreignSince = g.now
+	}
+	return g.now.Sub(e.foreignSince) >= foreignPatience
+}
+
 // setProof sets the time from which a report shows all that earlier owners did.
 func (g *Group) setProof(e *engineState, clean bool) {
 	e.proveFrom = g.now
@@ -137,6 +152,10 @@
 			en.load.accepted, en.load.acceptedAt = true, g.now
 		case DecisionAccepted:
 			en.load.accepted, en.load.acceptedAt = true, g.now
+		case DecisionUnloading:
+			en.state = entryUnloading
+			en.load.unknown = true
+			en.lateUnload = g.now.Add(OrderHorizon)
 		default:
 			en.load.unknown = true
 		}
@@ -180,8 +199,21 @@
 
 // proved opens an engine once a report shows all that earlier owners did.
 func (g *Group) proved(e *engineState, askedAt time.Time) {
-	if e.phase == phaseProving && !askedAt.Before(e.proveFrom) {
-		e.phase = phaseOpen
+	if e.phase != phaseProving || askedAt.Before(e.proveFrom) {
+		return
+	}
+	e.phase = phaseOpen
+	if !e.cfg.ChecksFence {
+		return
+	}
+	// An unload of an earlier owner can't arrive any more; an owner since may
+	// have kept the replica.
+	for _, en := range e.entries {
+		if en.state == entryUnloading && en.seen && !en.unload.sent && !en.unload.accepted {
+			en.state = entryLoading
+			en.startedAt = g.now
+			e.changed()
+		}
 	}
 }
 
@@ -235,6 +267,7 @@
 
 // remove drops an engine with its entries.
 func (g *Group) remove(e *engineState) {
+	e.phase = phaseOff
 	g.forget(e)
 	g.engines = slices.DeleteFunc(slices.Clone(g.engines), func(o *engineState) bool { return o == e })
 }
