Settle claimed calls before a host leaves

Cause: a host that stopped with ends of claimed calls unwritten left their repeats a claim that runs for ever; the reporter of the metrics was not closed. Ruled out: handing the pending ends to a peer (the peer could not tell that they are the claimant's).

--- a/host.go
+++ b/host.go
@@ -147,6 +147,9 @@
 	h.stopServers()
 	stop(nil)
 	running.Wait()
+	if err := h.parts.metrics.Close(); err != nil {
+		h.options.log.Warn("host: metrics were not closed", "error", err)
+	}
 	if cause := context.Cause(working); !errors.Is(cause, context.Canceled) {
 		return trace.Wrap(cause)
 	}
--- a/parts.go
+++ b/parts.go
@@ -266,11 +266,29 @@
 	}
 }
 
-// leave hands the host's duties over.
+// leave writes the ends of calls that are yet to be written and hands the host's
+// duties over.
 func (p *parts) leave(ctx context.Context) error {
+	p.settleClaims(ctx)
 	return trace.Wrap(p.members.Leave(ctx))
 }
 
+// settleEvery is the time between two looks at the claims that are unsettled.
+const settleEvery = 20 * time.Millisecond
+
+// settleClaims waits until the ends of all claimed calls are written. Repeats of
+// those that are not would find them running for ever.
+func (p *parts) settleClaims(ctx context.Context) {
+	for p.claims.Pending() > 0 {
+		select {
+		case <-ctx.Done():
+			p.log.Warn("host: ends of claimed calls are lost", "calls", p.claims.Pending())
+			return
+		case <-p.clock.After(settleEvery):
+		}
+	}
+}
+
 // missing returns what the host lacks before it can serve.
 func (p *parts) missing() []string {
 	var missing []string
