Count a removed host's late word for a minute only

A use report that came after its host was removed replaced the entry that was to be dropped, and nothing marked the new one. Ruled out: the change of predictions (it fails as often without it); the test's bound (the replica was never released). Change: a report of a host that is not a member counts from then, for a minute. Conclusion: a real fault, mended; the test is unchanged.

--- a/replica/drain.go
+++ b/replica/drain.go
@@ -63,6 +63,9 @@
 			g.noteUse(use)
 		}
 	}
+	if !slices.Contains(g.hosts, in.Host) {
+		u.goneAt = g.now // a late word of a host that was removed
+	}
 	g.uses[in.Host] = u
 }
 
