Make two flaky tests independent of other work on the machine

TestProcessLookupSkipsTimeWaitConnections: six copies beside each other fail in 874 of 900 runs with "bind: address already in use": the port that the kernel chose for the first connection is also used by other processes' connections, which don't set SO_REUSEADDR. The lookup itself never missed (0 of 3,150 lookups beside connections that come and go), so an inconsistent socket table is ruled out. Each process now binds a loopback address of its own: 0 of 900 runs fail.

TestEngineClientDistinguishesNotSentFromUnanswered: its timeout of 50 ms could pass before the request was written. The call is now cancelled by the event that it was written, so no time is involved: 0 of 1,200 runs fail with twelve copies at once.

--- a/standin/link/network_test.go
+++ b/standin/link/network_test.go
@@ -31,11 +31,18 @@
 	must.Eq(t, "d1", p.Domain(accepted.RemoteAddr()))
 }
 
+// ownLoopbackIP returns a loopback address that only this process uses. A port that
+// was bound once can then be bound again, whichever ports other processes use.
+func ownLoopbackIP() net.IP {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(1+pid>>16), byte(pid>>8), byte(pid))
+}
+
 // Connections in TIME-WAIT can share the local address of the client's
 // connection. They belong to no process and must be skipped.
 func TestProcessLookupSkipsTimeWaitConnections(t *testing.T) {
 	const timeWaitCount = 16
-	reuse := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+	reuse := net.Dialer{LocalAddr: &net.TCPAddr{IP: ownLoopbackIP()}, Control: func(_, _ string, raw syscall.RawConn) error {
 		var failure error
 		err := raw.Control(func(fd uintptr) {
 			failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
--- a/standin/set_test.go
+++ b/standin/set_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"path/filepath"
 	"strings"
@@ -79,9 +81,17 @@
 func TestEngineClientDistinguishesNotSentFromUnanswered(t *testing.T) {
 	standins := startAll(t)
 	e := standins.Engines["e1"]
-	client := engine.NewClient(e.Address, engine.WithTimeout(50*time.Millisecond))
+	client := engine.NewClient(e.Address, engine.WithTimeout(time.Minute))
 	e.Kill()
-	_, err := client.Order(t.Context(), engine.Order{ID: "o1", Kind: engine.OrderFence})
+	// The call is given up as soon as the request is written, however long that takes.
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			cancel()
+		}
+	}})
+	_, err := client.Order(ctx, engine.Order{ID: "o1", Kind: engine.OrderFence})
 	must.ErrorIs(t, err, jsonhttp.ErrUnanswered)
 	standins.Close()
 	_, err = client.Order(t.Context(), engine.Order{ID: "o1", Kind: engine.OrderFence})
