--- a/baseline/host.go
+++ b/baseline/host.go
@@ -146,6 +146,10 @@
 			return
 		}
 		services := h.services(route.Pool)
+		if len(services) == 0 {
+			refuse(w, outcome.ReasonNoTarget)
+			return
+		}
 		h.proxy(w, r, services[h.requests.Load()%uint64(len(services))]+r.URL.RequestURI(), body)
 		return
 	}
--- a/baseline/host_test.go
+++ b/baseline/host_test.go
@@ -34,7 +34,7 @@
 		Models:   []config.Model{{Name: "m", Pool: "p", Memory: 60}, {Name: "n", Pool: "p", Memory: 60}},
 		Adapters: []config.Adapter{{Name: "x", Base: "n", Memory: 10}},
 		Teams:    []config.Team{{Name: "a", Rate: 10, Burst: 200}},
-		Routes:   []config.Route{{Name: "r", Path: "/r", Pool: "q", Cost: 1}},
+		Routes:   []config.Route{{Name: "r", Path: "/r", Pool: "q", Cost: 1}, {Name: "empty", Path: "/empty", Pool: "none", Cost: 1}},
 	}
 	server := httptest.NewServer(New("h1", c, map[string]team.ID{"k": "a"}, 1))
 	defer server.Close()
@@ -51,6 +51,7 @@
 		{work: workload.Completion{Model: "m", Prompt: "hello", MaxTokens: 4}},
 		{work: workload.Completion{Model: "x", Prompt: "hello", MaxTokens: 4}},
 		{work: workload.ServiceCall{Method: "POST", Path: "/r"}},
+		{work: workload.ServiceCall{Method: "POST", Path: "/empty"}, want: outcome.ReasonNoTarget},
 		{work: workload.Completion{Model: "m", Prompt: "hello", MaxTokens: 400}, want: outcome.ReasonRate},
 	}
 	for _, c := range cases {
--- a/caller/claim.go
+++ b/caller/claim.go
@@ -108,8 +108,11 @@
 	return result
 }
 
+// endClaim ends a claim with the response, if it is known in full or was passed on in
+// full. A response that broke off leaves open what the call did.
 func endClaim(ctx context.Context, c *call.Call, claimed claim.Claim, result outcome.Outcome) error {
-	if c.Response.Status != 0 {
+	_, served := result.(outcome.Served)
+	if c.Response.Status != 0 && (served || c.Response.Complete) {
 		return claimed.Finish(ctx, claim.Response{
 			Status: c.Response.Status,
 			Header: c.Response.Header,
--- a/config/content.go
+++ b/config/content.go
@@ -50,7 +50,8 @@
 		return nil, trace.CompareFailed("content has hash %s, not %s", got, expected)
 	}
 	var files []File
-	return files, trace.Wrap(cbor.Unmarshal(data, &files))
+	err := cbor.Unmarshal(data, &files)
+	return files, trace.Wrap(err)
 }
 
 // trueKeys returns the sorted keys whose value is true.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,7 +196,7 @@
 	return retry.NewBudget(clock,
 		retry.WithShare(g.settings.Bounds.RetryShare*usableBudgetShare),
 		retry.WithFloor(1),
-		retry.WithSlack(func() int { return hostSlack(g.settings.Bounds.RetrySlack, g.coordinatorClient.Hosts()) }),
+		retry.WithSlack(func() float64 { return hostSlack(g.settings.Bounds.RetrySlack, g.coordinatorClient.Hosts()) }),
 	)
 }
 
@@ -206,12 +206,13 @@
 const defaultHostSlack = 2
 
 // hostSlack returns one host's part of the fleet's slack, the number of retries
-// that are allowed on top of the share.
-func hostSlack(fleetSlack float64, hosts int) int {
+// that are allowed on top of the share. It is below one in a large fleet, where it
+// still adds to the share of the host's requests.
+func hostSlack(fleetSlack float64, hosts int) float64 {
 	if hosts == 0 {
-		return min(defaultHostSlack, int(fleetSlack))
+		return min(defaultHostSlack, fleetSlack)
 	}
-	return int(fleetSlack*usableBudgetShare) / hosts
+	return fleetSlack * usableBudgetShare / float64(hosts)
 }
 
 // Limits of the listeners.
--- a/host.go
+++ b/host.go
@@ -196,15 +196,19 @@
 	h.options.clock.Sleep(h.settings.Drain.UnreadyDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Drain.Timeout)
 	defer cancel()
-	if err := h.servers.callers.Shutdown(ctx); err != nil {
-		log.Warn("host: drain timed out with calls in progress", "error", err)
+	drainErr := h.servers.callers.Shutdown(ctx)
+	if drainErr != nil {
+		log.Warn("host: drain timed out with calls in progress", "error", drainErr)
 	}
 	handOverCtx, cancelHandOver := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancelHandOver()
-	if err := h.components.handOver(handOverCtx); err != nil {
-		log.Warn("host: failed to hand over shards", "error", err)
+	handOverErr := h.components.handOver(handOverCtx)
+	if handOverErr != nil {
+		log.Warn("host: failed to hand over shards", "error", handOverErr)
+	}
+	if drainErr == nil && handOverErr == nil {
+		log.Info("host: drained")
 	}
-	log.Info("host: drained")
 }
 
 // handOverTimeout limits the time for writing the outcomes of claimed calls and
--- a/key/entry.go
+++ b/key/entry.go
@@ -50,5 +50,6 @@
 		return nil, nil
 	}
 	var entries []Entry
-	return entries, trace.Wrap(json.Unmarshal(value, &entries))
+	err := json.Unmarshal(value, &entries)
+	return entries, trace.Wrap(err)
 }
--- a/keyvalue/store.go
+++ b/keyvalue/store.go
@@ -55,8 +55,8 @@
 // The errors of the service.
 var (
 	ErrNotFound    = errors.New("key not found")
-	ErrUnavailable = errors.New("key-value service unavailable; the write had no effect")
-	ErrUnknown     = errors.New("key-value service did not answer; the write may have had effect")
+	ErrUnavailable = errors.New("key-value service unavailable; the call had no effect")
+	ErrUnknown     = errors.New("key-value service did not answer; the call may have had an effect")
 )
 
 // ConflictError is returned if a key had another revision than expected.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -43,15 +43,15 @@
 }
 
 // WithSlack sets the number of retries per window that are allowed on top of
-// the share. The function is called for each retry, since a host's part of the
-// fleet's slack changes with the size of the fleet.
-func WithSlack(slack func() int) BudgetOption {
+// the share. It may be a fraction of one. The function is called for each retry,
+// since a host's part of the fleet's slack changes with the size of the fleet.
+func WithSlack(slack func() float64) BudgetOption {
 	return func(b *budget) { b.slack = slack }
 }
 
 // NewBudget returns a new Budget over a sliding window of ten seconds.
 func NewBudget(clock clockwork.Clock, opts ...BudgetOption) Budget {
-	b := &budget{clock: clock, start: clock.Now(), share: DefaultBudgetShare, floor: DefaultBudgetFloor, slack: func() int { return 0 }}
+	b := &budget{clock: clock, start: clock.Now(), share: DefaultBudgetShare, floor: DefaultBudgetFloor, slack: func() float64 { return 0 }}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -69,7 +69,7 @@
 	start time.Time
 	share float64
 	floor int
-	slack func() int
+	slack func() float64
 
 	mu      sync.Mutex
 	buckets [windowBuckets]budgetBucket
@@ -88,7 +88,7 @@
 	defer b.mu.Unlock()
 	bucket := b.current()
 	requests, retries := b.sum(bucket.index)
-	allowed := max(b.floor, b.slack()+int(b.share*float64(requests)))
+	allowed := max(b.floor, int(b.slack()+b.share*float64(requests)))
 	if retries >= allowed {
 		return false
 	}
--- a/retry/call.go
+++ b/retry/call.go
@@ -65,6 +65,9 @@
 		return c.tryAgain(reasonOf(r.Refusal), max(r.RetryAfter, defaultRetryAfter))
 	case NoResponse:
 		return c.afterPossibleRun(outcome.ReasonTargetFailed)
+	case Cancelled:
+		c.mayHaveRun = true
+		return c.stop(outcome.ReasonCallerLeft, 0)
 	case Interrupted:
 		c.nextToken = max(c.nextToken, r.NextToken)
 		return c.afterPossibleRun(outcome.ReasonIncompleteResponse)
--- a/retry/call_test.go
+++ b/retry/call_test.go
@@ -30,6 +30,11 @@
 		{"no response is repeated if idempotent", true, []Result{NoResponse{Err: err}}, TryAgain{}},
 		{"interrupted stream resumes", true, []Result{Interrupted{NextToken: 7}}, TryAgain{ResumeFrom: 7}},
 		{"resume point never goes back", true, []Result{Interrupted{NextToken: 7}, NotSent{Err: err}}, TryAgain{ResumeFrom: 7}},
+		{
+			"cancelled stops", true,
+			[]Result{Cancelled{}},
+			Stop{outcome.Unknown{Reason: outcome.ReasonCallerLeft, Detail: "An attempt may have run the request."}},
+		},
 		{
 			"unknown stays unknown after a refusal", true,
 			[]Result{NoResponse{Err: err}, NotSent{Err: err}, NotSent{Err: err}, NotSent{Err: err}},
--- a/standin/link/network.go
+++ b/standin/link/network.go
@@ -40,10 +40,14 @@
 }
 
 // Cut cuts a domain off from all other domains and from processes outside of any
-// domain. Callers are not affected, since their connections use no relay.
+// domain, and ends an earlier cut. Callers are not affected, since their connections
+// use no relay.
 func (n *Network) Cut(domain fleet.DomainID) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.cut != "" {
+		close(n.restored)
+	}
 	n.cut = domain
 	n.restored = make(chan struct{})
 }
@@ -60,18 +64,19 @@
 
 // await waits while the two domains are cut off from each other.
 func (n *Network) await(ctx context.Context, from, to fleet.DomainID) error {
-	n.mu.Lock()
-	blocked := n.cut != "" && (n.cut == from) != (n.cut == to)
-	restored := n.restored
-	n.mu.Unlock()
-	if !blocked {
-		return ctx.Err()
-	}
-	select {
-	case <-restored:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for {
+		n.mu.Lock()
+		blocked := n.cut != "" && (n.cut == from) != (n.cut == to)
+		restored := n.restored
+		n.mu.Unlock()
+		if !blocked {
+			return ctx.Err()
+		}
+		select {
+		case <-restored: // another cut may have replaced this one
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
--- a/standin/link/network_test.go
+++ b/standin/link/network_test.go
@@ -9,9 +9,12 @@
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"hawthornway/fleet"
 )
 
 func TestProcessesFindThisProcess(t *testing.T) {
@@ -102,3 +105,25 @@
 	network.Heal()
 	must.NoError(t, get(far))
 }
+
+func TestNextCutWakesConnectionsOfThePreviousOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := NewNetwork(func(net.Addr) fleet.DomainID { return "" })
+		network.Cut("d1")
+		passed := make(chan error, 1)
+		go func() { passed <- network.await(t.Context(), "d1", "d2") }()
+		synctest.Wait()
+		network.Cut("d3")
+		synctest.Wait()
+		must.Eq(t, 1, len(passed))
+		must.NoError(t, <-passed)
+
+		go func() { passed <- network.await(t.Context(), "d3", "d2") }()
+		synctest.Wait()
+		network.Cut("d2") // d3 and d2 are still cut off from each other
+		synctest.Wait()
+		must.Eq(t, 0, len(passed))
+		network.Heal()
+		must.NoError(t, <-passed)
+	})
+}
