Hold requests at hosts that start and during takeovers instead of refusing

They come from callers whose request was just cut off, and who may come back once only. When the coordinator's machine was replaced, 259 requests were refused at 4 s because the ledger was missing: requests waited for it for a second, the lease alone lasts 1.5 s, and the successor led at 4.5 s.

Ruled out: a slow election (0.1 s after the restart), targets not listed (no refusal of that kind in those seconds).

Change: a host holds requests until it has read the configuration, for a second after its start and half of the request's timeout at most; requests wait for ledger and coordinator as long as a takeover takes (election.TakeoverTime), counted from the last contact and not from each request. A host that has been isolated for longer refuses requests for models that aren't loaded at once; each waited a second before.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -46,9 +46,6 @@
 	// loadRequestInterval is the minimum interval between two load requests for the
 	// same model.
 	loadRequestInterval = 300 * time.Millisecond
-	// maxContactAge is how long the coordinator counts as reached after its last
-	// message.
-	maxContactAge = 1500 * time.Millisecond
 	// maxViewAge is how long the coordinator's last view of an engine takes
 	// precedence over the engine's own registration.
 	maxViewAge = 5 * time.Second
@@ -127,6 +124,7 @@
 	fence       target.Fence
 	version     uint64
 	lastContact time.Time
+	startedAt   time.Time
 	// ordersAllowedAt is when the coordinator may give its first order of the term.
 	ordersAllowedAt time.Time
 	hosts           int
@@ -161,6 +159,7 @@
 		receiver:       receiver,
 		updateLoad:     updateLoad,
 		clock:          clock,
+		startedAt:      clock.Now(),
 		boot:           boot,
 		log:            log,
 		engines:        map[target.ID]engineView{},
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -218,9 +218,14 @@
 	return c.changed
 }
 
-// Reached reports whether a message from the coordinator arrived recently.
-func (c *Client) Reached() bool {
+// Isolated reports whether this host has had no message from a coordinator for so long
+// that a successor would have been found if this host could reach one.
+func (c *Client) Isolated() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.lastContact.IsZero() && c.clock.Since(c.lastContact) < maxContactAge
+	lastContact := c.lastContact
+	if lastContact.IsZero() {
+		lastContact = c.startedAt
+	}
+	return c.clock.Since(lastContact) >= reportInterval(c.hosts)+election.TakeoverTime
 }
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -195,3 +195,33 @@
 	c.applyView(wireView{Fence: 1, Since: 3, Version: 4}, 0)
 	must.Eq(t, uint64(4), c.version)
 }
+
+// While one coordinator replaces another, hosts have no contact for the old one's lease
+// and longer. They count as isolated only after that, also right after their start.
+func TestIsIsolatedOnlyAfterTheTimeOfATakeover(t *testing.T) {
+	cases := []struct {
+		name  string
+		hosts int
+		since time.Duration
+		want  bool
+	}{
+		{"small fleet, during a takeover", 8, election.TakeoverTime, false},
+		{"small fleet, after it", 8, election.TakeoverTime + reportIntervalSmallFleet, true},
+		{"large fleet, next report due", 195, election.TakeoverTime + reportIntervalSmallFleet, false},
+		{"large fleet, after it", 195, election.TakeoverTime + reportIntervalLargeFleet, true},
+		{"no coordinator yet", 0, election.TakeoverTime, false},
+		{"never a coordinator", 0, election.TakeoverTime + reportIntervalSmallFleet, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, c := newRecordingClient()
+			clock := c.clock.(*clockwork.FakeClock)
+			if tc.hosts > 0 {
+				clock.Advance(time.Minute)
+				c.applyView(wireView{Fence: 1, Version: 1, Hosts: tc.hosts}, 0)
+			}
+			clock.Advance(tc.since)
+			must.Eq(t, tc.want, c.Isolated())
+		})
+	}
+}
--- a/election/election.go
+++ b/election/election.go
@@ -31,6 +31,13 @@
 	// LeaseMargin is how much earlier than the store a coordinator considers its
 	// lease expired, since the two clocks may run at slightly different speeds.
 	LeaseMargin = 200 * time.Millisecond
+	// TakeoverTime is how long it takes from the loss of a coordinator until its
+	// successor serves hosts: the lease, the spread of candidates, and the time until
+	// hosts have found the successor.
+	TakeoverTime = leaseTTL + maxCandidacyJitter + followTime
+	// followTime is the time until hosts have found a new coordinator, whose entry they
+	// watch in the store.
+	followTime = 300 * time.Millisecond
 	// handoverMargin is added to the time between the orders of two coordinators to
 	// allow for orders in flight.
 	handoverMargin = 250 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,8 @@
 
 	roster        *roster.Roster
 	catalog       atomic.Pointer[catalog.Catalog]
+	catalogKnown  chan struct{}
+	closeKnown    sync.Once
 	targetsListed atomic.Bool
 	draining      atomic.Bool
 	freshness     freshness
@@ -91,7 +93,7 @@
 // New returns a new Gateway with its listeners bound. It fails if an address
 // can't be bound.
 func New(s platform.Settings, opts ...Option) (Gateway, error) {
-	g := &gateway{settings: s, clock: clockwork.NewRealClock(), bootClock: boottime.SystemClock{}, log: slog.Default()}
+	g := &gateway{settings: s, clock: clockwork.NewRealClock(), bootClock: boottime.SystemClock{}, log: slog.Default(), catalogKnown: make(chan struct{})}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -165,8 +167,9 @@
 	g.relay = relay.New(
 		relay.WithDialect(platform.Dialect{}),
 		relay.WithCatalog(g.catalog.Load),
+		relay.WithCatalogKnown(g.catalogKnown),
 		relay.WithKeysConfirmed(g.freshness.current),
-		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock)),
+		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime)),
 		relay.WithPlacer(g.placer),
 		relay.WithProber(&prober{engines: platform.NewEngines()}),
 		relay.WithClient(g.targetClient),
@@ -373,7 +376,10 @@
 }
 
 // Configured implements platform.Listener.
-func (g *gateway) Configured(c *catalog.Catalog) { g.catalog.Store(c) }
+func (g *gateway) Configured(c *catalog.Catalog) {
+	g.catalog.Store(c)
+	g.closeKnown.Do(func() { close(g.catalogKnown) })
+}
 
 // Registered implements platform.Listener.
 func (g *gateway) Registered(t roster.Target) { g.roster.Put(t) }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -28,11 +28,9 @@
 	// emptyPoolRetryAfter is sent as Retry-After if the pool has no target. New
 	// targets take some seconds to appear.
 	emptyPoolRetryAfter = time.Second
-	// maxIsolatedWait is how long a request waits for a model while the
-	// coordinator is unreachable.
-	maxIsolatedWait = time.Second
-	// isolatedRetryAfter is sent as Retry-After after that wait. Another host is
-	// likely to accept the next connection.
+	// isolatedRetryAfter is sent as Retry-After by a host that has lost the
+	// coordinator for longer than a takeover lasts. Another host is likely to accept
+	// the next connection.
 	isolatedRetryAfter = 500 * time.Millisecond
 	// notLoadedTTL is how long a target is not chosen for a model that it
 	// refused. By then, the coordinator has a newer report.
@@ -63,7 +61,7 @@
 			}
 			return p.startPlacement(t, request), nil
 		}
-		if refusal := p.refuseIfUnplaceable(ready, request, waitStart, diskLoadTime); refusal != nil {
+		if refusal := p.refuseIfUnplaceable(ready, request, diskLoadTime); refusal != nil {
 			return relay.Placement{}, refusal
 		}
 		if !waited {
@@ -140,7 +138,7 @@
 
 // refuseIfUnplaceable returns a refusal if no target can run the request before
 // its deadline.
-func (p *placer) refuseIfUnplaceable(ready []roster.Target, request relay.PlacementRequest, waitStart time.Time, diskLoadTime time.Duration) *outcome.NotRun {
+func (p *placer) refuseIfUnplaceable(ready []roster.Target, request relay.PlacementRequest, diskLoadTime time.Duration) *outcome.NotRun {
 	g := p.gateway
 	now := g.clock.Now()
 	switch {
@@ -150,7 +148,7 @@
 		return &outcome.NotRun{Reason: outcome.ReasonDeadline, Detail: "the request's time is too short to begin"}
 	case request.Model == "":
 		return nil
-	case !g.coordinatorClient.Reached() && now.Sub(waitStart) > maxIsolatedWait:
+	case g.coordinatorClient.Isolated():
 		return &outcome.NotRun{Reason: outcome.ReasonCutOff, RetryAfter: isolatedRetryAfter, Detail: "the model is not loaded and the coordinator is not reached"}
 	default:
 		return refuseIfTooLate(now, request.Deadline, g.coordinatorClient.MinLoadDelay(request.Model, diskLoadTime))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,13 +24,15 @@
 // Relay is an http.Handler that serves callers' requests.
 type Relay struct {
 	options
-	budgets *poolBudgets
-	steps   []step
+	startedAt time.Time
+	budgets   *poolBudgets
+	steps     []step
 }
 
 type options struct {
 	dialect        Dialect
 	currentCatalog func() *catalog.Catalog
+	catalogKnown   <-chan struct{}
 	keysConfirmed  func() bool
 	limiter        Limiter
 	placer         Placer
@@ -115,6 +117,12 @@
 	return func(o *options) { o.currentCatalog = current }
 }
 
+// WithCatalogKnown sets the channel that is closed when there is a first
+// configuration.
+func WithCatalogKnown(known <-chan struct{}) Option {
+	return func(o *options) { o.catalogKnown = known }
+}
+
 // WithKeysConfirmed sets the function that reports whether the configuration
 // was confirmed recently enough that none of its keys can have been withdrawn
 // since.
@@ -175,7 +183,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	r := &Relay{options: o}
+	r := &Relay{options: o, startedAt: o.clock.Now()}
 	r.budgets = newPoolBudgets(func() retry.Budget { return o.newBudget(o.clock) })
 	r.steps = []step{r.readRequest, r.resolveRoute, r.authenticate, r.charge, r.dispatch}
 	return r
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -21,17 +21,25 @@
 // connection.
 const keysUnconfirmedRetryAfter = 250 * time.Millisecond
 
+// maxStartupWait is how long after its start a host holds requests until it has read
+// the configuration. Callers whose requests were cut off by a restart of all hosts
+// come back at once, and may not come a third time.
+const maxStartupWait = time.Second
+
+// maxStartupWaitShare is the fraction of a request's timeout that it is held at most,
+// so that a caller that is refused has time to try another host.
+const maxStartupWaitShare = 0.5
+
 // readRequest reads the request's headers and body.
-func (r *Relay) readRequest(_ context.Context, f *inflight) outcome.Outcome {
-	f.catalog = r.currentCatalog()
-	if f.catalog == nil {
-		return outcome.NotRun{Reason: outcome.ReasonStarting, RetryAfter: startingRetryAfter, Detail: "no configuration is known yet"}
-	}
+func (r *Relay) readRequest(ctx context.Context, f *inflight) outcome.Outcome {
 	req, err := r.dialect.ParseRequest(f.httpRequest)
 	if err != nil {
 		return outcome.NotRun{Reason: outcome.ReasonBadRequest, Detail: err.Error()}
 	}
 	f.req = req
+	if f.catalog = r.awaitCatalog(ctx, req.Timeout); f.catalog == nil {
+		return outcome.NotRun{Reason: outcome.ReasonStarting, RetryAfter: startingRetryAfter, Detail: "no configuration is known yet"}
+	}
 	body := f.httpRequest.Body
 	if maxBytes := f.catalog.Bounds.BodyBytes; maxBytes > 0 {
 		body = http.MaxBytesReader(f.w, body, maxBytes)
@@ -47,6 +55,29 @@
 	return nil
 }
 
+// awaitCatalog returns the configuration, for which it waits if the host has just
+// started. It returns nil if none is known in time.
+func (r *Relay) awaitCatalog(ctx context.Context, timeout time.Duration) *catalog.Catalog {
+	if current := r.currentCatalog(); current != nil {
+		return current
+	}
+	wait := maxStartupWait - r.clock.Since(r.startedAt)
+	if timeout > 0 {
+		wait = min(wait, time.Duration(maxStartupWaitShare*float64(timeout)))
+	}
+	if wait <= 0 {
+		return nil
+	}
+	timer := r.clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-r.catalogKnown:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+	return r.currentCatalog()
+}
+
 // resolveRoute finds the route, the pool and the deadline.
 func (r *Relay) resolveRoute(_ context.Context, f *inflight) outcome.Outcome {
 	route, ok := f.catalog.Route(f.req.Host, f.req.Path)
