coordinator: read an engine's cached weights again after each load

The coordinator reads reports of idle engines every 3.7 s in a fleet of 124 engines and doesn't read one after loads from memory or disk, so that it plans with weights that loads have evicted from host memory meanwhile.

TestQuickSuccessionOfRareModelsIsNotAnnouncedTooEarly failed before. The load time now has one function, placement.LoadTime.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -41,6 +41,10 @@
 	adapters map[model.Name][]model.Name
 	busy     bool
 	orders   []platform.Order
+	// memoryModels is the number of models whose weights fit into host memory, and
+	// inMemory holds those, the least recently loaded first.
+	memoryModels int
+	inMemory     []model.Name
 	// lose is the number of next orders that are carried out without a response,
 	// after delay.
 	lose  int
@@ -61,6 +65,12 @@
 // reportAge is the age of the reports that engines return.
 const reportAge = 100 * time.Millisecond
 
+// The load times of the fake engines' models.
+const (
+	diskLoadTime   = time.Second
+	memoryLoadTime = 400 * time.Millisecond
+)
+
 var errResponseLost = errors.New("response lost")
 
 func (e *fakeEngines) Order(_ context.Context, t roster.Target, order platform.Order) (platform.Accepted, error) {
@@ -110,10 +120,16 @@
 			s.overloaded++
 		}
 		s.busy = true
-		time.AfterFunc(time.Second, func() {
+		took := diskLoadTime
+		if slices.Contains(s.inMemory, order.Model) {
+			took = memoryLoadTime
+		}
+		time.AfterFunc(took, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			s.busy = false
+			s.inMemory = append(slices.DeleteFunc(s.inMemory, func(n model.Name) bool { return n == order.Model }), order.Model)
+			s.inMemory = s.inMemory[max(0, len(s.inMemory)-s.memoryModels):]
 			s.models = append(s.models, order.Model)
 			s.recordReport()
 		})
@@ -127,6 +143,7 @@
 	for _, name := range s.models {
 		report.Holdings.Models = append(report.Holdings.Models, roster.Resident{Model: name, Adapters: slices.Clone(s.adapters[name])})
 	}
+	report.Holdings.InMemory = slices.Clone(s.inMemory)
 	report.Holdings.OnDisk = []model.Name{"m0", "m1", "m2", "m3", "m4"}
 	s.reports = append(s.reports, timedReport{time.Now(), report})
 }
@@ -181,7 +198,7 @@
 	f := &fixture{engines: &fakeEngines{engines: map[target.ID]*fakeEngine{}}, roster: roster.New(boottime.SystemClock{})}
 	models := map[model.Name]catalog.Model{}
 	for _, name := range []model.Name{"m0", "m1", "m2", "m3", "m4"} {
-		models[name] = catalog.Model{Name: name, Size: size, AdapterSize: 1e8, StoreLoadTime: 6 * time.Second, DiskLoadTime: time.Second}
+		models[name] = catalog.Model{Name: name, Size: size, AdapterSize: 1e8, StoreLoadTime: 6 * time.Second, DiskLoadTime: diskLoadTime, MemoryLoadTime: memoryLoadTime}
 	}
 	c := catalog.New(catalog.Content{Version: 1, Pools: []catalog.Pool{{Name: "p", Engines: &catalog.Engines{
 		Slots: 16, Memory: 3*size + 1e9, AdapterSlots: 8, LoadsPerSecond: 4, Models: models,
@@ -258,6 +275,30 @@
 	})
 }
 
+// Each load evicts weights from the engine's host memory. A model whose weights were
+// evicted must not be announced after the time of a load from memory, when the engine
+// still refuses requests for it.
+func TestQuickSuccessionOfRareModelsIsNotAnnouncedTooEarly(t *testing.T) {
+	runFixture(t, oneEngine(), func(f *fixture) {
+		s := f.engines.engines["e1"]
+		f.engines.mu.Lock()
+		s.memoryModels, s.inMemory = 2, []model.Name{"m1", "m2"}
+		s.recordReport()
+		f.engines.mu.Unlock()
+		time.Sleep(1200 * time.Millisecond) // until the report has been read
+		for round := range 4 {
+			for _, name := range []model.Name{"m3", "m4", "m0", "m1", "m2"} {
+				f.requestUntilLoaded("e1", name, "", 10*time.Second)
+				f.engines.mu.Lock()
+				loaded := slices.Contains(s.models, name)
+				f.engines.mu.Unlock()
+				must.True(t, loaded, must.Sprintf("round %d, model %s", round, name))
+				time.Sleep(200 * time.Millisecond)
+			}
+		}
+	})
+}
+
 // If the responses to orders are lost and the orders are carried out late, the engine
 // must never be ordered to exceed its memory, and the model must still be loaded.
 func TestLostAndDelayedOrders(t *testing.T) {
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -252,7 +252,7 @@
 		return
 	}
 	now := c.clock.Now()
-	e.job, e.freeAt = &job, now.Add(loadTime(pool, job))
+	e.job, e.freeAt = &job, now.Add(placement.LoadTime(pool.Engines.Models[job.Load], job.Source))
 	if job.Source == placement.SourceWeightStore {
 		c.weightStoreLoadTimes = append(c.weightStoreLoadTimes, now)
 		c.publish(e)
@@ -269,18 +269,6 @@
 	return 0
 }
 
-func loadTime(pool catalog.Pool, job placement.Job) time.Duration {
-	m := pool.Engines.Models[job.Load]
-	switch job.Source {
-	case placement.SourceMemory:
-		return m.MemoryLoadTime
-	case placement.SourceDisk:
-		return m.DiskLoadTime
-	default:
-		return m.StoreLoadTime
-	}
-}
-
 // queueAdapterLoads queues loads of the adapters that requests wait for.
 func (c *Coordinator) queueAdapterLoads(pool catalog.Pool) {
 	for key := range c.loadRequests {
--- a/coordinator/worker.go
+++ b/coordinator/worker.go
@@ -61,15 +61,19 @@
 
 func (w *worker) run(ctx context.Context) {
 	w.pollWithSlot(ctx)
+	nextPoll := w.coordinator.clock.Now().Add(w.idlePollDelay())
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case job := <-w.engine.jobs:
 			w.runJob(ctx, job)
+			// The load may have evicted weights from the engine's memory and disk.
+			nextPoll = w.coordinator.clock.Now().Add(maxReportLag)
 		case job := <-w.engine.adapterJobs:
 			w.loadAdapter(ctx, job)
-		case <-w.coordinator.clock.After(w.idlePollDelay()):
+		case <-w.coordinator.clock.After(w.coordinator.clock.Until(nextPoll)):
 			w.pollWithSlot(ctx)
+			nextPoll = w.coordinator.clock.Now().Add(w.idlePollDelay())
 		}
 	}
 }
@@ -333,7 +337,7 @@
 	if !ok {
 		return 0
 	}
-	return loadTime(pool, job)
+	return placement.LoadTime(pool.Engines.Models[job.Load], job.Source)
 }
 
 // awaitLoad waits until a load from the weight store has ended, and reports whether
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -358,7 +358,7 @@
 		return
 	}
 	p.jobs = append(p.jobs, bestJob)
-	best.Busy, best.Loading, best.FreeAt = true, name, p.Now.Add(loadTime(m, bestJob.Source))
+	best.Busy, best.Loading, best.FreeAt = true, name, p.Now.Add(LoadTime(m, bestJob.Source))
 	best.Resident = slices.DeleteFunc(best.Resident, func(r Resident) bool { return slices.Contains(bestJob.Evict, r.Model) })
 	p.replicas[name]++
 	p.cached[name] = true
@@ -381,7 +381,7 @@
 // reports false if the engine can't free enough memory now.
 func (p *planner) cost(e *Engine, m catalog.Model, reason Reason) (Job, float64, bool) {
 	job := Job{Engine: e.ID, Load: m.Name, Source: e.source(m.Name), Reason: reason}
-	cost := loadTime(m, job.Source).Seconds()
+	cost := LoadTime(m, job.Source).Seconds()
 	if job.Source == SourceWeightStore {
 		cost *= max(1, float64(p.WeightStoreLoads+p.plannedLoads(SourceWeightStore)+1)/weightStoreStreams)
 	}
@@ -440,7 +440,7 @@
 // it again per second, weighted by evictionWeight. It falls with the square of the number
 // of engines that hold the model.
 func (p *planner) evictionCost(r Resident, e *Engine) float64 {
-	reload := loadTime(p.Models[r.Model], e.source(r.Model)).Seconds()
+	reload := LoadTime(p.Models[r.Model], e.source(r.Model)).Seconds()
 	replicas := max(1, p.replicas[r.Model])
 	return evictionWeight * p.Rates[r.Model] * reload / float64(replicas*replicas)
 }
@@ -463,8 +463,8 @@
 	}
 }
 
-// loadTime returns the duration of a load without concurrent loads.
-func loadTime(m catalog.Model, from Source) time.Duration {
+// LoadTime returns the duration of a load without concurrent loads.
+func LoadTime(m catalog.Model, from Source) time.Duration {
 	switch {
 	case from == SourceMemory && m.MemoryLoadTime > 0:
 		return m.MemoryLoadTime
