quota: spend the reserve at once while the ledger is known to be lost

After each failed call the ledger is asked again 100 ms later, by every request that comes until the first of them times out.

Change: once a call has failed, requests that the reserve covers are sent at once, and one call at a time asks in the background whether the ledger is back. TestFrozenLedgerDelaysOnlyTheFirstRequest failed before.

--- a/quota/cache.go
+++ b/quota/cache.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -51,6 +52,8 @@
 	takeoverTime time.Duration
 	// background runs a function without waiting for it.
 	background func(func())
+	// probing is set while probeLedger asks the ledger.
+	probing atomic.Bool
 
 	mu     sync.Mutex
 	cached map[team.ID]team.Tokens
@@ -116,6 +119,10 @@
 	if missing == 0 {
 		return c.refund(t, tokens), nil
 	}
+	if c.ledgerLost() && c.takeReserve(t, missing) {
+		c.probeLedger(t)
+		return c.refund(t, tokens), nil
+	}
 	grant, err := c.borrow(ctx, t, missing)
 	// Other requests may take the tokens that this one waits for, in which case small
 	// requests are served first.
@@ -156,6 +163,27 @@
 	return c.refund(t, tokens), nil
 }
 
+// ledgerLost reports whether the last call to the ledger failed.
+func (c *TokenCache) ledgerLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.lostAt.IsZero()
+}
+
+// probeLedger asks a lost ledger in the background whether it is back, so that requests
+// that the reserve covers don't wait for the call's timeout.
+func (c *TokenCache) probeLedger(t catalog.Team) {
+	if !c.probing.CompareAndSwap(false, true) {
+		return
+	}
+	c.background(func() {
+		defer c.probing.Store(false)
+		if grant, err := c.borrow(context.Background(), t, 0); err == nil {
+			c.put(t.ID, grant.Tokens)
+		}
+	})
+}
+
 // ledgerMayReturn reports whether the ledger became unavailable so recently that the next
 // coordinator may be about to take over.
 func (c *TokenCache) ledgerMayReturn() bool {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -173,6 +174,50 @@
 	})
 }
 
+// frozenLender is a host's connection to the ledger of a host that is suspended: calls get
+// no answer.
+type frozenLender struct {
+	hostLender
+	frozen atomic.Bool
+}
+
+func (l *frozenLender) Borrow(ctx context.Context, id team.ID, request quota.BorrowRequest) (quota.Grant, error) {
+	if l.frozen.Load() {
+		<-ctx.Done()
+		return quota.Grant{}, ctx.Err()
+	}
+	return l.hostLender.Borrow(ctx, id, request)
+}
+
+// While the coordinator's host is suspended, only the request that notices it waits for
+// the call to the ledger. Others spend from the reserve at once.
+func TestFrozenLedgerDelaysOnlyTheFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		lender := &frozenLender{hostLender: hostLender{ledger: quota.NewLedger(clock, limits, quota.WithFullBuckets()), host: "a"}}
+		cache := quota.NewTokenCache(lender, clock, takeoverTime)
+		charge := func() time.Duration {
+			start := time.Now()
+			_, refusal := cache.Charge(t.Context(), limited, 25)
+			must.Nil(t, refusal)
+			return time.Since(start)
+		}
+		must.Eq(t, 0, charge())
+		lender.frozen.Store(true)
+		must.Positive(t, charge())
+		for range 8 {
+			must.Eq(t, 0, charge())
+			time.Sleep(150 * time.Millisecond)
+		}
+		lender.frozen.Store(false)
+		time.Sleep(500 * time.Millisecond)
+		must.Eq(t, 0, charge()) // from the reserve; the ledger is found to be back
+		time.Sleep(time.Millisecond)
+		must.Eq(t, 0, charge())
+		synctest.Wait()
+	})
+}
+
 // A host that has most of a team's callers gets most of the reserve, for the case that it
 // loses the ledger.
 func TestReserveFollowsUse(t *testing.T) {
