--- a/election/election_test.go
+++ b/election/election_test.go
@@ -92,6 +92,10 @@
 	return nil, 0, errors.New("not used")
 }
 
+func (s *store) RangeStale(context.Context, string) ([]keyvalue.Entry, error) {
+	return nil, errors.New("not used")
+}
+
 func (s *store) Watch(context.Context, string, keyvalue.Revision, time.Duration) ([]keyvalue.Event, keyvalue.Revision, error) {
 	return nil, 0, errors.New("not used")
 }
