relay: back off from targets whose connection attempts time out

The placer was told that the attempt was abandoned by the caller: a connection timeout matches context.DeadlineExceeded, by which the relay told the two apart, so that the balancer never backed off.

Change: an attempt counts as abandoned if its own context has ended. The other comparison with that error is of a context's cause and is right.

--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -235,7 +235,13 @@
 }
 
 // notSent means that no byte of the request reached the target.
-type notSent struct{ err error }
+type notSent struct {
+	err error
+	// abandoned is set if the target is not at fault, since the caller left or the
+	// deadline passed. The error can't tell: a timeout of the connection attempt also
+	// matches context.DeadlineExceeded.
+	abandoned bool
+}
 
 // interrupted means that the request was sent, but that no complete and valid
 // response was passed on. The target may have run the request.
@@ -258,7 +264,7 @@
 }
 
 func (r notSent) placerResult() Result {
-	if errors.Is(r.err, context.Canceled) || errors.Is(r.err, context.DeadlineExceeded) {
+	if r.abandoned {
 		return Abandoned{}
 	}
 	return Failed{Unreachable: true}
@@ -324,7 +330,7 @@
 	}, maxIdle)
 	if err != nil {
 		if errors.Is(err, exchange.ErrNotSent) {
-			return notSent{err: err}
+			return notSent{err: err, abandoned: ctx.Err() != nil}
 		}
 		return interrupted{err: err, abandoned: w.abandoned(ctx)}
 	}
