coordinator: look at an engine that should hold what requests wait for

The coordinator polls an idle engine every 3.7 s at 124 engines, and takes it for unusable after two polls without an answer. Until then no other engine loads its models: 9.9 s in a test with 151 engines.

Ruled out for a cheaper way: shorter polls of all engines (30 a second are as many as the limit on control traffic allows at 1,700 engines).

Change: requests that have waited 300 ms for a model which an engine should hold make the coordinator poll that engine, and an engine that doesn't answer is polled again after 200 ms. TestModelOfDarkEngineIsLoadedElsewhereSoon failed before; it takes 2.3 s now.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -41,7 +41,9 @@
 	models   []model.Name
 	adapters map[model.Name][]model.Name
 	busy     bool
-	orders   []platform.Order
+	// dark makes the engine not answer.
+	dark   bool
+	orders []platform.Order
 	// memoryModels is the number of models whose weights fit into host memory, and
 	// inMemory holds those, the least recently used first. Unloads count as uses.
 	memoryModels int
@@ -63,6 +65,9 @@
 	report platform.Report
 }
 
+// reportTimeout is the time after which a dark engine counts as not answering.
+const reportTimeout = 500 * time.Millisecond
+
 // reportAge is the age of the reports that engines return.
 const reportAge = 100 * time.Millisecond
 
@@ -165,10 +170,19 @@
 	s.reports = append(s.reports, timedReport{time.Now(), report})
 }
 
-func (e *fakeEngines) Report(_ context.Context, t roster.Target) (platform.Report, error) {
+func (e *fakeEngines) Report(ctx context.Context, t roster.Target) (platform.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.engines[t.ID]
+	if s.dark {
+		e.mu.Unlock()
+		defer e.mu.Lock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(reportTimeout):
+		}
+		return platform.Report{}, errResponseLost
+	}
 	report := s.reports[0].report
 	for _, r := range s.reports {
 		if time.Since(r.at) >= reportAge {
@@ -320,6 +334,37 @@
 	})
 }
 
+// In a large fleet, idle engines are polled every few seconds. When the only engine with
+// a model goes dark, requests for the model mustn't wait for two such polls until it is
+// loaded elsewhere.
+func TestModelOfDarkEngineIsLoadedElsewhereSoon(t *testing.T) {
+	loaded := map[target.ID][]model.Name{"e1": {"m0", "m1", "m2"}}
+	for i := range 150 {
+		loaded[target.ID(fmt.Sprintf("f%03d", i))] = []model.Name{"m3", "m4"}
+	}
+	runFixture(t, loaded, func(f *fixture) {
+		f.engines.mu.Lock()
+		f.engines.engines["e1"].dark = true
+		f.engines.mu.Unlock()
+		start := time.Now()
+		loadedElsewhere := func() bool {
+			f.engines.mu.Lock()
+			defer f.engines.mu.Unlock()
+			for id, s := range f.engines.engines {
+				if id != "e1" && slices.Contains(s.models, "m0") {
+					return true
+				}
+			}
+			return false
+		}
+		for !loadedElsewhere() && time.Since(start) < 10*time.Second {
+			f.client.RequestLoad("p", "m0", "", coordinator.Waiting{Total: 1, OnTime: 1}, 0)
+			time.Sleep(20 * time.Millisecond)
+		}
+		must.Less(t, 3*time.Second, time.Since(start))
+	})
+}
+
 // If the responses to orders are lost and the orders are carried out late, the engine
 // must never be ordered to exceed its memory, and the model must still be loaded.
 func TestLostAndDelayedOrders(t *testing.T) {
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -180,7 +180,24 @@
 		entry = &loadRequest{since: c.clock.Now(), byHost: map[fleet.HostID]hostLoadRequest{}, priority: request.Priority}
 		c.loadRequests[key] = entry
 	}
+	if c.clock.Since(entry.since) >= minDoubtAge {
+		c.doubtHolders(request.Model, request.Adapter)
+	}
 	entry.byHost[host] = hostLoadRequest{receivedAt: c.clock.Now(), waiting: request.Waiting, onTime: request.OnTime}
 	entry.priority = min(entry.priority, request.Priority)
 	c.wake()
 }
+
+// doubtHolders polls the engines that should hold a model or adapter that requests wait
+// for. They may be out of reach or have restarted.
+func (c *Coordinator) doubtHolders(name, adapter model.Name) {
+	for _, e := range c.engines {
+		if !e.usable() || !e.has(name, adapter) || c.clock.Since(e.polledAt) < minDoubtAge {
+			continue
+		}
+		select {
+		case e.doubted <- struct{}{}:
+		default: // a poll is due already
+		}
+	}
+}
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -45,6 +45,11 @@
 	// version is the version of the last view that included the engine, or zero.
 	version uint64
 
+	// doubted triggers a poll, since requests wait for a model that the engine should
+	// already hold.
+	doubted chan struct{}
+	// polledAt is when the last poll ended.
+	polledAt    time.Time
 	jobs        chan placement.Job
 	adapterJobs chan adapterJob
 	// pendingAdapters holds the adapter loads that are queued or in progress.
@@ -235,6 +240,7 @@
 		start:           t.Start,
 		sequence:        t.Sequence,
 		resident:        map[model.Name]*resident{},
+		doubted:         make(chan struct{}, 1),
 		jobs:            make(chan placement.Job, 1),
 		adapterJobs:     make(chan adapterJob, 64),
 		pendingAdapters: map[adapterJob]bool{},
--- a/coordinator/worker.go
+++ b/coordinator/worker.go
@@ -18,6 +18,13 @@
 const (
 	// idlePollInterval is the minimum interval between two polls of an idle engine.
 	idlePollInterval = time.Second
+	// failedPollInterval is the interval between polls of an engine that did not answer
+	// the last one, until it counts as unusable.
+	failedPollInterval = 200 * time.Millisecond
+	// minDoubtAge is the age of a load request from which an engine that should already
+	// hold the model is polled. Hosts that have just not received the view of a load
+	// repeat their request until then.
+	minDoubtAge = 300 * time.Millisecond
 	// pollIntervalPerEngine extends the poll interval with the number of engines, which
 	// limits polls of all idle engines to about 30 per second.
 	pollIntervalPerEngine = 30 * time.Millisecond
@@ -71,6 +78,9 @@
 			nextPoll = w.coordinator.clock.Now().Add(maxReportLag)
 		case job := <-w.engine.adapterJobs:
 			w.loadAdapter(ctx, job)
+		case <-w.engine.doubted:
+			w.pollWithSlot(ctx)
+			nextPoll = w.coordinator.clock.Now().Add(w.idlePollDelay())
 		case <-w.coordinator.clock.After(w.coordinator.clock.Until(nextPoll)):
 			w.pollWithSlot(ctx)
 			nextPoll = w.coordinator.clock.Now().Add(w.idlePollDelay())
@@ -91,12 +101,20 @@
 }
 
 // idlePollDelay returns the delay before the next poll of an idle engine. Large fleets
-// poll less often, since each report is billed and takes time.
+// poll less often, since each report is billed and takes time. An engine that doesn't
+// answer is polled more often, until its models are loaded elsewhere.
 func (w *worker) idlePollDelay() time.Duration {
 	c := w.coordinator
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(idlePollInterval, time.Duration(len(c.engines))*pollIntervalPerEngine)
+	switch {
+	case w.engine.failedReports >= maxFailedReports:
+		return idlePollInterval
+	case w.engine.failedReports > 0:
+		return failedPollInterval
+	default:
+		return max(idlePollInterval, time.Duration(len(c.engines))*pollIntervalPerEngine)
+	}
 }
 
 // waitLoadingAdapters waits for a duration and loads requested adapters meanwhile.
@@ -122,6 +140,7 @@
 	report, err := c.engineAPI.Report(ctx, w.target)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	e.polledAt = c.clock.Now()
 	if err != nil {
 		e.failedReports++
 		if e.failedReports == maxFailedReports && ctx.Err() == nil {
