quota: refuse what is beyond the rate at once, and tell each caller its turn

Change: the ledger counts the requests that wait for tokens. One that would wait for too long behind them is refused at once, and is told a time after the ones that were refused before it. Small requests that find enough tokens are still served first. The time that requests wait for a ledger no longer counts as time that they wait for tokens, so that a crowd after a takeover isn't refused for having waited.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -362,7 +362,10 @@
 	if leader.Host == "" {
 		return quota.Grant{}, trace.NotFound("no coordinator is known")
 	}
-	request := wireBorrow{Team: id, Need: borrow.Need, Extra: borrow.Extra, ReserveSpent: borrow.ReserveSpent, Returned: borrow.Returned}
+	request := wireBorrow{
+		Team: id, Need: borrow.Need, MaxWait: borrow.MaxWait.Milliseconds(), Queued: borrow.Queued,
+		Extra: borrow.Extra, ReserveSpent: borrow.ReserveSpent, Returned: borrow.Returned,
+	}
 	var grant wireGrant
 	var err error
 	if leader.Host == c.mesh.Self().Host {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -275,6 +275,9 @@
 	if _, _, leads := c.terms.Term(); !leads || ledger == nil {
 		return wireGrant{}, errNotLeading
 	}
-	grant := ledger.Borrow(host, request.Team, quota.BorrowRequest{Need: request.Need, Extra: request.Extra, ReserveSpent: request.ReserveSpent, Returned: request.Returned})
+	grant := ledger.Borrow(host, request.Team, quota.BorrowRequest{
+		Need: request.Need, MaxWait: time.Duration(request.MaxWait) * time.Millisecond, Queued: request.Queued,
+		Extra: request.Extra, ReserveSpent: request.ReserveSpent, Returned: request.Returned,
+	})
 	return wireGrant{Tokens: grant.Tokens, Wait: grant.Wait.Milliseconds(), ReserveShare: grant.ReserveShare, MaxCached: grant.MaxCached}, nil
 }
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -23,8 +23,11 @@
 
 // wireBorrow is a host's request to borrow tokens of a team.
 type wireBorrow struct {
-	Team         team.ID     `cbor:"team"`
-	Need         team.Tokens `cbor:"need"`
+	Team team.ID     `cbor:"team"`
+	Need team.Tokens `cbor:"need"`
+	// MaxWait is in milliseconds.
+	MaxWait      int64       `cbor:"max-wait-ms"`
+	Queued       bool        `cbor:"queued"`
 	Extra        team.Tokens `cbor:"spare"`
 	ReserveSpent team.Tokens `cbor:"aside"`
 	Returned     team.Tokens `cbor:"back"`
--- a/quota/cache.go
+++ b/quota/cache.go
@@ -123,44 +123,41 @@
 		c.probeLedger(t)
 		return c.refund(t, tokens), nil
 	}
-	grant, err := c.borrow(ctx, t, missing)
-	// Other requests may take the tokens that this one waits for, in which case small
-	// requests are served first.
-	for start := c.clock.Now(); err == nil && grant.Tokens == 0 && c.clock.Since(start)+grant.Wait <= maxTokenWait && ctx.Err() == nil; {
-		select {
-		case <-ctx.Done():
-		case <-c.clock.After(max(grant.Wait, minBorrowInterval)):
-			grant, err = c.borrow(ctx, t, missing)
-		}
-	}
-	for err != nil && !c.takeReserve(t, missing) {
-		if !c.ledgerMayReturn() || ctx.Err() != nil {
+	// A small request that comes later may take tokens that this one waits for.
+	waited, queued := time.Duration(0), false
+	for {
+		grant, err := c.borrow(ctx, t, BorrowRequest{Need: missing, MaxWait: maxTokenWait - waited, Queued: queued})
+		pause := failedLedgerDelay
+		switch {
+		case err != nil && c.takeReserve(t, missing):
+			return c.refund(t, tokens), nil
+		case err != nil && (!c.ledgerMayReturn() || ctx.Err() != nil):
 			c.put(t.ID, cached)
 			return nil, &outcome.NotRun{
 				Reason:     outcome.ReasonLedgerMissing,
 				RetryAfter: unavailableRetryDelay,
 				Detail:     "the host can't tell how much the team may use",
 			}
+		case err != nil:
+		case grant.Tokens > 0:
+			c.put(t.ID, grant.Tokens-missing)
+			return c.refund(t, tokens), nil
+		case waited+grant.Wait > maxTokenWait || ctx.Err() != nil:
+			c.put(t.ID, cached)
+			return nil, &outcome.NotRun{
+				Reason:     outcome.ReasonRate,
+				RetryAfter: grant.Wait,
+				Detail:     "the team is beyond its rate and burst",
+			}
+		default:
+			pause, queued = max(grant.Wait, minBorrowInterval), true
+			waited += pause
 		}
 		select {
 		case <-ctx.Done():
-		case <-c.clock.After(failedLedgerDelay):
-		}
-		grant, err = c.borrow(ctx, t, missing)
-	}
-	switch {
-	case err != nil:
-		return c.refund(t, tokens), nil
-	case grant.Tokens == 0:
-		c.put(t.ID, cached)
-		return nil, &outcome.NotRun{
-			Reason:     outcome.ReasonRate,
-			RetryAfter: grant.Wait,
-			Detail:     "the team is beyond its rate and burst",
+		case <-c.clock.After(pause):
 		}
 	}
-	c.put(t.ID, grant.Tokens-missing)
-	return c.refund(t, tokens), nil
 }
 
 // ledgerLost reports whether the last call to the ledger failed.
@@ -178,7 +175,7 @@
 	}
 	c.background(func() {
 		defer c.probing.Store(false)
-		if grant, err := c.borrow(context.Background(), t, 0); err == nil {
+		if grant, err := c.borrow(context.Background(), t, BorrowRequest{}); err == nil {
 			c.put(t.ID, grant.Tokens)
 		}
 	})
@@ -201,7 +198,7 @@
 			return
 		}
 		c.background(func() {
-			grant, err := c.borrow(context.Background(), t, 0)
+			grant, err := c.borrow(context.Background(), t, BorrowRequest{})
 			if err == nil {
 				c.put(t.ID, grant.Tokens)
 			}
@@ -239,14 +236,13 @@
 	return true
 }
 
-func (c *TokenCache) borrow(ctx context.Context, t catalog.Team, need team.Tokens) (Grant, error) {
+func (c *TokenCache) borrow(ctx context.Context, t catalog.Team, request BorrowRequest) (Grant, error) {
 	c.mu.Lock()
 	if c.clock.Now().Before(c.retryAt) {
 		c.mu.Unlock()
 		return Grant{}, errLedgerUnavailable
 	}
-	request := BorrowRequest{Need: need}
-	if need > 0 {
+	if request.Need > 0 {
 		request.Extra = team.Tokens(float64(t.Limit.Rate) * borrowAheadTime.Seconds())
 	}
 	if r, ok := c.reserves[t.ID]; ok {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -60,6 +60,9 @@
 type bucket struct {
 	level     float64
 	updatedAt time.Time
+	// queueEnd is when the requests that wait for tokens will all have theirs, and
+	// returnAt when the last of those will that were refused and told to come back.
+	queueEnd, returnAt time.Time
 	// used counts what each host recently borrowed, and assignedShare is the fraction
 	// of the team's rate that the host was last allowed to spend from its reserve.
 	used          map[fleet.HostID]float64
@@ -186,6 +189,10 @@
 // BorrowRequest is a request to borrow tokens.
 type BorrowRequest struct {
 	Need team.Tokens
+	// MaxWait is how long the request waits for tokens. Queued is set if it has asked
+	// before and was told to wait.
+	MaxWait time.Duration
+	Queued  bool
 	// Extra is how many more to grant if the ledger has plenty.
 	Extra team.Tokens
 	// ReserveSpent is what the host has spent from its reserve since it last reached the
@@ -226,11 +233,36 @@
 	case rate <= 0 || need > limit.Burst:
 		grant.Wait = time.Second
 	default:
-		grant.Wait = time.Duration((float64(need) - b.level) / rate * float64(time.Second))
+		grant.Wait = b.enqueue(now, request, rate)
 	}
 	return grant
 }
 
+// enqueue returns the time until a request's tokens are expected, behind the requests that
+// wait already. One that doesn't wait for so long is refused and comes back. It is told a
+// time after all others that were refused before, so that they don't come back together,
+// only to be refused again.
+func (b *bucket) enqueue(now time.Time, request BorrowRequest, rate float64) time.Duration {
+	seconds := func(tokens float64) time.Duration { return time.Duration(tokens / rate * float64(time.Second)) }
+	wait := seconds(float64(request.Need) - b.level)
+	if request.Queued {
+		return wait
+	}
+	turn := seconds(float64(request.Need))
+	if b.queueEnd.After(now) {
+		wait = max(wait, b.queueEnd.Sub(now)+turn)
+	}
+	if wait <= request.MaxWait {
+		b.queueEnd = now.Add(wait)
+		return wait
+	}
+	if b.returnAt.After(now) {
+		wait = max(wait, b.returnAt.Sub(now)+turn)
+	}
+	b.returnAt = now.Add(wait)
+	return wait
+}
+
 // settle takes from the bucket what a host has spent from its reserve, except for tokens
 // that were withheld meanwhile.
 func (b *bucket) settle(host fleet.HostID, request BorrowRequest) {
@@ -276,6 +308,9 @@
 	b.withheldForUnseen += unseen * elapsed
 	rate = max(0, rate-unseen)
 	b.level = min(float64(limit.Burst), b.level+rate*elapsed)
+	if b.level >= float64(limit.Burst) {
+		b.returnAt = time.Time{} // those that were told to come back have left
+	}
 	for host := range b.used {
 		b.used[host] *= math.Exp(-elapsed / usageWindow.Seconds())
 	}
