Tell hosts when models in the weight store only can be loaded

The weight store loads four models at a time, each for 8 to 9 s; the coordinator knows which are in line.

Change: the coordinator forecasts when each model in line is loaded (placement.Forecast) and broadcasts what changes by half a second. Hosts refuse requests that can't wait for so long at once, with that time as Retry-After. The load of a model whose callers were sent away stays in line until the time that they were told. There is no forecast before every engine has reported its weights, nor for models on disks.

The number of streams stands in one place now.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -130,6 +130,9 @@
 	hosts           int
 	// engines holds the coordinator's last view of each engine.
 	engines map[target.ID]engineView
+	// forecasts holds when models that only the weight store has are expected to be
+	// loaded.
+	forecasts map[model.Name]time.Time
 	// targetVersions holds, for each target, the version of its last change.
 	targetVersions map[target.ID]uint64
 	requestedAt    map[loadRequestKey]time.Time
@@ -163,6 +166,7 @@
 		boot:           boot,
 		log:            log,
 		engines:        map[target.ID]engineView{},
+		forecasts:      map[model.Name]time.Time{},
 		targetVersions: map[target.ID]uint64{},
 		requestedAt:    map[loadRequestKey]time.Time{},
 		changed:        make(chan struct{}),
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -116,6 +117,7 @@
 		c.fence, c.version = view.Fence, 0
 		c.saveModels()
 		c.engines = map[target.ID]engineView{}
+		c.forecasts = map[model.Name]time.Time{}
 		c.targetVersions = map[target.ID]uint64{}
 	}
 	gap := view.Since > c.version
@@ -149,13 +151,24 @@
 		}
 		c.updateLoad(e.Target, e.Work)
 	}
-	if len(view.Engines) > 0 {
+	c.applyForecasts(view.Forecasts)
+	if len(view.Engines) > 0 || len(view.Forecasts) > 0 {
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
 	return true
 }
 
+// applyForecasts records forecasts, and drops those that have passed.
+func (c *Client) applyForecasts(forecasts []wireForecast) {
+	for _, f := range forecasts {
+		c.forecasts[f.Model] = c.lastContact.Add(time.Duration(f.ReadyIn) * time.Millisecond)
+	}
+	if len(forecasts) > 0 {
+		maps.DeleteFunc(c.forecasts, func(_ model.Name, readyAt time.Time) bool { return !readyAt.After(c.lastContact) })
+	}
+}
+
 // SaveModels passes the engines' models from the coordinator's views to the receiver,
 // so that they outlast the coordinator's term.
 func (c *Client) SaveModels() {
@@ -191,10 +204,11 @@
 	return view.holdings
 }
 
-// MinLoadDelay returns a lower bound of the time until a model that no engine holds is
-// loaded. While an engine loads it from the weight store, that is the rest of the load.
-// Otherwise it is the time until the coordinator may give orders plus diskLoadTime, the
-// duration of a load from an engine's disk. It is zero if neither applies.
+// MinLoadDelay returns the time until a model that no engine holds is loaded at the
+// earliest. While an engine loads it from the weight store, that is the rest of the load.
+// While it waits for the weight store, it is what the coordinator expects. Otherwise it is
+// the time until the coordinator may give orders plus diskLoadTime, the duration of a load
+// from an engine's disk. It is zero if none of these applies.
 func (c *Client) MinLoadDelay(name model.Name, diskLoadTime time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -205,6 +219,9 @@
 			soonest = rest
 		}
 	}
+	if expected := c.forecasts[name].Sub(now); soonest == 0 && expected > 0 {
+		return expected
+	}
 	if wait := c.ordersAllowedAt.Sub(now); soonest == 0 && wait > 0 {
 		return wait + diskLoadTime
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -47,9 +47,8 @@
 	// maxHostReportAge is the age from which a host's report of its running requests
 	// is ignored.
 	maxHostReportAge = 2 * time.Second
-	// maxWeightStoreLoads limits the concurrent loads from the weight store in a pool. More
-	// of them don't raise the throughput.
-	maxWeightStoreLoads = 4
+	// forecastTolerance is the change of a forecast from which hosts are told.
+	forecastTolerance = 500 * time.Millisecond
 	// weightStoreLoadSlack is the number of loads allowed in addition to the rate limit. The
 	// platform's rules allow three, of which one is kept in reserve.
 	weightStoreLoadSlack = 2
@@ -88,7 +87,11 @@
 	registered registrations
 	config     catalog.Version
 	// dirty holds the engines whose changes haven't been sent to hosts yet.
-	dirty                map[*engine]bool
+	dirty map[*engine]bool
+	// forecasts holds when models that only the weight store has are expected to be
+	// loaded, and changedForecasts the models of which hosts don't know that yet.
+	forecasts            map[model.Name]time.Time
+	changedForecasts     map[model.Name]bool
 	weightStoreLoadTimes []time.Time // start times of recent loads from the weight store
 }
 
@@ -121,6 +124,8 @@
 	c.weightStoreLoadTimes = nil
 	c.registered = newRegistrations()
 	c.dirty = map[*engine]bool{}
+	c.forecasts = map[model.Name]time.Time{}
+	c.changedForecasts = map[model.Name]bool{}
 	c.version = 0
 }
 
@@ -232,7 +237,9 @@
 		if pool.Engines == nil {
 			continue
 		}
-		for _, job := range placement.Plan(c.planState(pool)) {
+		state := c.planState(pool)
+		c.updateForecasts(pool, state)
+		for _, job := range placement.Plan(state) {
 			c.startJob(pool, job)
 		}
 		c.queueAdapterLoads(pool)
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -75,8 +75,12 @@
 const (
 	diskLoadTime   = time.Second
 	memoryLoadTime = 400 * time.Millisecond
+	storeLoadTime  = 6 * time.Second
 )
 
+// modelsOnDisk are the models that each fake engine has on its disk.
+var modelsOnDisk = []model.Name{"m0", "m1", "m2", "m3", "m4"}
+
 var errResponseLost = errors.New("response lost")
 
 func (e *fakeEngines) Order(_ context.Context, t roster.Target, order platform.Order) (platform.Accepted, error) {
@@ -128,8 +132,11 @@
 		}
 		s.busy = true
 		took := diskLoadTime
-		if slices.Contains(s.inMemory, order.Model) {
+		switch {
+		case slices.Contains(s.inMemory, order.Model):
 			took = memoryLoadTime
+		case !slices.Contains(modelsOnDisk, order.Model):
+			took = storeLoadTime
 		}
 		time.AfterFunc(took, func() {
 			e.mu.Lock()
@@ -166,7 +173,7 @@
 		report.Holdings.Models = append(report.Holdings.Models, roster.Resident{Model: name, Adapters: slices.Clone(s.adapters[name])})
 	}
 	report.Holdings.InMemory = slices.Clone(s.inMemory)
-	report.Holdings.OnDisk = []model.Name{"m0", "m1", "m2", "m3", "m4"}
+	report.Holdings.OnDisk = modelsOnDisk
 	s.reports = append(s.reports, timedReport{time.Now(), report})
 }
 
@@ -225,11 +232,11 @@
 	usage   coordinator.Usage
 }
 
-func newFixture(ctx context.Context, running *sync.WaitGroup, loaded map[target.ID][]model.Name) *fixture {
+func newFixture(ctx context.Context, running *sync.WaitGroup, loaded map[target.ID][]model.Name, inStore []model.Name) *fixture {
 	f := &fixture{engines: &fakeEngines{engines: map[target.ID]*fakeEngine{}}, roster: roster.New(boottime.SystemClock{})}
 	models := map[model.Name]catalog.Model{}
-	for _, name := range []model.Name{"m0", "m1", "m2", "m3", "m4"} {
-		models[name] = catalog.Model{Name: name, Size: size, AdapterSize: 1e8, StoreLoadTime: 6 * time.Second, DiskLoadTime: diskLoadTime, MemoryLoadTime: memoryLoadTime}
+	for _, name := range slices.Concat(modelsOnDisk, inStore) {
+		models[name] = catalog.Model{Name: name, Size: size, AdapterSize: 1e8, StoreLoadTime: storeLoadTime, DiskLoadTime: diskLoadTime, MemoryLoadTime: memoryLoadTime}
 	}
 	c := catalog.New(catalog.Content{Version: 1, Pools: []catalog.Pool{{Name: "p", Engines: &catalog.Engines{
 		Slots: 16, Memory: 3*size + 1e9, HostMemory: 2 * size, AdapterSlots: 8, LoadsPerSecond: 4, Models: models,
@@ -256,13 +263,14 @@
 	return f
 }
 
-// runFixture runs a test with a new fixture in virtual time.
-func runFixture(t *testing.T, loaded map[target.ID][]model.Name, test func(f *fixture)) {
+// runFixture runs a test with a new fixture in virtual time. InStore names further models
+// that only the weight store has.
+func runFixture(t *testing.T, loaded map[target.ID][]model.Name, test func(f *fixture), inStore ...model.Name) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
-		f := newFixture(ctx, &running, loaded)
+		f := newFixture(ctx, &running, loaded, inStore)
 		time.Sleep(1200 * time.Millisecond) // until the first reports have been read
 		test(f)
 		cancel()
@@ -275,6 +283,18 @@
 	return f.client.Holdings(t).Has(name, adapter)
 }
 
+// loadedAnywhere reports whether any engine holds a model.
+func (f *fixture) loadedAnywhere(name model.Name) bool {
+	f.engines.mu.Lock()
+	defer f.engines.mu.Unlock()
+	for _, s := range f.engines.engines {
+		if slices.Contains(s.models, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // requestUntilLoaded repeats a load request until the model is loaded or the given
 // time has passed, and returns how long that took.
 func (f *fixture) requestUntilLoaded(id target.ID, name, adapter model.Name, within time.Duration) time.Duration {
@@ -365,6 +385,32 @@
 	})
 }
 
+// More rare models are asked for at once than the weight store loads at a time. Hosts
+// learn when the last of them can be loaded, which is later than some callers wait, and
+// that model is loaded by then although its callers were sent away.
+func TestCrowdForModelsInTheWeightStoreLearnsWhenTheyAreLoaded(t *testing.T) {
+	loaded := map[target.ID][]model.Name{}
+	for i := range 8 {
+		loaded[target.ID(fmt.Sprintf("e%d", i))] = []model.Name{"m0"}
+	}
+	runFixture(t, loaded, func(f *fixture) {
+		// Three prefetches are in progress, which leaves one stream of the weight store.
+		for _, name := range []model.Name{"s3", "s4", "s5"} {
+			f.client.RequestLoad("p", name, "", coordinator.Waiting{Total: 1, OnTime: 1}, 0)
+		}
+		time.Sleep(100 * time.Millisecond)
+		must.Between(t, 5*time.Second, f.client.MinLoadDelay("s3", diskLoadTime), 6*time.Second)
+		for _, name := range []model.Name{"s4", "s5"} {
+			must.Between(t, 10*time.Second, f.client.MinLoadDelay(name, diskLoadTime), 12*time.Second)
+		}
+		time.Sleep(12 * time.Second)
+		for _, name := range []model.Name{"s3", "s4", "s5"} {
+			must.True(t, f.loadedAnywhere(name), must.Sprint(name))
+			must.Zero(t, f.client.MinLoadDelay(name, diskLoadTime))
+		}
+	}, "s0", "s1", "s2", "s3", "s4", "s5")
+}
+
 // If the responses to orders are lost and the orders are carried out late, the engine
 // must never be ordered to exceed its memory, and the model must still be loaded.
 func TestLostAndDelayedOrders(t *testing.T) {
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -27,8 +27,11 @@
 	since time.Time
 	// loggedAt is when the request was last logged as pending.
 	loggedAt time.Time
-	byHost   map[fleet.HostID]hostLoadRequest
-	priority int
+	// keepUntil is until when the request is kept although no host repeats it, since
+	// callers were told to come back.
+	keepUntil time.Time
+	byHost    map[fleet.HostID]hostLoadRequest
+	priority  int
 }
 
 type hostLoadRequest struct {
@@ -57,7 +60,7 @@
 	now := c.clock.Now()
 	for key, request := range c.loadRequests {
 		for host, h := range request.byHost {
-			if now.Sub(h.receivedAt) > loadRequestTTL {
+			if now.Sub(h.receivedAt) > loadRequestTTL && now.After(request.keepUntil) {
 				delete(request.byHost, host)
 			}
 		}
@@ -183,6 +186,7 @@
 	if c.clock.Since(entry.since) >= minDoubtAge {
 		c.doubtHolders(request.Model, request.Adapter)
 	}
+	entry.keepUntil = time.Time{}
 	entry.byHost[host] = hostLoadRequest{receivedAt: c.clock.Now(), waiting: request.Waiting, onTime: request.OnTime}
 	entry.priority = min(entry.priority, request.Priority)
 	c.wake()
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -163,7 +163,7 @@
 	}
 	switch {
 	case e.job != nil:
-		state.Loading = e.job.Load
+		state.Loading, state.LoadingFrom = e.job.Load, e.job.Source
 	case e.busy:
 		state.FreeAt = now.Add(unknownOrderDuration)
 	}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -107,6 +107,9 @@
 	ReadRevision keyvalue.Revision `cbor:"read"`
 	// Removed lists targets that are no longer registered.
 	Removed []wireRemoved `cbor:"gone"`
+	// Forecasts holds the changed expectations of when models are loaded. It is only
+	// broadcast: a host that misses one lets its requests wait.
+	Forecasts []wireForecast `cbor:"forecasts"`
 	// OrdersIn is the time in milliseconds until the coordinator may give orders.
 	OrdersIn int64 `cbor:"orders-in-ms"`
 	// Neighbours lists hosts to ask for the next coordinator when this one is lost.
@@ -166,6 +169,13 @@
 		w.Domain == other.Domain && w.Slots == other.Slots && w.Draining == other.Draining
 }
 
+// wireForecast is when a model that only the weight store has is expected to be loaded.
+type wireForecast struct {
+	Model model.Name `cbor:"1,keyasint"`
+	// ReadyIn is in milliseconds. Zero means that there is no expectation any more.
+	ReadyIn int64 `cbor:"2,keyasint"`
+}
+
 // wireEngine is the coordinator's state of an engine.
 type wireEngine struct {
 	Version uint64         `cbor:"1,keyasint"`
--- a/coordinator/plan_state.go
+++ b/coordinator/plan_state.go
@@ -104,7 +104,7 @@
 }
 
 // weightStoreBudget returns the number of loads from the weight store that may start now
-// within the rate limit of the pool and maxWeightStoreLoads.
+// within the rate limit of the pool and the streams of the weight store.
 func (c *Coordinator) weightStoreBudget(pool catalog.Pool, now time.Time) int {
 	window := c.bounds.LoadWindow
 	allowed := int(pool.Engines.LoadsPerSecond*window.Seconds()*max(1, c.bounds.LoadOvershoot)) + weightStoreLoadSlack
@@ -115,5 +115,5 @@
 		}
 	}
 	c.weightStoreLoadTimes = recent
-	return max(0, min(allowed-len(recent), maxWeightStoreLoads-c.weightStoreLoads(pool.Name)))
+	return max(0, min(allowed-len(recent), placement.WeightStoreStreams-c.weightStoreLoads(pool.Name)))
 }
--- a/coordinator/view.go
+++ b/coordinator/view.go
@@ -16,7 +16,7 @@
 func (c *Coordinator) announce(current *catalog.Catalog) {
 	read := c.readRevision() // before reading the roster, which is then at least as new
 	changed, removed := c.registered.update(read, c.roster.All(), c.version+1, c.published)
-	if len(changed) == 0 && len(removed) == 0 && len(c.dirty) == 0 && current.Version == c.config {
+	if len(changed) == 0 && len(removed) == 0 && len(c.dirty) == 0 && len(c.changedForecasts) == 0 && current.Version == c.config {
 		return
 	}
 	since := c.version
@@ -30,6 +30,7 @@
 		view.Engines = append(view.Engines, e.wire(c.clock.Now()))
 	}
 	clear(c.dirty)
+	view.Forecasts = c.takeChangedForecasts(c.clock.Now())
 	c.broadcast(view)
 }
 
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -51,10 +51,11 @@
 	// memory or on its disk.
 	InMemory HostMemory
 	OnDisk   map[model.Name]bool
-	// Loading is the model being loaded, and FreeAt the time from which the engine is
-	// expected to accept another order.
-	Loading model.Name
-	FreeAt  time.Time
+	// Loading is the model being loaded, LoadingFrom where from, and FreeAt the time from
+	// which the engine is expected to accept another order.
+	Loading     model.Name
+	LoadingFrom Source
+	FreeAt      time.Time
 	// Busy is set while an order is in progress.
 	Busy bool
 	// Work is the number of requests running and waiting, and Slots the number that can
@@ -120,9 +121,10 @@
 
 // The limits and cost weights of placement.
 const (
-	// weightStoreStreams is the number of concurrent loads that the weight store serves at
-	// full speed. The duration of more concurrent loads grows in proportion.
-	weightStoreStreams = 4
+	// WeightStoreStreams is the number of concurrent loads that the weight store serves at
+	// full speed. The duration of more concurrent loads grows in proportion, so that more
+	// of them don't raise the throughput.
+	WeightStoreStreams = 4
 	// prefetchStreams limits the concurrent prefetches, which leaves one stream to loads
 	// for waiting requests.
 	prefetchStreams = 3
@@ -172,22 +174,32 @@
 
 // Plan returns the jobs to start now, at most one for each idle engine.
 func Plan(s State) []Job {
+	p := newPlanner(s)
+	p.spread(urgentFactor)
+	p.loadRequested()
+	p.spread(1)
+	p.standby()
+	p.prefetch()
+	return p.jobs
+}
+
+func newPlanner(s State) *planner {
 	p := &planner{State: s, engines: slices.Clone(s.Engines), replicas: map[model.Name]int{}, cached: map[model.Name]bool{}}
 	for i := range p.engines {
 		p.engines[i].Resident = slices.Clone(p.engines[i].Resident)
 		p.countReplicas(&p.engines[i])
 	}
 	for _, request := range p.LoadRequests {
-		if p.replicas[request.Model] == 0 && !p.cached[request.Model] {
+		if p.weightStoreOnly(request.Model) {
 			p.weightStoreOnlyRequests++
 		}
 	}
-	p.spread(urgentFactor)
-	p.loadRequested()
-	p.spread(1)
-	p.standby()
-	p.prefetch()
-	return p.jobs
+	return p
+}
+
+// weightStoreOnly reports whether no engine has the weights of a model.
+func (p *planner) weightStoreOnly(name model.Name) bool {
+	return p.replicas[name] == 0 && !p.cached[name]
 }
 
 type planner struct {
@@ -234,13 +246,18 @@
 	return float64(request.OnTime) + lateWeight*late + p.Rates[request.Model]*followUpTime.Seconds() + ageWeight*p.Now.Sub(request.Since).Seconds()
 }
 
-// loadRequested plans loads of the requested models that no engine holds.
-func (p *planner) loadRequested() {
+// requestsByUrgency returns the load requests, the most urgent first.
+func (p *planner) requestsByUrgency() []LoadRequest {
 	requests := slices.Clone(p.LoadRequests)
 	slices.SortFunc(requests, func(a, b LoadRequest) int {
 		return cmp.Or(cmp.Compare(p.urgency(b), p.urgency(a)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Model, b.Model))
 	})
-	for _, request := range requests {
+	return requests
+}
+
+// loadRequested plans loads of the requested models that no engine holds.
+func (p *planner) loadRequested() {
+	for _, request := range p.requestsByUrgency() {
 		if p.replicas[request.Model] == 0 {
 			p.place(request.Model, ReasonRequested, max(0, p.Now.Sub(request.Since)-maxInUseWait), anyEngine)
 		}
@@ -387,7 +404,7 @@
 	job := Job{Engine: e.ID, Load: m.Name, Evict: evict, Source: p.sourceAfter(e, m.Name, evict), Reason: reason}
 	cost := LoadTime(m, job.Source).Seconds()
 	if job.Source == SourceWeightStore {
-		cost *= max(1, float64(p.WeightStoreLoads+p.plannedLoads(SourceWeightStore)+1)/weightStoreStreams)
+		cost *= max(1, float64(p.WeightStoreLoads+p.plannedLoads(SourceWeightStore)+1)/WeightStoreStreams)
 	}
 	if e.Busy {
 		// An order that is overdue by some time is assumed to last as long again.
