quota: don't give refused callers a place in the queue

Callers that were told their turn came back up to ten seconds later, were served late, and took the tokens of requests that could still have been on time: a team can't get more than its rate, so each late answer displaces one on time.

Withdrawn: the turn of refused callers. Kept: requests that can't get tokens soon are refused at once, with the time until those that wait will have theirs.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -60,9 +60,8 @@
 type bucket struct {
 	level     float64
 	updatedAt time.Time
-	// queueEnd is when the requests that wait for tokens will all have theirs, and
-	// returnAt when the last of those will that were refused and told to come back.
-	queueEnd, returnAt time.Time
+	// queueEnd is when the requests that wait for tokens will all have theirs.
+	queueEnd time.Time
 	// used counts what each host recently borrowed, and assignedShare is the fraction
 	// of the team's rate that the host was last allowed to spend from its reserve.
 	used          map[fleet.HostID]float64
@@ -239,9 +238,8 @@
 }
 
 // enqueue returns the time until a request's tokens are expected, behind the requests that
-// wait already. One that doesn't wait for so long is refused and comes back. It is told a
-// time after all others that were refused before, so that they don't come back together,
-// only to be refused again.
+// wait already. One that doesn't wait for so long is refused, and has no place in the
+// queue: when it comes back, a request that can still be on time has the same chance.
 func (b *bucket) enqueue(now time.Time, request BorrowRequest, rate float64) time.Duration {
 	seconds := func(tokens float64) time.Duration { return time.Duration(tokens / rate * float64(time.Second)) }
 	wait := seconds(float64(request.Need) - b.level)
@@ -254,12 +252,7 @@
 	}
 	if wait <= request.MaxWait {
 		b.queueEnd = now.Add(wait)
-		return wait
-	}
-	if b.returnAt.After(now) {
-		wait = max(wait, b.returnAt.Sub(now)+turn)
 	}
-	b.returnAt = now.Add(wait)
 	return wait
 }
 
@@ -308,9 +301,6 @@
 	b.withheldForUnseen += unseen * elapsed
 	rate = max(0, rate-unseen)
 	b.level = min(float64(limit.Burst), b.level+rate*elapsed)
-	if b.level >= float64(limit.Burst) {
-		b.returnAt = time.Time{} // those that were told to come back have left
-	}
 	for host := range b.used {
 		b.used[host] *= math.Exp(-elapsed / usageWindow.Seconds())
 	}
