jsonhttp: bound heads and bodies of stores, lists and reports

A call to the store, the host list or an engine's report held up to 256 MB of a response without end, and heads up to 10 MB; a small host has 184 MB. Heads are limited to 64 KB now (also of engines and services of the product's own edge), reports of single targets to 1 MB, and other bodies to 32 MB, several times a page of the store or the changes of its history.

--- a/engine/client.go
+++ b/engine/client.go
@@ -103,6 +103,7 @@
 // port.
 func NewClient(address string, opts ...Option) Client {
 	c := &client{jsonClient: jsonhttp.NewClient(address), timeout: DefaultTimeout}
+	c.jsonClient.SetMaxBody(jsonhttp.MaxReportBytes)
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -18,8 +18,17 @@
 	"time"
 )
 
-// maxBodyBytes is the maximum size of a response body.
-const maxBodyBytes = 256 << 20
+// The limits of responses. A faulty server may send bytes without end.
+const (
+	// MaxHeadBytes limits a response's head. Transports that replace the default one
+	// set it as their MaxResponseHeaderBytes.
+	MaxHeadBytes = 64 << 10
+	// DefaultMaxBody limits a response body unless SetMaxBody was called. Pages of a
+	// store's entries and its changes of some seconds take a few megabytes.
+	DefaultMaxBody = 32 << 20
+	// MaxReportBytes is the limit for reports of single targets.
+	MaxReportBytes = 1 << 20
+)
 
 // The errors of calls without a response.
 var (
@@ -33,6 +42,7 @@
 type Client struct {
 	baseURL    string
 	httpClient *http.Client
+	maxBody    int64
 }
 
 // Request is an HTTP request.
@@ -69,18 +79,23 @@
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
 	}
-	return &Client{baseURL: base, httpClient: &http.Client{Transport: newTransport()}}
+	return &Client{baseURL: base, httpClient: &http.Client{Transport: newTransport()}, maxBody: DefaultMaxBody}
 }
 
 // SetTransport replaces the HTTP transport. It must be called before the first
 // request.
 func (c *Client) SetTransport(transport http.RoundTripper) { c.httpClient.Transport = transport }
 
+// SetMaxBody changes the maximum size of a response body in bytes. It must be called
+// before the first request.
+func (c *Client) SetMaxBody(n int64) { c.maxBody = n }
+
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
@@ -114,11 +129,11 @@
 		return Response{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
 	if err != nil {
 		return Response{}, err
 	}
-	if len(body) > maxBodyBytes {
+	if int64(len(body)) > c.maxBody {
 		return Response{}, errors.New("response body exceeds the size limit")
 	}
 	return Response{Status: resp.StatusCode, Body: body}, nil
--- a/openai/generator.go
+++ b/openai/generator.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornway/call"
+	"hawthornway/jsonhttp"
 	"hawthornway/outcome"
 	"hawthornway/retry"
 	"hawthornway/target"
@@ -45,6 +46,8 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: jsonhttp.MaxHeadBytes,
 	}
 	return &generator{
 		placer:   placer,
--- a/service/client.go
+++ b/service/client.go
@@ -31,7 +31,9 @@
 // NewClient returns a new Client of the service at address, an IP address with a
 // port.
 func NewClient(address string) Client {
-	return &client{http: jsonhttp.NewClient(address)}
+	c := &client{http: jsonhttp.NewClient(address)}
+	c.http.SetMaxBody(jsonhttp.MaxReportBytes)
+	return c
 }
 
 type wireReport struct {
--- a/service/forward.go
+++ b/service/forward.go
@@ -17,6 +17,7 @@
 
 	"hawthornway/call"
 	"hawthornway/fleet"
+	"hawthornway/jsonhttp"
 	"hawthornway/outcome"
 	"hawthornway/retry"
 	"hawthornway/target"
@@ -85,6 +86,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 32,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: jsonhttp.MaxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
