A coordinator that the store refuses calls it through other hosts

It then lost its lease, all hosts read the store for two seconds until they had found the next one, and no model was loaded for 4.7 s, the lease and the time between the orders of two hosts.

Ways: a second lease for a named successor (orders of two hosts still need three seconds between them); longer leases (every real loss takes longer); calls through other hosts (taken). Its renewals are also sent through a host in contact when the store hasn't answered after 250 ms, and its reads when one fails, until the store can be read directly again. It needs no new state, and stays within the lease: the time of a renewal counts from when the first copy was sent.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -6,6 +6,7 @@
 	"hawthornway/keyvalue"
 	"hawthornway/model"
 	"hawthornway/peer"
+	"hawthornway/platform"
 	"hawthornway/roster"
 	"hawthornway/target"
 	"hawthornway/team"
@@ -19,6 +20,8 @@
 	kindView        peer.Kind = "view"
 	kindConfig      peer.Kind = "configuration"
 	kindLeader      peer.Kind = "coordinator"
+	kindRenew       peer.Kind = "renew-lease"
+	kindStoreRead   peer.Kind = "read-store"
 )
 
 // wireBorrow is a host's request to borrow tokens of a team.
@@ -52,6 +55,44 @@
 	Priority int         `cbor:"priority"`
 }
 
+// wireRenew asks another host to renew a lease in the store.
+type wireRenew struct {
+	Lease platform.Lease `cbor:"lease"`
+}
+
+type wireRenewed struct {
+	// Ended is set if the lease has ended or never existed.
+	Ended bool `cbor:"ended"`
+}
+
+// wireStoreRead asks another host to read the entries under a prefix from the store, or
+// to watch them.
+type wireStoreRead struct {
+	Prefix string            `cbor:"prefix"`
+	Watch  bool              `cbor:"watch"`
+	After  keyvalue.Revision `cbor:"after"`
+	// Wait is the longest wait of a watch in milliseconds.
+	Wait int64 `cbor:"wait-ms"`
+}
+
+type wireStoreEvents struct {
+	Events []wireStoreEvent  `cbor:"events"`
+	At     keyvalue.Revision `cbor:"at"`
+	// Compacted is set if the store no longer has the changes.
+	Compacted bool `cbor:"compacted"`
+}
+
+type wireStoreEvent struct {
+	Key      string            `cbor:"1,keyasint"`
+	Revision keyvalue.Revision `cbor:"2,keyasint"`
+	Value    []byte            `cbor:"3,keyasint"`
+	Deleted  bool              `cbor:"4,keyasint"`
+}
+
+func (w wireStoreEvent) entry() keyvalue.Entry {
+	return keyvalue.Entry{Key: w.Key, Revision: w.Revision, Value: w.Value}
+}
+
 // wireConfig is the operators' configuration as read from the store.
 type wireConfig struct {
 	Key      string            `cbor:"key"`
--- /dev/null
+++ b/coordinator/store_proxy.go
@@ -0,0 +1,143 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"hawthornway/fleet"
+	"hawthornway/keyvalue"
+	"hawthornway/peer"
+	"hawthornway/platform"
+)
+
+const (
+	// proxyAttempts is the number of other hosts that are tried for one call. The store
+	// may refuse some of them too.
+	proxyAttempts = 3
+	// proxyTimeout limits a call through one other host, beyond the wait of a watch.
+	proxyTimeout = 400 * time.Millisecond
+)
+
+// StoreProxy calls the store through other hosts, for a coordinator that the store
+// refuses or that is cut off from it. Otherwise the fleet would lose its coordinator
+// although all hosts reach it.
+type StoreProxy struct {
+	mesh  peer.Mesh
+	store platform.Metadata
+	// next rotates the hosts that are tried.
+	next atomic.Uint32
+}
+
+// NewStoreProxy returns a StoreProxy. It registers the handlers that call the store for
+// other hosts.
+func NewStoreProxy(mesh peer.Mesh, store platform.Metadata) *StoreProxy {
+	p := &StoreProxy{mesh: mesh, store: store}
+	mesh.Handle(kindRenew, p.handleRenew)
+	mesh.Handle(kindStoreRead, p.handleRead)
+	return p
+}
+
+// KeepAlive renews a lease. It fails with platform.ErrLeaseEnded if the lease has ended.
+func (p *StoreProxy) KeepAlive(ctx context.Context, lease platform.Lease) error {
+	var result wireRenewed
+	if err := p.call(ctx, kindRenew, wireRenew{Lease: lease}, &result, 0); err != nil {
+		return err
+	}
+	if result.Ended {
+		return platform.ErrLeaseEnded
+	}
+	return nil
+}
+
+// Range returns all entries under a prefix, as platform.Metadata does.
+func (p *StoreProxy) Range(ctx context.Context, prefix string) ([]keyvalue.Entry, keyvalue.Revision, error) {
+	var result wireStoreEvents
+	if err := p.call(ctx, kindStoreRead, wireStoreRead{Prefix: prefix}, &result, 0); err != nil {
+		return nil, 0, err
+	}
+	entries := make([]keyvalue.Entry, 0, len(result.Events))
+	for _, event := range result.Events {
+		entries = append(entries, event.entry())
+	}
+	return entries, result.At, nil
+}
+
+// Watch waits for changes, as platform.Metadata does.
+func (p *StoreProxy) Watch(ctx context.Context, prefix string, after keyvalue.Revision, wait time.Duration) ([]keyvalue.Event, keyvalue.Revision, error) {
+	var result wireStoreEvents
+	request := wireStoreRead{Prefix: prefix, Watch: true, After: after, Wait: wait.Milliseconds()}
+	if err := p.call(ctx, kindStoreRead, request, &result, wait); err != nil {
+		return nil, 0, err
+	}
+	if result.Compacted {
+		return nil, 0, platform.ErrCompacted
+	}
+	events := make([]keyvalue.Event, 0, len(result.Events))
+	for _, event := range result.Events {
+		events = append(events, keyvalue.Event{Entry: event.entry(), Deleted: event.Deleted})
+	}
+	return events, result.At, nil
+}
+
+// call asks other hosts, one after another, until one has called the store.
+func (p *StoreProxy) call(ctx context.Context, kind peer.Kind, request, response any, wait time.Duration) error {
+	peers := p.mesh.Peers()
+	if len(peers) == 0 {
+		return trace.ConnectionProblem(nil, "no other host is connected")
+	}
+	var err error
+	for range min(proxyAttempts, len(peers)) {
+		to := peers[int(p.next.Add(1))%len(peers)]
+		if err = p.callThrough(ctx, to.Host, kind, request, response, wait); err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return trace.Wrap(err, "store through other hosts")
+}
+
+func (p *StoreProxy) callThrough(ctx context.Context, to fleet.HostID, kind peer.Kind, request, response any, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+proxyTimeout)
+	defer cancel()
+	return trace.Wrap(p.mesh.Call(ctx, to, kind, request, response))
+}
+
+func (p *StoreProxy) handleRenew(ctx context.Context, _ fleet.Member, body []byte) (any, error) {
+	var request wireRenew
+	if err := peer.Decode(body, &request); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	err := p.store.KeepAlive(ctx, request.Lease)
+	if errors.Is(err, platform.ErrLeaseEnded) {
+		return wireRenewed{Ended: true}, nil
+	}
+	return wireRenewed{}, trace.Wrap(err)
+}
+
+func (p *StoreProxy) handleRead(ctx context.Context, _ fleet.Member, body []byte) (any, error) {
+	var request wireStoreRead
+	if err := peer.Decode(body, &request); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var result wireStoreEvents
+	if !request.Watch {
+		entries, at, err := p.store.Range(ctx, request.Prefix)
+		for _, entry := range entries {
+			result.Events = append(result.Events, wireStoreEvent{Key: entry.Key, Revision: entry.Revision, Value: entry.Value})
+		}
+		result.At = at
+		return result, trace.Wrap(err)
+	}
+	events, at, err := p.store.Watch(ctx, request.Prefix, request.After, time.Duration(request.Wait)*time.Millisecond)
+	if errors.Is(err, platform.ErrCompacted) {
+		return wireStoreEvents{Compacted: true}, nil
+	}
+	for _, event := range events {
+		result.Events = append(result.Events, wireStoreEvent{Key: event.Key, Revision: event.Revision, Value: event.Value, Deleted: event.Deleted})
+	}
+	result.At = at
+	return result, trace.Wrap(err)
+}
--- a/election/election.go
+++ b/election/election.go
@@ -47,6 +47,10 @@
 	// maxCandidacyJitter spreads the candidates, so that most of them see the entry
 	// of the first one before they try.
 	maxCandidacyJitter = 400 * time.Millisecond
+	// backupDelay is the time after which a renewal that the store hasn't answered is
+	// also sent through the backup. The store normally answers in a few milliseconds,
+	// and there must be time for the backup before the lease ends.
+	backupDelay = 250 * time.Millisecond
 	// retryDelay is the delay before another attempt to win or renew.
 	retryDelay = 300 * time.Millisecond
 )
@@ -69,6 +73,7 @@
 // Election is the participation of one host in the election.
 type Election struct {
 	store          platform.Metadata
+	backup         Renewer
 	self           fleet.Member
 	clock          clockwork.Clock
 	bootClock      boottime.Clock
@@ -98,6 +103,11 @@
 	ordersFrom boottime.Instant
 }
 
+// Renewer renews leases.
+type Renewer interface {
+	KeepAlive(ctx context.Context, lease platform.Lease) error
+}
+
 // Option sets an option of an Election.
 type Option func(*Election)
 
@@ -107,6 +117,10 @@
 // WithFirstStart declares that there can't have been a coordinator before.
 func WithFirstStart() Option { return func(e *Election) { e.firstStart = true } }
 
+// WithBackup sets a way to renew the coordinator's lease while the store refuses this
+// host or doesn't answer it.
+func WithBackup(backup Renewer) Option { return func(e *Election) { e.backup = backup } }
+
 // WithClocks sets the clock for timers and the boot clock, which includes the time
 // that the host was suspended.
 func WithClocks(clock clockwork.Clock, boot boottime.Clock) Option {
@@ -336,7 +350,7 @@
 	t := e.term
 	e.mu.Unlock()
 	sentAt := e.bootClock.Now()
-	err := e.store.KeepAlive(ctx, t.lease)
+	err := e.keepAlive(ctx, t.lease)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
@@ -353,6 +367,43 @@
 	}
 }
 
+// keepAlive renews a lease: with the store or, if that fails or takes longer than
+// backupDelay, with the backup.
+func (e *Election) keepAlive(ctx context.Context, lease platform.Lease) error {
+	if e.backup == nil {
+		return e.store.KeepAlive(ctx, lease)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, 2)
+	pending := 0
+	renewWith := func(r Renewer) {
+		pending++
+		go func() { results <- r.KeepAlive(ctx, lease) }()
+	}
+	renewWith(e.store)
+	backupDue := e.clock.After(backupDelay)
+	var firstErr error
+	for pending > 0 {
+		select {
+		case err := <-results:
+			pending--
+			if err == nil || errors.Is(err, platform.ErrLeaseEnded) {
+				return err
+			}
+			if firstErr == nil {
+				firstErr = err
+			}
+		case <-backupDue:
+		}
+		if backupDue != nil {
+			backupDue = nil
+			renewWith(e.backup)
+		}
+	}
+	return firstErr
+}
+
 // resign ends the term, so that another host needn't wait for the lease to expire.
 func (e *Election) resign() {
 	e.mu.Lock()
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -390,3 +390,100 @@
 		must.SliceLen(t, 1, leaders(hosts), must.Sprint(fmt.Sprint(leaders(hosts))))
 	})
 }
+
+// hangingStore is a connection to the store that doesn't answer, as during a partition.
+type hangingStore struct{ platform.Metadata }
+
+func (hangingStore) KeepAlive(ctx context.Context, _ platform.Lease) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+	}
+	return keyvalue.ErrUnknown
+}
+
+// The store refuses the coordinator, or the coordinator is cut off from it, while it
+// reaches all other hosts. Its lease is renewed through one of them, so that the fleet
+// doesn't go without orders until another coordinator may give some. If nobody reaches the
+// store, the term must still end in time.
+func TestCoordinatorWithoutStoreKeepsItsTermThroughOthers(t *testing.T) {
+	cases := []struct {
+		name        string
+		hangs       bool
+		backupFails bool
+		want        bool
+	}{
+		{"refused", false, false, true},
+		{"cut off", true, false, true},
+		{"refused, others too", false, true, false},
+		{"cut off, others too", true, true, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				s := newStore()
+				running.Go(func() { s.expireAndNotify(ctx) })
+				direct := &switchableStore{Metadata: s}
+				backup := &hostStore{Metadata: s, cut: tc.backupFails}
+				e := election.New(direct, fleet.Member{Host: "a"}, election.WithBackup(backup), election.WithFirstStart(),
+					election.WithHandover(handoverDelay), election.WithClocks(clockwork.NewRealClock(), &suspendableClock{}), election.WithLogger(slog.New(slog.DiscardHandler)))
+				s.mu.Lock()
+				s.watchers = append(s.watchers, e)
+				s.mu.Unlock()
+				running.Go(func() { _ = e.Run(ctx) })
+				time.Sleep(2 * time.Second)
+				fence, _, leads := e.Term()
+				must.True(t, leads)
+				if tc.hangs {
+					direct.use(hangingStore{s})
+				} else {
+					direct.use(&hostStore{Metadata: s, cut: true})
+				}
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					after, _, stillLeads := e.Term()
+					if tc.want {
+						must.True(t, stillLeads)
+						must.Eq(t, fence, after)
+					}
+				}
+				_, _, leads = e.Term()
+				must.Eq(t, tc.want, leads)
+				cancel()
+				running.Wait()
+			})
+		})
+	}
+}
+
+// switchableStore is a connection to the store that can be replaced.
+type switchableStore struct {
+	platform.Metadata
+	mu sync.Mutex
+}
+
+func (s *switchableStore) use(m platform.Metadata) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Metadata = m
+}
+
+func (s *switchableStore) KeepAlive(ctx context.Context, lease platform.Lease) error {
+	s.mu.Lock()
+	m := s.Metadata
+	s.mu.Unlock()
+	return m.KeepAlive(ctx, lease)
+}
+
+func (s *switchableStore) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+	s.mu.Lock()
+	m := s.Metadata
+	s.mu.Unlock()
+	return m.Grant(ctx, ttl)
+}
+
+func (s hangingStore) Grant(ctx context.Context, _ time.Duration) (platform.Lease, error) {
+	return 0, s.KeepAlive(ctx, 0)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,9 @@
 	g.links = peer.New(peer.WithSelf(self), peer.WithSecret([]byte(peerSecret)), peer.WithClock(g.clock), peer.WithLogger(g.log),
 		peer.WithHTTPClient(&http.Client{Transport: &http.Transport{}}))
 	store := platform.NewMetadata(s.Store)
+	storeProxy := coordinator.NewStoreProxy(g.links, store)
 	opts := []election.Option{
+		election.WithBackup(storeProxy),
 		election.WithHandover(s.Bounds.MinHandoverDelay),
 		election.WithClocks(g.clock, g.bootClock),
 		election.WithLogger(g.log),
@@ -164,6 +166,7 @@
 	g.placer = &placer{gateway: g, usage: usage}
 	g.targetClient = exchange.New(exchange.WithClock(g.clock))
 	g.follower = platform.NewFollower(store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay))
+	g.follower.SetBackup(storeProxy, func() bool { _, _, leads := g.election.Term(); return leads })
 	g.relay = relay.New(
 		relay.WithDialect(platform.Dialect{}),
 		relay.WithCatalog(g.catalog.Load),
