relay: comments and repeated events are no progress of a stream

One of the patterns seen elsewhere: a stalled stream whose target sends a comment or an old event now and then was never found silent, and lasted until its deadline although it could be resumed. Only events that are new restart the silent period now. TestSilentTargets has the case, which failed before.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -156,6 +157,27 @@
 		env := newTestEnv(t, catalog.Idempotent{}, relay.Idle{}, silent, signed(200, "yes"))
 		must.Eq(t, "yes", env.call().body)
 	})
+	t.Run("idle, sends comments and old events now and then", func(t *testing.T) {
+		stalled := events(2, nil)
+		env := newTestEnv(t, catalog.Stream{Resumable: true, MaxGap: 20 * time.Millisecond}, relay.Idle{}, func(w http.ResponseWriter, r *http.Request) {
+			stalled(w, r)
+			ticker := time.NewTicker(50 * time.Millisecond)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-r.Context().Done():
+					return
+				case <-ticker.C:
+				}
+				_, _ = io.WriteString(w, ": still here\n\nid: 2\ndata: piece 2\n\n")
+				_ = http.NewResponseController(w).Flush()
+			}
+		}, events(4, nil))
+		got := env.call()
+		must.NoError(t, got.err)
+		must.StrContains(t, got.body, "id: 4\ndata: piece 4\n\n")
+		must.Eq(t, 1, env.summaries[0].Resumed)
+	})
 	t.Run("dead, may not be repeated", func(t *testing.T) {
 		env := newTestEnv(t, catalog.AtMostOnce{}, relay.Dead{}, silent, signed(200, "yes"))
 		got := env.call(func(r *http.Request) { r.Header.Set("Timeout", "1s") })
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -82,10 +82,12 @@
 			_ = flusher.Flush() // the caller may have left
 			return interrupted{err: err, abandoned: w.abandoned(ctx)}
 		}
-		w.recordActivity()
 		if e.id != 0 && e.id <= d.lastEventID {
 			continue // the caller has this event already
 		}
+		if e.id != 0 || d.lastEventID == 0 {
+			w.recordActivity() // comments are no progress of a stream with numbered events
+		}
 		if _, err := f.w.Write(e.text); err != nil {
 			return interrupted{err: fmt.Errorf("caller: %w", err), abandoned: true}
 		}
