A coordinator that is stopped names the host that was started last

Each change pauses loads for 3.5 s or more, and requests for models that aren't loaded wait through both.

Change: before it resigns, the coordinator names its successor to all hosts: the one that was started last, since it won't be restarted soon, and not one with little processor time if there are others. Other hosts become candidates 400 ms later than otherwise, for a second, so that a named host that is gone costs little.

Not measured yet.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -62,6 +62,8 @@
 	Leader() (election.Leader, bool)
 	// Learn records a coordinator that another host reported.
 	Learn(leader election.Leader)
+	// Prefer records which host a resigning coordinator has named as its successor.
+	Prefer(successor fleet.HostID)
 }
 
 // Usage is a host's demand for models and its running requests, for one report.
@@ -106,9 +108,11 @@
 
 // Client is a host's connection to the coordinator. It is safe for concurrent use.
 type Client struct {
-	mesh     Mesh
-	leaders  Leaders
-	local    *Coordinator
+	mesh    Mesh
+	leaders Leaders
+	local   *Coordinator
+	// weak is reported to the coordinator.
+	weak     bool
 	usage    func() Usage
 	receiver ViewReceiver
 	clock    clockwork.Clock
@@ -178,6 +182,10 @@
 	return c
 }
 
+// SetWeak makes this host report that it has too little processor time to be preferred
+// as the coordinator. It must be called before Run.
+func (c *Client) SetWeak() { c.weak = true }
+
 // Run reports to the coordinator until the context ends.
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -260,7 +268,7 @@
 func (c *Client) report(ctx context.Context) {
 	c.mu.Lock()
 	leader := c.leader
-	report := wireReport{Since: c.version, Fence: c.fence, Hosts: c.hosts}
+	report := wireReport{Since: c.version, Fence: c.fence, Hosts: c.hosts, Weak: c.weak}
 	c.mu.Unlock()
 	if leader.Host == "" {
 		return
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -44,6 +44,9 @@
 	if !c.applyEngines(view) || view.Fence == target.Fence(0) {
 		return
 	}
+	if view.Successor != "" {
+		c.leaders.Prefer(view.Successor)
+	}
 	leads := c.isLeader()
 	if !leads {
 		changed, removed, all := c.newerTargets(view)
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -215,6 +215,7 @@
 func (loneMesh) Leader() (election.Leader, bool)           { return election.Leader{Host: "h", Fence: 1}, true }
 
 func (loneMesh) Learn(election.Leader)     {}
+func (loneMesh) Prefer(fleet.HostID)       {}
 func (loneMesh) OrderDelay() time.Duration { return 0 }
 
 func (loneMesh) Term() (target.Fence, bool, bool)                                         { return 1, true, true }
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -53,6 +53,7 @@
 type hostReport struct {
 	receivedAt time.Time
 	running    []wireRunning
+	weak       bool
 }
 
 // expireLoadRequests removes the load requests that hosts no longer repeat.
@@ -88,7 +89,7 @@
 	}
 	c.ledger.RecordReport(host, report.Hosts)
 	now := c.clock.Now()
-	c.hosts[host] = hostReport{receivedAt: now, running: report.Running}
+	c.hosts[host] = hostReport{receivedAt: now, running: report.Running, weak: report.Weak}
 	for _, demand := range report.Demand {
 		c.addDemand(demand, now)
 	}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -109,7 +109,10 @@
 	// sent if the host has no view of the coordinator's term yet.
 	Targets []uint64 `cbor:"targets"`
 	// Hosts is the fleet size in the last view that the host received.
-	Hosts   int           `cbor:"hosts"`
+	Hosts int `cbor:"hosts"`
+	// Weak is set by a host with too little processor time to be preferred as the
+	// coordinator.
+	Weak    bool          `cbor:"weak"`
 	Demand  []wireDemand  `cbor:"asked"`
 	Running []wireRunning `cbor:"running"`
 }
@@ -157,6 +160,8 @@
 	Neighbours []wireMember `cbor:"neighbours"`
 	// CompleteBuckets lists the buckets of which Targets holds all registrations.
 	CompleteBuckets []roster.Bucket `cbor:"whole"`
+	// Successor is the host that a resigning coordinator prefers.
+	Successor fleet.HostID `cbor:"successor"`
 	// More is set if further changes follow in the answer to the next report.
 	More bool `cbor:"more"`
 }
--- a/coordinator/neighbour_test.go
+++ b/coordinator/neighbour_test.go
@@ -53,6 +53,8 @@
 	return m.leader, true
 }
 
+func (*partialMesh) Prefer(fleet.HostID) {}
+
 func (m *partialMesh) Learn(leader election.Leader) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -35,6 +35,8 @@
 
 func (r *recordingReceiver) Learn(election.Leader) {}
 
+func (r *recordingReceiver) Prefer(fleet.HostID) {}
+
 func (r *recordingReceiver) UpdateTargets(changed []roster.Target, removed, all []target.ID, buckets []roster.Bucket) {
 	for _, t := range changed {
 		r.targets[t.ID] = t
--- a/election/election.go
+++ b/election/election.go
@@ -47,6 +47,11 @@
 	// maxCandidacyJitter spreads the candidates, so that most of them see the entry
 	// of the first one before they try.
 	maxCandidacyJitter = 400 * time.Millisecond
+	// successorTime is how long the choice of a resigning coordinator counts, and
+	// successorHeadStart how much later than its successor other hosts become
+	// candidates.
+	successorTime      = time.Second
+	successorHeadStart = 400 * time.Millisecond
 	// backupDelay is the time after which a renewal that the store hasn't answered is
 	// also sent through the backup. The store normally answers in a few milliseconds,
 	// and there must be time for the backup before the lease ends.
@@ -85,7 +90,12 @@
 
 	changed chan struct{}
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// successor is the host that a resigning coordinator has named, which others let go
+	// first until successorUntil.
+	successor      fleet.HostID
+	successorUntil boottime.Instant
+
 	observed   keyvalue.Entry
 	leader     Leader
 	hasLeader  bool
@@ -180,6 +190,28 @@
 	e.notifyChanged()
 }
 
+// Prefer handles a resigning coordinator's choice of its successor.
+func (e *Election) Prefer(successor fleet.HostID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.successor, e.successorUntil = successor, e.bootClock.Now().Add(successorTime)
+}
+
+// candidacyWait returns how long this host waits before it becomes a candidate.
+func (e *Election) candidacyWait() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wait := e.candidacyDelay + time.Duration(e.random()*float64(maxCandidacyJitter))
+	switch {
+	case !e.bootClock.Now().Before(e.successorUntil):
+		return wait
+	case e.successor == e.self.Host:
+		return 0
+	default:
+		return wait + successorHeadStart
+	}
+}
+
 // Learn handles the report of another host that there is a coordinator. It is for
 // hosts that the store refuses or that don't follow the store.
 func (e *Election) Learn(leader Leader) {
@@ -280,7 +312,7 @@
 		select {
 		case <-ctx.Done():
 			return 0
-		case <-e.clock.After(e.candidacyDelay + time.Duration(e.random()*float64(maxCandidacyJitter))):
+		case <-e.clock.After(e.candidacyWait()):
 		}
 		if _, hasLeader := e.Leader(); hasLeader {
 			return time.Second
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -487,3 +487,34 @@
 func (s hangingStore) Grant(ctx context.Context, _ time.Duration) (platform.Lease, error) {
 	return 0, s.KeepAlive(ctx, 0)
 }
+
+// A coordinator that is stopped names its successor. That host is elected although others
+// would become candidates earlier, and a host that doesn't come forward isn't waited for.
+func TestResigningCoordinatorIsFollowedByTheHostItNames(t *testing.T) {
+	cases := []struct {
+		name, successor, want string
+	}{
+		{"named", "c", "c"},
+		{"named host is gone", "gone", "b"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				s := newStore()
+				go s.expireAndNotify(ctx)
+				hosts := start(ctx, s, threeHosts())
+				time.Sleep(2 * time.Second)
+				must.Eq(t, []fleet.HostID{"a"}, leaders(hosts))
+				for _, h := range hosts {
+					h.election.Prefer(fleet.HostID(tc.successor))
+				}
+				hosts[0].stop()
+				time.Sleep(1200 * time.Millisecond)
+				must.Eq(t, []fleet.HostID{fleet.HostID(tc.want)}, leaders(hosts))
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,7 +138,8 @@
 		election.WithLogger(g.log),
 		election.WithRandom(rand.Float64),
 	}
-	if s.CPUs > 0 && s.CPUs < minCoordinatorCores {
+	weak := s.CPUs > 0 && s.CPUs < minCoordinatorCores
+	if weak {
 		opts = append(opts, election.WithDelay(weakHostElectionDelay))
 	}
 	if s.FirstStart {
@@ -163,6 +164,9 @@
 	g.balancer = balance.New(s.Domain, g.clock)
 	usage := newUsageTracker()
 	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log)
+	if weak {
+		g.coordinatorClient.SetWeak()
+	}
 	g.placer = &placer{gateway: g, usage: usage}
 	g.targetClient = exchange.New(exchange.WithClock(g.clock))
 	g.follower = platform.NewFollower(store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay))
@@ -320,6 +324,7 @@
 func (g *gateway) drain(resign context.CancelFunc) {
 	g.draining.Store(true)
 	g.log.Info("gateway: shutting down")
+	g.coordinator.NameSuccessor()
 	resign()
 	deadline := g.clock.Now().Add(time.Duration(g.stopTimeoutNanos.Load()) - stopMargin)
 	g.clock.Sleep(unreadyDelay)
