coordinator: an adapter that is in use keeps its slot after its unload

Engines answer the unload of an adapter that requests use with 202 and keep it until they end.

Change: such an adapter counts until a report no longer shows it, and no other is unloaded meanwhile.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -44,6 +44,8 @@
 	// dark makes the engine not answer.
 	dark   bool
 	orders []platform.Order
+	// adapterUse is how long requests still use an adapter when it is unloaded.
+	adapterUse time.Duration
 	// memoryModels is the number of models whose weights fit into host memory, and
 	// inMemory holds those, the least recently used first. Unloads count as uses.
 	memoryModels int
@@ -100,7 +102,8 @@
 		})
 		return platform.Accepted{}, errResponseLost
 	}
-	return platform.Accepted{}, e.accept(s, order)
+	freed := order.Unload && order.Adapter != "" && s.adapterUse == 0
+	return platform.Accepted{AlreadyDone: freed}, e.accept(s, order)
 }
 
 func (e *fakeEngines) accept(s *fakeEngine, order platform.Order) error {
@@ -112,7 +115,19 @@
 	defer s.recordReport()
 	switch {
 	case order.Adapter != "" && order.Unload:
-		s.adapters[order.Model] = slices.DeleteFunc(s.adapters[order.Model], func(n model.Name) bool { return n == order.Adapter })
+		unload := func() {
+			s.adapters[order.Model] = slices.DeleteFunc(s.adapters[order.Model], func(n model.Name) bool { return n == order.Adapter })
+		}
+		if s.adapterUse == 0 {
+			unload()
+			break
+		}
+		time.AfterFunc(s.adapterUse, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			unload()
+			s.recordReport()
+		})
 	case order.Adapter != "":
 		s.adapters[order.Model] = append(s.adapters[order.Model], order.Adapter)
 		count := 0
@@ -450,6 +465,28 @@
 }
 
 // Many adapters requested at the same time must not exceed the engine's slots.
+// An adapter that requests use keeps its slot after its unload was accepted. Another one
+// must not be loaded before it is free.
+func TestAdapterInUseKeepsItsSlotUntilItIsUnloaded(t *testing.T) {
+	runFixture(t, oneEngine(), func(f *fixture) {
+		s := f.engines.engines["e1"]
+		for i := range 8 {
+			f.requestUntilLoaded("e1", "m0", model.Name(fmt.Sprint("a", i)), 5*time.Second)
+		}
+		f.engines.mu.Lock()
+		s.adapterUse = 400 * time.Millisecond
+		f.engines.mu.Unlock()
+		for i := range 6 {
+			took := f.requestUntilLoaded("e1", "m0", model.Name(fmt.Sprint("b", i)), 5*time.Second)
+			must.Less(t, 2*time.Second, took)
+		}
+		must.Zero(t, s.overloaded)
+		f.engines.mu.Lock()
+		defer f.engines.mu.Unlock()
+		must.LessEq(t, 8, len(s.adapters["m0"]))
+	})
+}
+
 func TestConcurrentAdapterRequestsKeepToSlots(t *testing.T) {
 	runFixture(t, oneEngine(), func(f *fixture) {
 		for range 300 {
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -52,6 +52,9 @@
 	polledAt    time.Time
 	jobs        chan placement.Job
 	adapterJobs chan adapterJob
+	// leavingAdapters holds the adapters whose unload the engine has accepted while
+	// requests used them. They keep their slots until a report no longer shows them.
+	leavingAdapters map[adapterJob]bool
 	// pendingAdapters holds the adapter loads that are queued or in progress.
 	pendingAdapters map[adapterJob]bool
 	cancel          context.CancelFunc
@@ -119,9 +122,10 @@
 	return ok
 }
 
-// adapterCount returns the number of adapters that are loaded or being fetched.
+// adapterCount returns the number of adapters that are loaded, being fetched or being
+// unloaded.
 func (e *engine) adapterCount() int {
-	n := e.fetchingAdapters
+	n := e.fetchingAdapters + len(e.leavingAdapters)
 	for _, r := range e.resident {
 		n += len(r.adapterLastUsed)
 	}
@@ -243,6 +247,7 @@
 		doubted:         make(chan struct{}, 1),
 		jobs:            make(chan placement.Job, 1),
 		adapterJobs:     make(chan adapterJob, 64),
+		leavingAdapters: map[adapterJob]bool{},
 		pendingAdapters: map[adapterJob]bool{},
 		cancel:          cancel,
 	}
--- a/coordinator/worker.go
+++ b/coordinator/worker.go
@@ -170,6 +170,7 @@
 	c, e := w.coordinator, w.engine
 	now := c.clock.Now()
 	current := map[model.Name]*resident{}
+	stillLeaving := map[adapterJob]bool{}
 	e.busy, e.fetchingAdapters = report.Busy, 0
 	e.ownOrder = e.ownOrder && report.Busy && report.Sequence == e.sequence
 	for _, m := range report.Holdings.Models {
@@ -181,6 +182,10 @@
 			r.lastUsed = time.Time{}
 		}
 		for _, adapter := range m.Adapters {
+			if job := (adapterJob{m.Model, adapter}); e.leavingAdapters[job] {
+				stillLeaving[job] = true
+				continue
+			}
 			r.adapterLastUsed[adapter] = now
 			if ok {
 				if lastUsed, ok := previous.adapterLastUsed[adapter]; ok {
@@ -190,6 +195,7 @@
 		}
 		current[m.Model] = r
 	}
+	e.leavingAdapters = stillLeaving
 	for name, r := range e.resident {
 		if _, ok := current[name]; !ok && !r.unloading && !r.loadExpectedAt.IsZero() && now.Sub(r.loadExpectedAt) < 2*maxReportLag {
 			current[name] = r // the report predates the end of the load
@@ -438,6 +444,9 @@
 	if r, ok := e.resident[order.Model]; ok && order.Unload && order.Adapter == "" {
 		r.unloadAccepted = true
 	}
+	if unloadedAdapter && !accepted.AlreadyDone {
+		e.leavingAdapters[adapterJob{order.Model, order.Adapter}] = true
+	}
 	if !accepted.AlreadyDone || unloadedAdapter {
 		e.sequence = order.Expected + 1
 		e.ownOrder = e.ownOrder || order.Adapter == ""
@@ -460,11 +469,15 @@
 	}()
 	c.mu.Lock()
 	ready := e.has(job.model, "") && !e.has(job.model, job.adapter)
-	evict := w.adapterToUnload()
+	evict, leaving := w.adapterToUnload(), len(e.leavingAdapters)
 	c.mu.Unlock()
 	if !ready {
 		return
 	}
+	if evict != nil && leaving > 0 {
+		w.poll(ctx) // shows when the slot is free; hosts repeat the load request
+		return
+	}
 	if evict != nil && c.clock.Since(evict.lastUsed) < minAdapterResidency {
 		return // hosts repeat the load request
 	}
