coordinator: a suspended process must notice the end of its term soon

Its workers would have given orders by what they knew, if the host had been elected again meanwhile.

Change: the pause after a plan is a second at most; workers give orders in the term only in which they were started; reports are answered only in a term in force.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -35,6 +35,9 @@
 	minPlanGap     = 5 * time.Millisecond
 	planGapPerHost = time.Millisecond
 	planGapFactor  = 4
+	// maxPlanGap limits the pause after a plan that took long because the process was
+	// suspended.
+	maxPlanGap = time.Second
 	// loadRequestTTL is the time after which a load request expires unless the host
 	// repeats it, which hosts do about three times a second.
 	loadRequestTTL = 900 * time.Millisecond
@@ -176,7 +179,7 @@
 // planGap returns the minimum pause after a plan, which grows with the time that the
 // plan took and with the number of hosts to notify of its changes.
 func (c *Coordinator) planGap(took time.Duration) time.Duration {
-	return max(minPlanGap, took*planGapFactor, time.Duration(len(c.mesh.Peers()))*planGapPerHost)
+	return min(maxPlanGap, max(minPlanGap, took*planGapFactor, time.Duration(len(c.mesh.Peers()))*planGapPerHost))
 }
 
 func (c *Coordinator) beginTerm(fence target.Fence) {
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -84,7 +84,7 @@
 func (c *Coordinator) report(host fleet.HostID, report wireReport) (wireView, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.leading {
+	if fence, _, leads := c.terms.Term(); !c.leading || !leads || fence != c.fence {
 		return wireView{}, errNotLeading
 	}
 	c.ledger.RecordReport(host, report.Hosts)
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -251,7 +251,7 @@
 		pendingAdapters: map[adapterJob]bool{},
 		cancel:          cancel,
 	}
-	w := &worker{coordinator: c, engine: e, target: t}
+	w := &worker{coordinator: c, engine: e, target: t, fence: c.fence}
 	workers.Go(func() { w.run(ctx) })
 	return e
 }
--- a/coordinator/worker.go
+++ b/coordinator/worker.go
@@ -12,6 +12,7 @@
 	"hawthornway/placement"
 	"hawthornway/platform"
 	"hawthornway/roster"
+	"hawthornway/target"
 )
 
 // The timing and limits of a worker.
@@ -64,6 +65,9 @@
 	coordinator *Coordinator
 	engine      *engine
 	target      roster.Target
+	// fence is that of the term in which the worker was started. In a later term of this
+	// host, what it knows of the engine is old.
+	fence target.Fence
 }
 
 func (w *worker) run(ctx context.Context) {
@@ -396,7 +400,7 @@
 	start := c.clock.Now()
 	for ctx.Err() == nil && c.clock.Since(start) < timeout {
 		fence, mayOrder, _ := c.terms.Term()
-		if !mayOrder {
+		if !mayOrder || fence != w.fence {
 			return false
 		}
 		c.mu.Lock()
