Set the follower's backup and weak hosts by options

Setters that must be called before Run were the odd ones out among options. The background calls of a token cache say why their results aren't used.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -154,10 +154,17 @@
 	confirmedAt boottime.Instant
 }
 
+// ClientOption sets an option of a Client.
+type ClientOption func(*Client)
+
+// WithWeakHost sets whether this host has too little processor time to be preferred as
+// the coordinator.
+func WithWeakHost(weak bool) ClientOption { return func(c *Client) { c.weak = weak } }
+
 // NewClient returns the client of a host. Local is the coordinator in the same
 // process, usage returns the contents of the next report, and updateLoad is called
 // with the number of requests at each engine.
-func NewClient(mesh Mesh, leaders Leaders, local *Coordinator, receiver ViewReceiver, usage func() Usage, updateLoad func(target.ID, int), clock clockwork.Clock, boot boottime.Clock, log *slog.Logger) *Client {
+func NewClient(mesh Mesh, leaders Leaders, local *Coordinator, receiver ViewReceiver, usage func() Usage, updateLoad func(target.ID, int), clock clockwork.Clock, boot boottime.Clock, log *slog.Logger, opts ...ClientOption) *Client {
 	c := &Client{
 		mesh:           mesh,
 		leaders:        leaders,
@@ -176,16 +183,15 @@
 		changed:        make(chan struct{}),
 		leaderChanged:  make(chan struct{}, 1),
 	}
+	for _, opt := range opts {
+		opt(c)
+	}
 	mesh.Handle(kindView, c.handleView)
 	mesh.Handle(kindLeader, c.handleLeader)
 	local.deliverLocal = func(view wireView) { c.applyView(view, 0) }
 	return c
 }
 
-// SetWeak makes this host report that it has too little processor time to be preferred
-// as the coordinator. It must be called before Run.
-func (c *Client) SetWeak() { c.weak = true }
-
 // Run reports to the coordinator until the context ends.
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,14 +163,14 @@
 	)
 	g.balancer = balance.New(s.Domain, g.clock)
 	usage := newUsageTracker()
-	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log)
-	if weak {
-		g.coordinatorClient.SetWeak()
-	}
+	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak))
 	g.placer = &placer{gateway: g, usage: usage}
 	g.targetClient = exchange.New(exchange.WithClock(g.clock))
-	g.follower = platform.NewFollower(store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay))
-	g.follower.SetBackup(storeProxy, func() bool { _, _, leads := g.election.Term(); return leads })
+	g.follower = platform.NewFollower(store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay),
+		platform.WithBackup(storeProxy, func() bool {
+			_, _, leads := g.election.Term()
+			return leads
+		}))
 	g.relay = relay.New(
 		relay.WithDialect(platform.Dialect{}),
 		relay.WithCatalog(g.catalog.Load),
--- a/quota/cache.go
+++ b/quota/cache.go
@@ -175,9 +175,8 @@
 	}
 	c.background(func() {
 		defer c.probing.Store(false)
-		if grant, err := c.borrow(context.Background(), t, BorrowRequest{}); err == nil {
-			c.put(t.ID, grant.Tokens)
-		}
+		// The borrow itself records whether the ledger is back.
+		_, _ = c.borrow(context.Background(), t, BorrowRequest{})
 	})
 }
 
@@ -198,10 +197,8 @@
 			return
 		}
 		c.background(func() {
-			grant, err := c.borrow(context.Background(), t, BorrowRequest{})
-			if err == nil {
-				c.put(t.ID, grant.Tokens)
-			}
+			// If the ledger can't be reached, the tokens expire here.
+			_, _ = c.borrow(context.Background(), t, BorrowRequest{})
 		})
 	}
 }
