A host that hasn't reported yet may be weak

A stopped coordinator names the host that was started last, which often hasn't sent its first report, and then counted as strong. TestHostWithoutReportMayBeWeak.

--- a/coordinator/successor.go
+++ b/coordinator/successor.go
@@ -13,8 +13,7 @@
 	if !c.leading {
 		return
 	}
-	weak := func(host fleet.HostID) bool { return c.hosts[host].weak }
-	successor, ok := chooseSuccessor(c.mesh.Peers(), weak)
+	successor, ok := chooseSuccessor(c.mesh.Peers(), c.mayBeWeak)
 	if !ok {
 		return
 	}
@@ -24,6 +23,13 @@
 	c.broadcast(view)
 }
 
+// mayBeWeak reports whether a host has little processor time, or has not reported yet
+// whether it does.
+func (c *Coordinator) mayBeWeak(host fleet.HostID) bool {
+	h, ok := c.hosts[host]
+	return !ok || h.weak
+}
+
 // chooseSuccessor returns the host that was started last, among those that aren't weak if
 // there are any. While all hosts are restarted in turn, it is the one that won't be
 // restarted soon; each change of the coordinator pauses loads for seconds.
--- a/coordinator/successor_test.go
+++ b/coordinator/successor_test.go
@@ -1,12 +1,14 @@
 package coordinator
 
 import (
+	"log/slog"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
 	"hawthornway/fleet"
 	"hawthornway/peer"
+	"hawthornway/peer/peertest"
 )
 
 // All hosts are restarted in turn. The coordinator's successor must be one that has been
@@ -44,3 +46,13 @@
 		})
 	}
 }
+
+// The host that was started last may not have reported yet.
+func TestHostWithoutReportMayBeWeak(t *testing.T) {
+	c := New(WithMesh(peertest.NewNetwork(1).Join(fleet.Member{Host: "h"})), WithLogger(slog.New(slog.DiscardHandler)))
+	c.hosts["strong"] = hostReport{}
+	c.hosts["weak"] = hostReport{weak: true}
+	must.False(t, c.mayBeWeak("strong"))
+	must.True(t, c.mayBeWeak("weak"))
+	must.True(t, c.mayBeWeak("new"))
+}
