A coordinator that has lost most hosts lets go of its term

Two hosts, of which one is the coordinator, are cut off from the store and from the four others from 1 to 13 s. The coordinator kept its lease through the second one, partly too late: its term ended and began again nine times, and with each it forgot what hosts wait for.

Change: the store is called through other hosts only while more than half of the fleet has been heard from within a report interval, and only through those hosts.

--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -333,6 +333,13 @@
 	c.wake()
 }
 
+// Hosts returns the number of hosts that have recently reported to this coordinator.
+func (c *Coordinator) Hosts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledgerHosts()
+}
+
 // ledgerHosts returns the number of hosts that may spend tokens of the ledger, or zero
 // outside a term.
 func (c *Coordinator) ledgerHosts() int {
--- a/coordinator/store_proxy.go
+++ b/coordinator/store_proxy.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
 
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
@@ -18,24 +20,34 @@
 	// proxyAttempts is the number of other hosts that are tried for one call. The store
 	// may refuse some of them too.
 	proxyAttempts = 3
+	// peerSilenceMargin is how much longer than the interval of its reports a host may be
+	// silent until it counts as out of reach.
+	peerSilenceMargin = 300 * time.Millisecond
 	// proxyTimeout limits a call through one other host, beyond the wait of a watch.
 	proxyTimeout = 400 * time.Millisecond
 )
 
+// errFewHostsReached means that the coordinator has lost most hosts, which are better
+// served by another one.
+var errFewHostsReached = errors.New("most hosts are out of reach")
+
 // StoreProxy calls the store through other hosts, for a coordinator that the store
 // refuses or that is cut off from it. Otherwise the fleet would lose its coordinator
-// although all hosts reach it.
+// although most hosts reach it.
 type StoreProxy struct {
 	mesh  peer.Mesh
 	store platform.Metadata
+	clock clockwork.Clock
+	// hosts returns the number of hosts in the fleet, including this one.
+	hosts func() int
 	// next rotates the hosts that are tried.
 	next atomic.Uint32
 }
 
 // NewStoreProxy returns a StoreProxy. It registers the handlers that call the store for
 // other hosts.
-func NewStoreProxy(mesh peer.Mesh, store platform.Metadata) *StoreProxy {
-	p := &StoreProxy{mesh: mesh, store: store}
+func NewStoreProxy(mesh peer.Mesh, store platform.Metadata, clock clockwork.Clock, hosts func() int) *StoreProxy {
+	p := &StoreProxy{mesh: mesh, store: store, clock: clock, hosts: hosts}
 	mesh.Handle(kindRenew, p.handleRenew)
 	mesh.Handle(kindStoreRead, p.handleRead)
 	return p
@@ -85,9 +97,11 @@
 
 // call asks other hosts, one after another, until one has called the store.
 func (p *StoreProxy) call(ctx context.Context, kind peer.Kind, request, response any, wait time.Duration) error {
-	peers := p.mesh.Peers()
-	if len(peers) == 0 {
-		return trace.ConnectionProblem(nil, "no other host is connected")
+	peers, hosts := p.mesh.Peers(), p.hosts()
+	maxSilence := reportInterval(hosts) + peerSilenceMargin
+	peers = slices.DeleteFunc(peers, func(other peer.Peer) bool { return p.clock.Since(other.LastReceived) > maxSilence })
+	if len(peers) == 0 || 2*(len(peers)+1) <= hosts {
+		return errFewHostsReached
 	}
 	var err error
 	for range min(proxyAttempts, len(peers)) {
--- a/coordinator/store_proxy_test.go
+++ b/coordinator/store_proxy_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 
 	"hawthornway/fleet"
@@ -24,8 +25,9 @@
 	store.Put("servers/e1", "engine")
 	direct := platform.NewMetadata(store.Address())
 	network := peertest.NewNetwork(1)
+	fleetHosts := 4
 	join := func(host fleet.HostID, m platform.Metadata) *StoreProxy {
-		return NewStoreProxy(network.Join(fleet.Member{Host: host, Incarnation: 1}), m)
+		return NewStoreProxy(network.Join(fleet.Member{Host: host, Incarnation: 1}), m, clockwork.NewRealClock(), func() int { return fleetHosts })
 	}
 	proxy := join("coordinator", platform.NewMetadata(refusing.Address()))
 	join("a", platform.NewMetadata(refusing.Address()))
@@ -64,4 +66,11 @@
 	must.Error(t, err)
 	must.Error(t, proxy.KeepAlive(t.Context(), lease))
 	must.NotEq[keyvalue.Revision](t, 0, at)
+
+	// Cut off from the store and from half of the fleet, a coordinator must let go.
+	store.SetDown(false)
+	fleetHosts = 8
+	must.ErrorIs(t, proxy.KeepAlive(t.Context(), lease), errFewHostsReached)
+	_, _, err = proxy.Range(t.Context(), "")
+	must.ErrorIs(t, err, errFewHostsReached)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,7 @@
 	g.links = peer.New(peer.WithSelf(self), peer.WithSecret([]byte(peerSecret)), peer.WithClock(g.clock), peer.WithLogger(g.log),
 		peer.WithHTTPClient(&http.Client{Transport: &http.Transport{}}))
 	store := platform.NewMetadata(s.Store)
-	storeProxy := coordinator.NewStoreProxy(g.links, store)
+	storeProxy := coordinator.NewStoreProxy(g.links, store, g.clock, func() int { return g.coordinator.Hosts() })
 	opts := []election.Option{
 		election.WithBackup(storeProxy),
 		election.WithHandover(s.Bounds.MinHandoverDelay),
