election: a late renewal doesn't revive a term

Answered between the end of the term and that of the lease that it extends, it began the term anew: nine times in nine seconds, each time without the requests for loads, and with all engines to be read again.

Change: a renewal is given up at the end of the term, and the lease is ended then, since the renewal may have reached the store. TestLateRenewalDoesNotReviveATerm failed before.

--- a/election/election.go
+++ b/election/election.go
@@ -382,10 +382,19 @@
 	t := e.term
 	e.mu.Unlock()
 	sentAt := e.bootClock.Now()
-	err := e.keepAlive(ctx, t.lease)
+	// A renewal after the end of the term would begin it anew, without what the
+	// coordinator knew.
+	renewCtx, cancel := context.WithTimeout(ctx, t.until.Sub(sentAt))
+	defer cancel()
+	err := e.keepAlive(renewCtx, t.lease)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
+	case !e.bootClock.Now().Before(t.until):
+		e.log.Warn("election: term ended because its lease was not renewed in time", "fence", t.fence, "error", err)
+		e.term = nil
+		go e.endLease(t.lease) // the last renewal may have reached the store
+		return retryDelay
 	case err == nil:
 		t.until = sentAt.Add(leaseTTL - LeaseMargin)
 		return renewInterval
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -458,6 +458,58 @@
 	}
 }
 
+// lateStore is a connection to the store whose answers come after a delay.
+type lateStore struct {
+	platform.Metadata
+	delay time.Duration
+}
+
+func (s lateStore) KeepAlive(_ context.Context, lease platform.Lease) error {
+	time.Sleep(s.delay)
+	return s.Metadata.KeepAlive(context.Background(), lease)
+}
+
+// A renewal that is answered after the term has ended must not begin the term anew: the
+// coordinator has dropped what it knew, and others may be about to take over.
+func TestLateRenewalDoesNotReviveATerm(t *testing.T) {
+	for failing := 500 * time.Millisecond; failing <= 1300*time.Millisecond; failing += 50 * time.Millisecond {
+		testLateRenewal(t, failing)
+	}
+}
+
+// testLateRenewal has renewals fail for some time, and then be answered late.
+func testLateRenewal(t *testing.T, failing time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		s := newStore()
+		running.Go(func() { s.expireAndNotify(ctx) })
+		direct := &switchableStore{Metadata: s}
+		e := election.New(direct, fleet.Member{Host: "a"}, election.WithFirstStart(), election.WithHandover(handoverDelay),
+			election.WithClocks(clockwork.NewRealClock(), &suspendableClock{}), election.WithLogger(slog.New(slog.DiscardHandler)))
+		s.mu.Lock()
+		s.watchers = append(s.watchers, e)
+		s.mu.Unlock()
+		running.Go(func() { _ = e.Run(ctx) })
+		time.Sleep(2 * time.Second)
+		first, _, leads := e.Term()
+		must.True(t, leads)
+		direct.use(&hostStore{Metadata: s, cut: true})
+		time.AfterFunc(failing, func() { direct.use(lateStore{s, 600 * time.Millisecond}) })
+		ended := false
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			fence, _, leads := e.Term()
+			ended = ended || !leads
+			must.False(t, ended && leads && fence == first, must.Sprint(failing))
+		}
+		direct.use(s)
+		time.Sleep(time.Second)
+		cancel()
+		running.Wait()
+	})
+}
+
 // switchableStore is a connection to the store that can be replaced.
 type switchableStore struct {
 	platform.Metadata
