Logs tell a slow read of the configuration from an unanswered one

The hypotheses on the configuration that slow hosts never read differ in what had arrived when a read failed, and no line said so. No logic is changed.

--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -131,7 +131,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
 	if err != nil {
-		return Response{}, err
+		return Response{}, fmt.Errorf("after %d bytes of the response body: %w", len(body), err)
 	}
 	if int64(len(body)) > c.maxBody {
 		return Response{}, errors.New("response body exceeds the size limit")
