Limit the lack of progress of a store read, not its duration

Cause: a call to the store had one second for the whole answer. The configuration of 1.3 MB takes 1.04 s at 10 Mbit/s. Each read was cut off near its end, its bytes were thrown away, and the next began anew, while the link had no room for anything else. Ruled out: an overloaded store; no call was refused, and fast hosts were done in 60 ms.

Change: where a client sets a minimum rate, the timeout holds until the answer begins and between its parts, and the body may take the time of its bytes at that rate. Reports of engines keep their limit on the whole call, since they decide whether an engine answers in time.

--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -28,6 +28,9 @@
 	DefaultMaxBody = 32 << 20
 	// MaxReportBytes is the limit for reports of single targets.
 	MaxReportBytes = 1 << 20
+	// StoreMinRate is the minimum rate, in bytes per second, for stores, whose responses
+	// hold megabytes. The links of hosts differ widely.
+	StoreMinRate = 64 << 10
 )
 
 // The errors of calls without a response.
@@ -43,6 +46,9 @@
 	baseURL    string
 	httpClient *http.Client
 	maxBody    int64
+	// minRate is in bytes per second. If it is zero, a response has to be complete
+	// within the request's timeout.
+	minRate int64
 }
 
 // Request is an HTTP request.
@@ -52,7 +58,8 @@
 	Query  url.Values
 	// Body is the request body; nil means none.
 	Body []byte
-	// Timeout is the maximum time until the response body has been read.
+	// Timeout is the maximum time until the response body has been read or, if
+	// SetMinRate was called, until the response begins and between its parts.
 	Timeout time.Duration
 }
 
@@ -90,6 +97,12 @@
 // before the first request.
 func (c *Client) SetMaxBody(n int64) { c.maxBody = n }
 
+// SetMinRate makes Timeout limit the lack of progress instead of the whole call, so that
+// a large response can be read over a slow link. The body may take Timeout plus the time
+// that its bytes take at a minimum rate in bytes per second. SetMinRate must be called
+// before the first request.
+func (c *Client) SetMinRate(bytesPerSecond int64) { c.minRate = bytesPerSecond }
+
 func newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
@@ -102,13 +115,16 @@
 // Do sends a request and reads the response. It fails with ErrNotSent or
 // ErrUnanswered when there is none.
 func (c *Client) Do(ctx context.Context, req Request) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := &progressLimit{timeout: req.Timeout, minRate: c.minRate, start: time.Now()}
+	limit.timer = time.AfterFunc(req.Timeout, func() { cancel(context.DeadlineExceeded) })
+	defer limit.timer.Stop()
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	resp, err := c.roundTrip(ctx, req)
+	resp, err := c.roundTrip(ctx, req, limit)
 	switch {
 	case err == nil:
 		return resp, nil
@@ -119,7 +135,7 @@
 	}
 }
 
-func (c *Client) roundTrip(ctx context.Context, req Request) (Response, error) {
+func (c *Client) roundTrip(ctx context.Context, req Request, limit *progressLimit) (Response, error) {
 	httpRequest, err := http.NewRequestWithContext(ctx, req.Method, c.baseURL+req.Path+"?"+req.Query.Encode(), bytes.NewReader(req.Body))
 	if err != nil {
 		return Response{}, err
@@ -129,7 +145,7 @@
 		return Response{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
+	body, err := io.ReadAll(io.LimitReader(limit.reader(resp.Body), c.maxBody+1))
 	if err != nil {
 		return Response{}, fmt.Errorf("after %d bytes of the response body: %w", len(body), err)
 	}
--- a/jsonhttp/slow_body_test.go
+++ b/jsonhttp/slow_body_test.go
@@ -54,3 +54,52 @@
 		must.StrContains(t, err.Error(), "after 300 bytes of the response body")
 	})
 }
+
+// A body that arrives steadily must not be cut off, however long it takes, but one that
+// makes no progress must be.
+func TestMinRateExtendsTimeout(t *testing.T) {
+	const (
+		size    = 1 << 20
+		minRate = 100 << 10
+		timeout = time.Second
+	)
+	cases := []struct {
+		name        string
+		chunk, sent int
+		interval    time.Duration
+		// complete is set if the body must be read, and takes is the longest duration.
+		complete bool
+		takes    time.Duration
+	}{
+		{"steady", 20 << 10, size, 100 * time.Millisecond, true, 6 * time.Second},
+		{"stops midway", 20 << 10, size / 2, 100 * time.Millisecond, false, 4 * time.Second},
+		{"stops at once", 1, 0, time.Millisecond, false, time.Second},
+		{"a byte now and then", 1, size, 900 * time.Millisecond, false, 2 * time.Second},
+		{"below the minimum rate", 5 << 10, size, 100 * time.Millisecond, false, 3 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client := jsonhttp.NewClient("10.0.0.1:1")
+				transport := newPacedTransport(size, tc.chunk, tc.sent, tc.interval)
+				defer func() {
+					transport.CloseIdleConnections()
+					time.Sleep(tc.interval) // lets the server see that the connection is closed
+				}()
+				client.SetTransport(transport)
+				client.SetMinRate(minRate)
+				start := time.Now()
+				var response string
+				err := client.Get(t.Context(), "/", nil, timeout, &response)
+				must.LessEq(t, tc.takes, time.Since(start))
+				if tc.complete {
+					must.NoError(t, err)
+					must.Eq(t, size-2, len(response))
+					return
+				}
+				must.ErrorIs(t, err, jsonhttp.ErrUnanswered)
+				must.ErrorIs(t, err, context.DeadlineExceeded)
+			})
+		})
+	}
+}
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -28,6 +28,7 @@
 		timeout:    DefaultTimeout,
 		watchWait:  DefaultWatchWait,
 	}
+	c.jsonClient.SetMinRate(jsonhttp.StoreMinRate)
 	for _, opt := range opts {
 		opt(c)
 	}
