--- /dev/null
+++ b/coordinator/configuration_test.go
@@ -0,0 +1,115 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"hawthornway/boottime"
+	"hawthornway/election"
+	"hawthornway/fleet"
+	"hawthornway/keyvalue"
+	"hawthornway/peer"
+	"hawthornway/target"
+)
+
+// narrowMesh connects hosts to a coordinator whose answers share one link. An answer
+// that nobody waits for any more takes up the link all the same.
+type narrowMesh struct {
+	partialMesh
+	handlers       map[peer.Kind]peer.Handler
+	bytesPerSecond int
+	// busyUntil is when the link has sent all answers, and maxBacklog the longest time
+	// that an answer waited for it.
+	busyUntil  time.Time
+	maxBacklog time.Duration
+}
+
+func (m *narrowMesh) Handle(kind peer.Kind, handler peer.Handler) { m.handlers[kind] = handler }
+
+func (m *narrowMesh) Call(ctx context.Context, _ fleet.HostID, kind peer.Kind, request, response any) error {
+	body, err := peer.Encode(request)
+	if err != nil {
+		return err
+	}
+	answer, err := m.handlers[kind](ctx, fleet.Member{}, body)
+	if err != nil {
+		return err
+	}
+	if body, err = peer.Encode(answer); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	now := time.Now()
+	if m.busyUntil.Before(now) {
+		m.busyUntil = now
+	}
+	m.maxBacklog = max(m.maxBacklog, m.busyUntil.Sub(now))
+	m.busyUntil = m.busyUntil.Add(time.Duration(len(body)) * time.Second / time.Duration(m.bytesPerSecond))
+	arrival := m.busyUntil
+	m.mu.Unlock()
+	select {
+	case <-time.After(time.Until(arrival)):
+		return peer.Decode(body, response)
+	case <-ctx.Done():
+		return peer.ErrUnanswered
+	}
+}
+
+// routes returns a configuration of many routes, of which names and paths differ.
+func routes(n int) []byte {
+	random := rand.New(rand.NewPCG(1, 2))
+	var b strings.Builder
+	for range n {
+		fmt.Fprintf(&b, `{"name":"r-%07x","hostname":"h%d.example","prefix":"/%06x/","route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"s","max_attempts":2},`,
+			random.IntN(1<<28), random.IntN(20), random.IntN(1<<24))
+	}
+	return []byte(b.String())
+}
+
+// The store refuses all other hosts when the operator adds thousands of routes. They must
+// read the configuration from the coordinator although its link needs seconds for all of
+// them, and its views must not wait behind copies of the configuration.
+func TestRefusedHostsReadLargeConfigurationFromCoordinator(t *testing.T) {
+	const (
+		hosts          = 20
+		bytesPerSecond = 10_000_000 / 8
+		maxDelay       = 8 * time.Second
+		maxBacklog     = 500 * time.Millisecond
+		retryDelay     = 200 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		mesh := &narrowMesh{handlers: map[peer.Kind]peer.Handler{}, bytesPerSecond: bytesPerSecond}
+		entry := keyvalue.Entry{Key: "op/config", Revision: 20, Value: routes(5000)}
+		local := New(WithMesh(mesh), WithConfigEntry(func() (keyvalue.Entry, bool) { return entry, true }))
+		start := time.Now()
+		var reading sync.WaitGroup
+		for range hosts {
+			c := NewClient(mesh, mesh, local, mesh, func() Usage { return Usage{} }, func(target.ID, int) {},
+				clockwork.NewRealClock(), boottime.SystemClock{}, slog.New(slog.DiscardHandler))
+			c.leader = election.Leader{Host: "leader"}
+			reading.Go(func() {
+				for time.Since(start) < maxDelay {
+					got, err := c.Configuration(t.Context())
+					if err == nil {
+						must.Eq(t, entry, got)
+						return
+					}
+					time.Sleep(retryDelay)
+				}
+				t.Error("configuration not read")
+			})
+		}
+		reading.Wait()
+		must.LessEq(t, maxBacklog, mesh.maxBacklog)
+	})
+}
