--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -164,7 +164,8 @@
 		return nil
 	case interrupted:
 		d.recordPossibleRun(id)
-		r.log.Warn("relay: attempt interrupted", "request", f.req.ID, "target", id, "after", d.lastEventID, "error", res.err)
+		r.log.Warn("relay: attempt interrupted", "request", f.req.ID, "target", id, "began", res.began, "events", res.events,
+			"after", d.lastEventID, "parts", f.req.PromptParts, "error", res.err)
 		if !f.route.Repeatable() || ctx.Err() != nil || res.partial {
 			return noResponse(ctx, res.err)
 		}
@@ -252,6 +253,10 @@
 	abandoned bool
 	// partial is set if a part of a response that nobody can continue was passed on.
 	partial bool
+	// began is set if the target had begun to respond, and events is the number of events
+	// that it had sent by then.
+	began  bool
+	events int
 }
 
 // serverError means that the target responded with a 5xx status.
@@ -360,7 +365,7 @@
 	r, f := d.relay, d.inflight
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
 	if err != nil {
-		return interrupted{err: err, abandoned: w.abandoned(ctx)}
+		return interrupted{err: err, abandoned: w.abandoned(ctx), began: true}
 	}
 	response := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	if !info.Signed {
@@ -405,7 +410,7 @@
 		case io.EOF:
 			return completed{load: info.Load}
 		default:
-			return interrupted{err: err, abandoned: w.abandoned(ctx), partial: true}
+			return interrupted{err: err, abandoned: w.abandoned(ctx), partial: true, began: true}
 		}
 	}
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -15,6 +15,10 @@
 // uses another ID. Targets echo it in their responses.
 type RequestID string
 
+// PromptPart identifies a part of a prompt, such as a system prompt or a document. Equal
+// parts of different requests have the same identifier.
+type PromptPart string
+
 // EventID numbers the events of a stream. Zero means none.
 type EventID int64
 
@@ -34,6 +38,9 @@
 	// Session identifies the session of the request. It is the last part of the
 	// prompt prefix, which only requests of one session have in common.
 	Session string
+	// PromptParts lists the parts of the prompt that it may share with requests of other
+	// sessions, in order.
+	PromptParts []PromptPart
 	// LastEventID is the last event that the caller received of an interrupted
 	// stream.
 	LastEventID EventID
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -72,7 +72,7 @@
 	}
 	flusher := http.NewResponseController(f.w)
 	reader := bufio.NewReaderSize(resp, streamBufferBytes)
-	for {
+	for events := 0; ; events++ {
 		e, err := readEvent(reader)
 		if err == io.EOF {
 			return completed{load: info.Load}
@@ -80,7 +80,7 @@
 		if err != nil {
 			// Delivers the complete events that were written so far.
 			_ = flusher.Flush() // the caller may have left
-			return interrupted{err: err, abandoned: w.abandoned(ctx)}
+			return interrupted{err: err, abandoned: w.abandoned(ctx), began: true, events: events}
 		}
 		if e.id != 0 && e.id <= d.lastEventID {
 			continue // the caller has this event already
