--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -46,7 +46,7 @@
 	for i := range 3 {
 		e := platformtest.NewEngine(f.store, fmt.Sprintf("i-%d", i), platformtest.EngineSpec{
 			Service: platformtest.ModelService, Zone: fmt.Sprintf("zone-%d", i), Models: config.Models[2*i : 2*i+2],
-			Capacity: 3, LoadTime: 150 * time.Millisecond, Events: 10, Gap: 5 * time.Millisecond,
+			Capacity: 3, LoadTime: 150 * time.Millisecond, Events: 10, Gap: 5 * time.Millisecond, CrashPart: crashPart,
 		})
 		t.Cleanup(e.Close)
 		f.engines = append(f.engines, e)
@@ -111,11 +111,20 @@
 	err    error
 }
 
+// crashPart is the part of prompts under which the engines crash.
+const crashPart = "dead"
+
 // call sends one request to a host. Model is empty for the plain service.
 func (f *fleet) call(h *host, key, model string) reply {
+	return f.send(h, platformtest.Call{Key: key, Model: model})
+}
+
+// send sends a request to a host, with an ID of its own.
+func (f *fleet) send(h *host, call platformtest.Call) reply {
 	f.next++
 	id := fmt.Sprintf("r%d", f.next)
-	req, err := platformtest.Call{ID: id, Key: key, Timeout: 8 * time.Second, Model: model}.NewRequest(h.Callers)
+	call.ID, call.Timeout = id, 8*time.Second
+	req, err := call.NewRequest(h.Callers)
 	must.NoError(f.t, err)
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
