Quarantine the parts of prompts that crash engines

Seconds of 20 requests had one or two served.

Cause: a host took each crash for the engine's own fault, sent the request to the next engine, and told nobody. Nothing in the fleet related crashes to what their requests have in common, though no host alone sees enough to tell the cause from the bystanders. Evidence: the record (98 engines ended while such requests came, on all hosts), and the test: 40 requests, three hosts, 77 crashes. Ruled out: repeats alone (each request ends two engines at most, and they came new), overload (responses break off at their beginning, at engines with few requests).

Change: hosts report engines that break off at the beginning of a response, with the parts of the prompt, to the coordinator, and the parts of complete responses. A part is quarantined once three engines ended under two requests with it and no response with it was ever completed. Requests with it are refused at once, before they are charged, and before they are sent again. A new coordinator is given all that hosts know. A response that ends with its connection proves nothing. State and messages are bounded.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -17,6 +17,7 @@
 	"hawthornway/keyvalue"
 	"hawthornway/model"
 	"hawthornway/peer"
+	"hawthornway/quarantine"
 	"hawthornway/quota"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -41,6 +42,9 @@
 	// report intervals, so that the coordinator handles about 60 reports a second.
 	mediumFleetHosts = 10
 	largeFleetHosts  = 30
+	// minReportGap is the shortest pause between reports of crashes. It collects the
+	// requests that the same crash interrupted.
+	minReportGap = 50 * time.Millisecond
 	// hostReportTimeout limits a report, which takes a few milliseconds.
 	hostReportTimeout = 400 * time.Millisecond
 	// loadRequestInterval is the minimum interval between two load requests for the
@@ -145,6 +149,7 @@
 	leaderChanged chan struct{}
 	search        leaderSearch
 	download      configDownload
+	screen        *quarantine.Screen
 	updateLoad    func(id target.ID, work int)
 	// connected is set by each view of the coordinator and cleared by a failed report.
 	connected bool
@@ -162,6 +167,12 @@
 // the coordinator.
 func WithWeakHost(weak bool) ClientOption { return func(c *Client) { c.weak = weak } }
 
+// WithScreen sets the quarantined parts of prompts that this host keeps from engines, and
+// its evidence for the coordinator.
+func WithScreen(screen *quarantine.Screen) ClientOption {
+	return func(c *Client) { c.screen = screen }
+}
+
 // NewClient returns the client of a host. Local is the coordinator in the same
 // process, usage returns the contents of the next report, and updateLoad is called
 // with the number of requests at each engine.
@@ -187,6 +198,9 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	if c.screen == nil {
+		c.screen = quarantine.NewScreen(clock, log)
+	}
 	mesh.Handle(kindView, c.handleView)
 	mesh.Handle(kindLeader, c.handleLeader)
 	local.deliverLocal = func(view wireView) { c.applyView(view, 0) }
@@ -198,10 +212,13 @@
 	for ctx.Err() == nil {
 		c.followCoordinator()
 		c.report(ctx)
+		reportedAt := c.clock.Now()
 		c.askNeighbour(ctx)
 		select {
 		case <-ctx.Done():
 		case <-c.leaderChanged:
+		case <-c.screen.Crashed():
+			c.clock.Sleep(minReportGap - c.clock.Since(reportedAt))
 		case <-c.clock.After(c.reportDelay()):
 		}
 	}
@@ -291,8 +308,12 @@
 	for _, r := range usage.Running {
 		report.Running = append(report.Running, wireRunning(r))
 	}
+	c.addEvidence(&report)
 	sent := c.boot.Now()
 	view, err := c.send(ctx, leader, report)
+	if err != nil {
+		c.screen.Lost()
+	}
 	switch {
 	case errors.Is(err, errNotLeading) && leader.Host == c.mesh.Self().Host:
 		// This host's term has ended, and it doesn't know the next coordinator yet.
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -47,6 +47,7 @@
 	if view.Successor != "" {
 		c.leaders.Prefer(view.Successor)
 	}
+	c.adoptQuarantined(view)
 	leads := c.isLeader()
 	if !leads {
 		changed, removed, all := c.newerTargets(view)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"hawthornway/model"
 	"hawthornway/peer"
 	"hawthornway/placement"
+	"hawthornway/quarantine"
 	"hawthornway/quota"
 	"hawthornway/target"
 	"hawthornway/team"
@@ -93,6 +94,10 @@
 	config     catalog.Version
 	// dirty holds the engines whose changes haven't been sent to hosts yet.
 	dirty map[*engine]bool
+	// detector finds the parts of prompts that crash engines, and quarantineChanged is
+	// set until hosts were sent its changes.
+	detector          *quarantine.Detector
+	quarantineChanged bool
 	// forecasts holds when models that only the weight store has are expected to be
 	// loaded, and changedForecasts the models of which hosts don't know that yet.
 	forecasts            map[model.Name]time.Time
@@ -132,6 +137,7 @@
 	c.forecasts = map[model.Name]time.Time{}
 	c.changedForecasts = map[model.Name]bool{}
 	c.version = 0
+	c.detector, c.quarantineChanged = quarantine.NewDetector(), false
 }
 
 // Run manages the fleet during each of this host's terms, until the context ends.
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -98,13 +98,14 @@
 			e.recordUse(r.Model, r.Adapter, now)
 		}
 	}
+	sound := c.recordEvidence(host, report, now)
 	since := report.Since
 	if report.Fence != c.fence {
 		since = 0
 	}
 	view := c.newView()
 	view.Since = since
-	view.Answer = true
+	view.Answer, view.Sound = true, sound
 	view.Neighbours = c.dueNeighbours(host, now)
 	switch {
 	case since > 0:
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -7,6 +7,7 @@
 	"hawthornway/model"
 	"hawthornway/peer"
 	"hawthornway/platform"
+	"hawthornway/quarantine"
 	"hawthornway/roster"
 	"hawthornway/target"
 	"hawthornway/team"
@@ -105,11 +106,34 @@
 	Hosts int `cbor:"hosts"`
 	// Weak is set by a host with too little processor time to be preferred as the
 	// coordinator.
-	Weak    bool          `cbor:"weak"`
+	Weak bool `cbor:"weak"`
+	// Crashes and Sound are evidence of which parts of prompts crash engines, and
+	// Quarantined lists the parts that this host knows of.
+	Crashes     []wireCrash       `cbor:"crashes,omitempty"`
+	Sound       []quarantine.Part `cbor:"sound,omitempty"`
+	Quarantined []wireQuarantine  `cbor:"quarantined,omitempty"`
+
 	Demand  []wireDemand  `cbor:"asked"`
 	Running []wireRunning `cbor:"running"`
 }
 
+// wireCrash is the end of an engine as it began to respond to a request.
+type wireCrash struct {
+	Target  target.ID         `cbor:"target"`
+	Start   roster.StartID    `cbor:"start"`
+	Request string            `cbor:"request"`
+	Parts   []quarantine.Part `cbor:"parts"`
+	// Ago is the time since then in milliseconds.
+	Ago int64 `cbor:"ago-ms"`
+}
+
+// wireQuarantine is a part of prompts that crashes engines.
+type wireQuarantine struct {
+	Part quarantine.Part `cbor:"part"`
+	// Left is the time in milliseconds until the quarantine ends.
+	Left int64 `cbor:"left-ms"`
+}
+
 type wireDemand struct {
 	Pool    target.Pool `cbor:"pool"`
 	Model   model.Name  `cbor:"model"`
@@ -155,6 +179,10 @@
 	CompleteBuckets []roster.Bucket `cbor:"whole"`
 	// Successor is the host that a resigning coordinator prefers.
 	Successor fleet.HostID `cbor:"successor"`
+	// Quarantined lists the parts of prompts that crash engines, and Sound those parts of
+	// the reported crashes that don't.
+	Quarantined []wireQuarantine  `cbor:"quarantined,omitempty"`
+	Sound       []quarantine.Part `cbor:"sound,omitempty"`
 	// More is set if further changes follow in the answer to the next report.
 	More bool `cbor:"more"`
 }
--- a/coordinator/view.go
+++ b/coordinator/view.go
@@ -16,12 +16,12 @@
 func (c *Coordinator) announce(current *catalog.Catalog) {
 	read := c.readRevision() // before reading the roster, which is then at least as new
 	changed, removed := c.registered.update(read, c.roster.All(), c.version+1, c.published)
-	if len(changed) == 0 && len(removed) == 0 && len(c.dirty) == 0 && len(c.changedForecasts) == 0 && current.Version == c.config {
+	if len(changed) == 0 && len(removed) == 0 && len(c.dirty) == 0 && len(c.changedForecasts) == 0 && current.Version == c.config && !c.quarantineChanged {
 		return
 	}
 	since := c.version
 	c.version++
-	c.config = current.Version
+	c.config, c.quarantineChanged = current.Version, false
 	view := c.newView()
 	view.Since = since
 	view.Targets, view.Removed = changed, removed
@@ -70,6 +70,7 @@
 	view := wireView{ConfirmedAgo: c.confirmedAge().Milliseconds()}
 	view.Fence, view.Version, view.Hosts = c.fence, c.version, c.ledgerHosts()
 	view.ReadRevision = c.registered.readRevision
+	view.Quarantined = c.wireQuarantined(c.clock.Now())
 	view.OrdersIn = c.terms.OrderDelay().Milliseconds()
 	if current := c.catalogs(); current != nil {
 		view.Config = current.Version
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"hawthornway/metric"
 	"hawthornway/peer"
 	"hawthornway/platform"
+	"hawthornway/quarantine"
 	"hawthornway/quota"
 	"hawthornway/relay"
 	"hawthornway/retry"
@@ -163,7 +164,8 @@
 	)
 	g.balancer = balance.New(s.Domain, g.clock)
 	usage := newUsageTracker()
-	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak))
+	screen := quarantine.NewScreen(g.clock, g.log)
+	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(screen))
 	g.placer = &placer{gateway: g, usage: usage}
 	g.targetClient = exchange.New(exchange.WithClock(g.clock))
 	g.follower = platform.NewFollower(store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay),
@@ -185,6 +187,7 @@
 		relay.WithLogger(g.log),
 		relay.WithDraining(g.draining.Load),
 		relay.WithRetryBudget(g.newRetryBudget),
+		relay.WithQuarantine(screen),
 	)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -46,7 +46,7 @@
 	for i := range 3 {
 		e := platformtest.NewEngine(f.store, fmt.Sprintf("i-%d", i), platformtest.EngineSpec{
 			Service: platformtest.ModelService, Zone: fmt.Sprintf("zone-%d", i), Models: config.Models[2*i : 2*i+2],
-			Capacity: 3, LoadTime: 150 * time.Millisecond, Events: 10, Gap: 5 * time.Millisecond, CrashPart: crashPart,
+			Capacity: 3, LoadTime: 150 * time.Millisecond, Events: 10, Gap: 5 * time.Millisecond, CrashPart: crashPart, RestartTime: 200 * time.Millisecond,
 		})
 		t.Cleanup(e.Close)
 		f.engines = append(f.engines, e)
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -57,6 +57,7 @@
 	ReasonTooLarge           Reason = "too-large"
 	ReasonLedgerMissing      Reason = "ledger-missing"
 	ReasonKeyReused          Reason = "key-reused"
+	ReasonQuarantined        Reason = "quarantined"
 )
 
 // Header returns "served".
--- /dev/null
+++ b/quarantine/screen_test.go
@@ -0,0 +1,152 @@
+package quarantine
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"hawthornway/target"
+)
+
+// coordinator is a Detector that screens report to, as the coordinator of one term.
+type coordinator struct {
+	fence    target.Fence
+	detector *Detector
+}
+
+// exchange reports a screen's evidence and returns the answer to it.
+func (c coordinator) exchange(now time.Time, s *Screen) {
+	e := s.Take(c.fence)
+	for _, q := range e.Quarantined {
+		c.detector.Adopt(now, q)
+	}
+	for _, part := range e.Sound {
+		c.detector.RecordSound(now, part)
+	}
+	var sound []Part
+	for _, crash := range e.Crashes {
+		c.detector.RecordCrash(now, crash)
+		for _, part := range crash.Parts {
+			if c.detector.Sound(now, part) {
+				sound = append(sound, part)
+			}
+		}
+	}
+	s.Adopt(c.fence, c.detector.List(now), true, sound)
+}
+
+func newScreens(n int) (*clockwork.FakeClock, []*Screen) {
+	clock := clockwork.NewFakeClockAt(start)
+	screens := make([]*Screen, n)
+	for i := range screens {
+		screens[i] = NewScreen(clock, slog.New(slog.DiscardHandler))
+	}
+	return clock, screens
+}
+
+func quarantined(s *Screen, part Part) bool {
+	_, ok := s.Quarantined([]Part{part})
+	return ok
+}
+
+// Each host sees one crash only. All must learn of the part, and keep it when the
+// coordinator is replaced by one that knows nothing, at whichever point.
+func TestScreensShareEvidence(t *testing.T) {
+	clock, screens := newScreens(4)
+	first := coordinator{1, NewDetector()}
+	for i, s := range screens[:3] {
+		s.RecordSound([]Part{"y"})
+		s.RecordCrash(crash(string(rune('a'+i)), string(rune('1'+i)), "y", "x"))
+		must.False(t, quarantined(s, "x"))
+		first.exchange(clock.Now(), s)
+	}
+	for range 2 {
+		for _, s := range screens {
+			first.exchange(clock.Now(), s)
+			must.True(t, quarantined(s, "x"))
+			must.False(t, quarantined(s, "y"))
+		}
+	}
+	second := coordinator{2, NewDetector()}
+	for _, s := range screens {
+		// The answer to a host's first report, which has the former fence.
+		s.Adopt(second.fence, nil, true, nil)
+		must.True(t, quarantined(s, "x"))
+	}
+	for range 3 {
+		clock.Advance(time.Second)
+		for _, s := range screens {
+			second.exchange(clock.Now(), s)
+			must.True(t, quarantined(s, "x"))
+			must.False(t, quarantined(s, "y"))
+		}
+	}
+	must.True(t, second.detector.Quarantined(clock.Now(), "x"))
+}
+
+// A coordinator is lost after it has been told of two crashes. The next one must count
+// them with the third.
+func TestNextCoordinatorGetsRecentCrashes(t *testing.T) {
+	clock, screens := newScreens(3)
+	first := coordinator{1, NewDetector()}
+	for i, s := range screens[:2] {
+		s.RecordCrash(crash(string(rune('a'+i)), string(rune('1'+i)), "x"))
+		first.exchange(clock.Now(), s)
+	}
+	second := coordinator{2, NewDetector()}
+	screens[2].RecordCrash(crash("c", "3", "x"))
+	for _, s := range screens {
+		second.exchange(clock.Now(), s)
+	}
+	must.True(t, second.detector.Quarantined(clock.Now(), "x"))
+}
+
+// A report is lost on its way.
+func TestLostEvidenceIsSentAgain(t *testing.T) {
+	_, screens := newScreens(1)
+	s := screens[0]
+	s.RecordCrash(crash("a", "1", "x"))
+	s.RecordSound([]Part{"y"})
+	e := s.Take(1)
+	must.SliceLen(t, 1, e.Crashes)
+	must.Eq(t, []Part{"y"}, e.Sound)
+	e = s.Take(1)
+	must.SliceEmpty(t, e.Crashes)
+	must.SliceEmpty(t, e.Sound)
+	s.Lost()
+	e = s.Take(1)
+	must.SliceLen(t, 1, e.Crashes)
+	must.Eq(t, []Part{"y"}, e.Sound)
+}
+
+// A host sees only crashes of requests with a part that other hosts serve. It must not
+// keep it from engines once the coordinator has told it.
+func TestSoundPartOfOtherHostsIsReleased(t *testing.T) {
+	clock, screens := newScreens(2)
+	c := coordinator{1, NewDetector()}
+	screens[0].RecordSound([]Part{"y"})
+	c.exchange(clock.Now(), screens[0])
+	for i := range 3 {
+		screens[1].RecordCrash(crash(string(rune('a'+i)), string(rune('1'+i)), "y"))
+	}
+	must.True(t, quarantined(screens[1], "y"))
+	c.exchange(clock.Now(), screens[1])
+	must.False(t, quarantined(screens[1], "y"))
+}
+
+// The coordinator has quarantined a part that a host knows to be sound.
+func TestSoundPartIsReportedAgain(t *testing.T) {
+	clock, screens := newScreens(1)
+	s := screens[0]
+	s.RecordSound([]Part{"y"})
+	c := coordinator{1, NewDetector()}
+	s.Take(c.fence) // lost
+	c.detector.Adopt(clock.Now(), Quarantine{"y", clock.Now().Add(Duration)})
+	c.exchange(clock.Now(), s)
+	c.exchange(clock.Now(), s)
+	must.False(t, c.detector.Quarantined(clock.Now(), "y"))
+	must.False(t, quarantined(s, "y"))
+}
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -11,6 +11,7 @@
 	"hawthornway/catalog"
 	"hawthornway/exchange"
 	"hawthornway/outcome"
+	"hawthornway/quarantine"
 	"hawthornway/retry"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -51,13 +52,17 @@
 		if refusal != nil {
 			return d.placementRefused(*refusal)
 		}
+		if refusal := r.quarantined(f); refusal != nil {
+			placement.Done(Abandoned{})
+			return d.placementRefused(*refusal)
+		}
 		f.targets = append(f.targets, placement.Target.ID)
 		if f.firstSent.IsZero() {
 			f.firstSent = r.clock.Now()
 		}
 		result := d.send(ctx, placement.Target)
 		placement.Done(result.placerResult())
-		if final := d.handleResult(ctx, placement.Target.ID, result); final != nil {
+		if final := d.handleResult(ctx, placement.Target, result); final != nil {
 			return final
 		}
 	}
@@ -142,11 +147,14 @@
 
 // handleResult records the result of an attempt. It returns nil if the request
 // may be sent again.
-func (d *dispatcher) handleResult(ctx context.Context, id target.ID, result attemptResult) outcome.Outcome {
-	r, f := d.relay, d.inflight
+func (d *dispatcher) handleResult(ctx context.Context, t roster.Target, result attemptResult) outcome.Outcome {
+	r, f, id := d.relay, d.inflight, t.ID
 	d.attempts++
 	switch res := result.(type) {
 	case completed:
+		if res.delimited {
+			r.quarantine.RecordSound(f.req.PromptParts)
+		}
 		return outcome.Served{}
 	case refused:
 		d.reachedTarget, d.retryGranted = true, false
@@ -164,6 +172,9 @@
 		return nil
 	case interrupted:
 		d.recordPossibleRun(id)
+		if res.crashed() {
+			r.quarantine.RecordCrash(quarantine.Crash{Target: id, Start: t.Start, Request: string(f.req.ID), Parts: f.req.PromptParts})
+		}
 		r.log.Warn("relay: attempt interrupted", "request", f.req.ID, "target", id, "began", res.began, "events", res.events,
 			"after", d.lastEventID, "parts", f.req.PromptParts, "error", res.err)
 		if !f.route.Repeatable() || ctx.Err() != nil || res.partial {
@@ -225,7 +236,12 @@
 type attemptResult interface{ placerResult() Result }
 
 // completed means that the response was passed on to the caller in full.
-type completed struct{ load *TargetLoad }
+type completed struct {
+	load *TargetLoad
+	// delimited is set if a length or chunks have marked the end of the response. The
+	// end of the connection may also be that of the target.
+	delimited bool
+}
 
 // refused means that the target did not run the request.
 type refused struct {
@@ -257,6 +273,18 @@
 	// that it had sent by then.
 	began  bool
 	events int
+	// silent is set if this host gave up on the target because of its silence.
+	silent bool
+}
+
+// maxEventsAtBeginning is the number of events up to which a target is at the beginning
+// of a response. Several events may arrive together before the end of the connection.
+const maxEventsAtBeginning = 4
+
+// crashed reports whether the target may have crashed because of the request, as it began
+// to respond.
+func (r interrupted) crashed() bool {
+	return r.began && r.events <= maxEventsAtBeginning && !r.abandoned && !r.silent
 }
 
 // serverError means that the target responded with a 5xx status.
@@ -365,7 +393,7 @@
 	r, f := d.relay, d.inflight
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
 	if err != nil {
-		return interrupted{err: err, abandoned: w.abandoned(ctx), began: true}
+		return interrupted{err: err, abandoned: w.abandoned(ctx), silent: w.silent(ctx), began: true}
 	}
 	response := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	if !info.Signed {
@@ -386,7 +414,7 @@
 		return d.relayLong(ctx, resp, response, info, w)
 	}
 	r.writeBuffered(f, response)
-	return completed{load: info.Load}
+	return completed{load: info.Load, delimited: resp.Delimited()}
 }
 
 // relayLong passes on a response of which the start has been read. No other target can
@@ -408,9 +436,9 @@
 		switch err {
 		case nil:
 		case io.EOF:
-			return completed{load: info.Load}
+			return completed{load: info.Load, delimited: resp.Delimited()}
 		default:
-			return interrupted{err: err, abandoned: w.abandoned(ctx), partial: true, began: true}
+			return interrupted{err: err, abandoned: w.abandoned(ctx), silent: w.silent(ctx), partial: true}
 		}
 	}
 }
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/outcome"
+	"hawthornway/quarantine"
 	"hawthornway/relay"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -31,6 +33,9 @@
 		ID: relay.RequestID(r.Header.Get("Id")), Key: catalog.Key(r.Header.Get("Key")), Model: "m",
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Path: r.URL.Path, Header: r.Header,
 	}
+	for part := range strings.FieldsSeq(r.Header.Get("Parts")) {
+		req.PromptParts = append(req.PromptParts, quarantine.Part(part))
+	}
 	if text := r.Header.Get("Timeout"); text != "" {
 		timeout, err := time.ParseDuration(text)
 		if err != nil {
@@ -124,8 +129,13 @@
 	runs          int
 	summaries     []relay.RequestSummary
 	keysConfirmed bool
-	catalog       *catalog.Catalog
-	targets       []*httptest.Server
+	// quarantined is the part that is kept from targets, and crashes and sound are what
+	// was recorded of others.
+	quarantined quarantine.Part
+	crashes     []quarantine.Crash
+	sound       []quarantine.Part
+	catalog     *catalog.Catalog
+	targets     []*httptest.Server
 }
 
 // behaviour is how a target handles a request.
@@ -137,6 +147,24 @@
 	env.summaries = append(env.summaries, summary)
 }
 
+func (env *testEnv) Quarantined(parts []quarantine.Part) (quarantine.Part, bool) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return env.quarantined, env.quarantined != "" && slices.Contains(parts, env.quarantined)
+}
+
+func (env *testEnv) RecordCrash(crash quarantine.Crash) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.crashes = append(env.crashes, crash)
+}
+
+func (env *testEnv) RecordSound(parts []quarantine.Part) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.sound = append(env.sound, parts...)
+}
+
 func newTestEnv(t *testing.T, delivery catalog.Delivery, liveness relay.Liveness, targets ...behaviour) *testEnv {
 	t.Helper()
 	env := &testEnv{t: t, placer: &placer{}, limiter: &limiter{}, keysConfirmed: true}
@@ -169,6 +197,7 @@
 		relay.WithPlacer(env.placer),
 		relay.WithProber(prober{liveness}),
 		relay.WithObserver(env),
+		relay.WithQuarantine(env),
 		relay.WithLogger(slog.New(slog.DiscardHandler)),
 	)
 	env.server = httptest.NewServer(handler)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"hawthornway/catalog"
 	"hawthornway/exchange"
 	"hawthornway/outcome"
+	"hawthornway/quarantine"
 	"hawthornway/retry"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -43,6 +44,7 @@
 	log            *slog.Logger
 	random         func() float64
 	draining       func() bool
+	quarantine     Quarantine
 	newBudget      func(clockwork.Clock) retry.Budget
 }
 
@@ -66,6 +68,16 @@
 	Probe(ctx context.Context, t roster.Target) Liveness
 }
 
+// Quarantine knows the parts of prompts that crash engines.
+type Quarantine interface {
+	// Quarantined returns the first of the parts that crashes engines, if any.
+	Quarantined(parts []quarantine.Part) (quarantine.Part, bool)
+	// RecordCrash records that a target broke off as it began to respond to a request.
+	RecordCrash(crash quarantine.Crash)
+	// RecordSound records that a response to a request with these parts was completed.
+	RecordSound(parts []quarantine.Part)
+}
+
 // Liveness is the result of a probe: Dead, Idle or Busy.
 type Liveness interface{ liveness() }
 
@@ -164,6 +176,15 @@
 	return func(o *options) { o.newBudget = newBudget }
 }
 
+// WithQuarantine sets the parts of prompts that are kept from targets.
+func WithQuarantine(q Quarantine) Option { return func(o *options) { o.quarantine = q } }
+
+type noQuarantine struct{}
+
+func (noQuarantine) Quarantined([]quarantine.Part) (quarantine.Part, bool) { return "", false }
+func (noQuarantine) RecordCrash(quarantine.Crash)                          {}
+func (noQuarantine) RecordSound([]quarantine.Part)                         {}
+
 type noObserver struct{}
 
 func (noObserver) Observe(RequestSummary) {}
@@ -178,6 +199,7 @@
 		log:           slog.Default(),
 		random:        rand.Float64,
 		draining:      func() bool { return false },
+		quarantine:    noQuarantine{},
 		newBudget:     func(c clockwork.Clock) retry.Budget { return retry.NewBudget(c) },
 	}
 	for _, opt := range opts {
@@ -185,7 +207,7 @@
 	}
 	r := &Relay{options: o, startedAt: o.clock.Now()}
 	r.budgets = newPoolBudgets(func() retry.Budget { return o.newBudget(o.clock) })
-	r.steps = []step{r.readRequest, r.resolveRoute, r.authenticate, r.charge, r.dispatch}
+	r.steps = []step{r.readRequest, r.resolveRoute, r.authenticate, r.screen, r.charge, r.dispatch}
 	return r
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -6,6 +6,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/model"
+	"hawthornway/quarantine"
 	"hawthornway/roster"
 	"hawthornway/target"
 	"hawthornway/team"
@@ -15,10 +16,6 @@
 // uses another ID. Targets echo it in their responses.
 type RequestID string
 
-// PromptPart identifies a part of a prompt, such as a system prompt or a document. Equal
-// parts of different requests have the same identifier.
-type PromptPart string
-
 // EventID numbers the events of a stream. Zero means none.
 type EventID int64
 
@@ -40,7 +37,7 @@
 	Session string
 	// PromptParts lists the parts of the prompt that it may share with requests of other
 	// sessions, in order.
-	PromptParts []PromptPart
+	PromptParts []quarantine.Part
 	// LastEventID is the last event that the caller received of an interrupted
 	// stream.
 	LastEventID EventID
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -120,6 +120,22 @@
 	return nil
 }
 
+// screen refuses a request that would crash its target.
+func (r *Relay) screen(_ context.Context, f *inflight) outcome.Outcome {
+	if refusal := r.quarantined(f); refusal != nil {
+		return *refusal
+	}
+	return nil
+}
+
+// quarantined returns the refusal of a request with a part that crashes targets.
+func (r *Relay) quarantined(f *inflight) *outcome.NotRun {
+	if _, quarantined := r.quarantine.Quarantined(f.req.PromptParts); !quarantined {
+		return nil
+	}
+	return &outcome.NotRun{Reason: outcome.ReasonQuarantined, Detail: "a part of the prompt crashes engines"}
+}
+
 // charge takes the request's tokens from its team's limit.
 func (r *Relay) charge(ctx context.Context, f *inflight) outcome.Outcome {
 	if f.team.Limit == nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -75,12 +75,12 @@
 	for events := 0; ; events++ {
 		e, err := readEvent(reader)
 		if err == io.EOF {
-			return completed{load: info.Load}
+			return completed{load: info.Load, delimited: resp.Delimited()}
 		}
 		if err != nil {
 			// Delivers the complete events that were written so far.
 			_ = flusher.Flush() // the caller may have left
-			return interrupted{err: err, abandoned: w.abandoned(ctx), began: true, events: events}
+			return interrupted{err: err, abandoned: w.abandoned(ctx), silent: w.silent(ctx), began: true, events: events}
 		}
 		if e.id != 0 && e.id <= d.lastEventID {
 			continue // the caller has this event already
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -121,8 +121,13 @@
 	}
 }
 
+// silent reports whether the attempt's context ended because of the target's silence.
+func (w *watchdog) silent(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errTargetSilent)
+}
+
 // abandoned reports whether the attempt's context ended for a reason other than
 // the target's silence.
 func (w *watchdog) abandoned(ctx context.Context) bool {
-	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTargetSilent)
+	return ctx.Err() != nil && !w.silent(ctx)
 }
