election: terms end with the era of the store

What callers would see: after the store's return from an older copy, a coordinator whose lease was lost went on until its next renewal failed, another host could hold the same fence, and an entry of a former coordinator that came back let its host give orders 300 ms later, as if only its process had restarted. Orders of two hosts then alternate within the handover time, and engines that check fences refuse those of the new term.

Cause: an entry in the store was taken to be written in the present history.

Change: an entry names the era in which it was written. One from a former era is a leftover: its own host takes it over with the whole handover delay, others after twice the time of a lease. A newer entry than the term's ends the term at once. A term begun soon after a return waits for the time in which a host that is cut off may still rely on a lost lease. Fences rise as they are positions. Entries of older builds name no era and are treated as before.

Open: a process that starts just when the store returns can't know that it has returned.

--- a/election/election.go
+++ b/election/election.go
@@ -56,6 +56,9 @@
 	// also sent through the backup. The store normally answers in a few milliseconds,
 	// and there must be time for the backup before the lease ends.
 	backupDelay = 250 * time.Millisecond
+	// leftoverTime is how long the host that a leftover entry names may take to replace
+	// it, before others do. Its term has ended by then, even if it is cut off.
+	leftoverTime = 2 * leaseTTL
 	// retryDelay is the delay before another attempt to win or renew.
 	retryDelay = 300 * time.Millisecond
 )
@@ -73,6 +76,15 @@
 	Host        fleet.HostID      `json:"host"`
 	Incarnation fleet.Incarnation `json:"incarnation"`
 	Address     string            `json:"address"`
+	// Era is the store's era in which the entry was written. It is missing in entries of
+	// older builds.
+	Era *platform.Era `json:"era,omitempty"`
+}
+
+// leftover reports whether the entry is from before the store's return from an older
+// copy of itself. The term that it names has ended.
+func (w wireLeader) leftover(revision keyvalue.Revision) bool {
+	return w.Era != nil && *w.Era < platform.EraOf(revision)
 }
 
 // Election is the participation of one host in the election.
@@ -96,7 +108,14 @@
 	successor      fleet.HostID
 	successorUntil boottime.Instant
 
-	observed   keyvalue.Entry
+	observed keyvalue.Entry
+	// leftoverSince is when a leftover entry was first observed, or zero.
+	leftoverSince boottime.Instant
+	// era is the highest era of the store that was seen, and eraSince when it was first
+	// seen after another one.
+	era        platform.Era
+	eraKnown   bool
+	eraSince   boottime.Instant
 	leader     Leader
 	hasLeader  bool
 	stateKnown bool
@@ -176,9 +195,23 @@
 	if entry.Revision != 0 && entry.Revision < e.observed.Revision {
 		return
 	}
+	newEra := platform.EraOf(entry.Revision) != platform.EraOf(e.observed.Revision)
 	e.observed = entry
+	if entry.Revision != 0 {
+		e.observeEra(platform.EraOf(entry.Revision))
+	}
+	if e.term != nil && entry.Revision > keyvalue.Revision(e.term.fence) {
+		e.log.Warn("election: term ended because of a newer entry in the store", "fence", e.term.fence, "entry", entry.Revision)
+		e.term = nil
+	}
 	var wire wireLeader
 	e.hasLeader = entry.Revision != 0 && json.Unmarshal(entry.Value, &wire) == nil
+	switch {
+	case !e.hasLeader || !wire.leftover(entry.Revision):
+		e.leftoverSince = 0
+	case e.leftoverSince == 0 || newEra:
+		e.leftoverSince = e.bootClock.Now()
+	}
 	if e.hasLeader {
 		e.leader = Leader{
 			Host:        wire.Host,
@@ -190,6 +223,25 @@
 	e.notifyChanged()
 }
 
+// observeEra records the store's era. The caller holds the lock.
+func (e *Election) observeEra(era platform.Era) {
+	if e.eraKnown && era > e.era {
+		e.eraSince = e.bootClock.Now()
+	}
+	e.era, e.eraKnown = max(e.era, era), true
+}
+
+// formerTermEnd returns the time up to which a coordinator that is cut off from the store
+// may rely on a lease that the store has lost on its return from an older copy.
+func (e *Election) formerTermEnd() boottime.Instant {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.eraSince == 0 {
+		return 0
+	}
+	return e.eraSince.Add(leaseTTL)
+}
+
 // Prefer handles a resigning coordinator's choice of its successor.
 func (e *Election) Prefer(successor fleet.HostID) {
 	e.mu.Lock()
@@ -220,7 +272,7 @@
 	if leader.Fence <= target.Fence(e.observed.Revision) {
 		return
 	}
-	e.stateKnown, e.hasLeader, e.leader = true, true, leader
+	e.stateKnown, e.hasLeader, e.leader, e.leftoverSince = true, true, leader, 0
 	e.observed = keyvalue.Entry{Key: platform.KeyCoordinator, Revision: keyvalue.Revision(leader.Fence)}
 	e.notifyChanged()
 }
@@ -303,9 +355,9 @@
 		e.log.Warn("election: term ended because its lease was not renewed in time", "fence", e.term.fence)
 		e.term = nil
 	}
-	stateKnown, hasLeader, ownEntry := e.stateKnown, e.hasLeader, e.hasLeader && e.leader.Host == e.self.Host
+	stateKnown, ownEntry := e.stateKnown, e.hasLeader && e.leader.Host == e.self.Host
 	e.mu.Unlock()
-	if !stateKnown || (hasLeader && (!ownEntry || e.candidacyDelay > 0)) {
+	if !stateKnown || (e.contested() && (!ownEntry || e.candidacyDelay > 0)) {
 		return time.Second
 	}
 	if !ownEntry {
@@ -314,7 +366,7 @@
 			return 0
 		case <-e.clock.After(e.candidacyWait()):
 		}
-		if _, hasLeader := e.Leader(); hasLeader {
+		if e.contested() {
 			return time.Second
 		}
 	}
@@ -325,21 +377,45 @@
 	return renewInterval
 }
 
+// contested reports whether the store's entry names a coordinator that may still be there.
+func (e *Election) contested() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hasLeader && (e.leftoverSince == 0 || e.bootClock.Now().Sub(e.leftoverSince) < leftoverTime)
+}
+
 // acquire writes the election's key under a new lease and starts this host's term.
 func (e *Election) acquire(ctx context.Context) error {
 	e.mu.Lock()
 	expected := keyvalue.Revision(0)
-	ownEntry := e.hasLeader && e.leader.Host == e.self.Host
+	// Another host may have been the coordinator since a leftover entry was written.
+	ownEntry := e.hasLeader && e.leader.Host == e.self.Host && e.leftoverSince == 0
 	if e.hasLeader {
 		expected = e.observed.Revision
 	}
 	e.mu.Unlock()
-	value, err := json.Marshal(wireLeader{e.self.Host, e.self.Incarnation, e.self.PeerAddress})
+	sentAt := e.bootClock.Now()
+	lease, err := e.store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	sentAt := e.bootClock.Now()
-	lease, err := e.store.Grant(ctx, leaseTTL)
+	era := lease.Era()
+	e.mu.Lock()
+	e.observeEra(era)
+	e.mu.Unlock()
+	// orderTime returns when this host may give orders if its term begins at an instant.
+	orderTime := func(begin boottime.Instant) boottime.Instant {
+		handover := max(begin, e.formerTermEnd()).Add(e.handoverDelay + handoverMargin)
+		switch {
+		case ownEntry:
+			return begin.Add(restartOrderDelay)
+		case e.firstStart && expected == 0 && !e.hasSeenLeader():
+			return begin
+		default:
+			return handover
+		}
+	}
+	value, err := json.Marshal(wireLeader{e.self.Host, e.self.Incarnation, e.self.PeerAddress, &era})
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -352,15 +428,7 @@
 		return trace.Wrap(err)
 	}
 	now := e.bootClock.Now()
-	t := &term{lease: lease, fence: target.Fence(revision), until: sentAt.Add(leaseTTL - LeaseMargin)}
-	switch {
-	case ownEntry:
-		t.ordersFrom = now.Add(restartOrderDelay)
-	case e.firstStart && expected == 0 && !e.hasSeenLeader():
-		t.ordersFrom = now
-	default:
-		t.ordersFrom = now.Add(e.handoverDelay + handoverMargin)
-	}
+	t := &term{lease: lease, fence: target.Fence(revision), until: sentAt.Add(leaseTTL - LeaseMargin), ordersFrom: orderTime(now)}
 	e.mu.Lock()
 	e.term = t
 	e.mu.Unlock()
@@ -381,6 +449,9 @@
 	e.mu.Lock()
 	t := e.term
 	e.mu.Unlock()
+	if t == nil {
+		return 0 // a newer entry was observed
+	}
 	sentAt := e.bootClock.Now()
 	// A renewal after the end of the term would begin it anew, without what the
 	// coordinator knew.
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -43,12 +43,15 @@
 
 // store is an in-memory metadata store that can lose answers.
 type store struct {
-	mu            sync.Mutex
+	mu sync.Mutex
+	// era rises when the store returns from a copy of itself, and revision is the number
+	// of the last change within the present history.
+	era           platform.Era
 	revision      keyvalue.Revision
 	entry         *keyvalue.Entry
 	entryLease    platform.Lease
 	leases        map[platform.Lease]time.Time
-	lastLease     platform.Lease
+	lastLease     int64
 	watchers      []*election.Election
 	answersToLose int
 }
@@ -114,21 +117,22 @@
 		return 0, platform.ErrLeaseEnded
 	}
 	s.revision++
-	s.entry = &keyvalue.Entry{Key: platform.KeyCoordinator, Value: t.Put[0].Value, Revision: s.revision}
+	s.entry = &keyvalue.Entry{Key: platform.KeyCoordinator, Value: t.Put[0].Value, Revision: s.era.Position(s.revision)}
 	s.entryLease = t.Put[0].Lease
 	if s.answersToLose > 0 {
 		s.answersToLose--
 		return 0, keyvalue.ErrUnknown
 	}
-	return s.revision, nil
+	return s.entry.Revision, nil
 }
 
 func (s *store) Grant(_ context.Context, ttl time.Duration) (platform.Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastLease++
-	s.leases[s.lastLease] = time.Now().Add(ttl)
-	return s.lastLease, nil
+	lease := s.era.Lease(s.lastLease)
+	s.leases[lease] = time.Now().Add(ttl)
+	return lease, nil
 }
 
 func (s *store) KeepAlive(_ context.Context, lease platform.Lease) error {
