election: an own entry doesn't shorten the handover delay

A host wins after another coordinator, has to wait for 3.25 s, loses its lease meanwhile, and takes its own entry over, in the same process or after a restart. It then gave orders after 300 ms.

Cause: an own entry was taken to mean that this host was the last to give orders; it may have won without giving any.

Change: an entry states until when its host has to wait, by the boot clock of its machine, which goes on over a restart of the process. After a reboot, when the clock begins anew, the wait is at most the whole delay.

--- a/election/election.go
+++ b/election/election.go
@@ -59,6 +59,8 @@
 	// leftoverTime is how long the host that a leftover entry names may take to replace
 	// it, before others do. Its term has ended by then, even if it is cut off.
 	leftoverTime = 2 * leaseTTL
+	// maxCommitTime is the longest time that the store takes to write an entry.
+	maxCommitTime = time.Second
 	// retryDelay is the delay before another attempt to win or renew.
 	retryDelay = 300 * time.Millisecond
 )
@@ -79,6 +81,9 @@
 	// Era is the store's era in which the entry was written. It is missing in entries of
 	// older builds.
 	Era *platform.Era `json:"era,omitempty"`
+	// OrdersFrom is the time up to which the host may have to wait with the first order of
+	// the term, by the boot clock of its machine.
+	OrdersFrom boottime.Instant `json:"orders-from,omitempty"`
 }
 
 // leftover reports whether the entry is from before the store's return from an older
@@ -111,6 +116,8 @@
 	observed keyvalue.Entry
 	// leftoverSince is when a leftover entry was first observed, or zero.
 	leftoverSince boottime.Instant
+	// entryOrdersFrom is when the host of the observed entry may order, by its boot clock.
+	entryOrdersFrom boottime.Instant
 	// era is the highest era of the store that was seen, and eraSince when it was first
 	// seen after another one.
 	era        platform.Era
@@ -206,6 +213,7 @@
 	}
 	var wire wireLeader
 	e.hasLeader = entry.Revision != 0 && json.Unmarshal(entry.Value, &wire) == nil
+	e.entryOrdersFrom = wire.OrdersFrom
 	switch {
 	case !e.hasLeader || !wire.leftover(entry.Revision):
 		e.leftoverSince = 0
@@ -272,7 +280,7 @@
 	if leader.Fence <= target.Fence(e.observed.Revision) {
 		return
 	}
-	e.stateKnown, e.hasLeader, e.leader, e.leftoverSince = true, true, leader, 0
+	e.stateKnown, e.hasLeader, e.leader, e.leftoverSince, e.entryOrdersFrom = true, true, leader, 0, 0
 	e.observed = keyvalue.Entry{Key: platform.KeyCoordinator, Revision: keyvalue.Revision(leader.Fence)}
 	e.notifyChanged()
 }
@@ -393,6 +401,7 @@
 	if e.hasLeader {
 		expected = e.observed.Revision
 	}
+	entryOrdersFrom := e.entryOrdersFrom
 	e.mu.Unlock()
 	sentAt := e.bootClock.Now()
 	lease, err := e.store.Grant(ctx, leaseTTL)
@@ -408,14 +417,16 @@
 		handover := max(begin, e.formerTermEnd()).Add(e.handoverDelay + handoverMargin)
 		switch {
 		case ownEntry:
-			return begin.Add(restartOrderDelay)
+			// The former process may have had to wait for the orders of another host.
+			// The boot clock may also have begun anew since.
+			return min(handover, max(entryOrdersFrom, begin.Add(restartOrderDelay)))
 		case e.firstStart && expected == 0 && !e.hasSeenLeader():
 			return begin
 		default:
 			return handover
 		}
 	}
-	value, err := json.Marshal(wireLeader{e.self.Host, e.self.Incarnation, e.self.PeerAddress, &era})
+	value, err := json.Marshal(wireLeader{e.self.Host, e.self.Incarnation, e.self.PeerAddress, &era, orderTime(e.bootClock.Now().Add(maxCommitTime))})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -574,3 +574,32 @@
 		})
 	}
 }
+
+// A host takes over from another one, has to wait for the handover delay, and loses its
+// own term meanwhile. When it takes its own entry over, in the same process or a new one,
+// the delay must still pass.
+func TestOwnEntryKeepsHandoverDelay(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restart %t", restart), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore()
+				go s.expireAndNotify(t.Context())
+				first := start(t.Context(), s, []fleet.HostID{"a"}, election.WithFirstStart())
+				before := watchOrders(t, first, time.Second, lastOrder{})
+				second := start(t.Context(), s, []fleet.HostID{"b"})
+				first[0].stop()
+				before = watchOrders(t, append(first, second...), time.Second, before)
+				must.SliceLen(t, 1, leaders(second))
+				second[0].store.setCut(true)
+				if restart {
+					second = start(t.Context(), s, []fleet.HostID{"b"})
+				} else {
+					time.Sleep(1300 * time.Millisecond)
+					second[0].store.setCut(false)
+				}
+				after := watchOrders(t, second, 8*time.Second, before)
+				must.Eq(t, "b", after.host)
+			})
+		})
+	}
+}
