platform: a lease is a number and an era

The stand-in counted leases from one.

Change: a lease holds its number and its era side by side. Revisions are counted by the store from the start and stay folded.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -58,7 +58,8 @@
 
 // wireRenew asks another host to renew a lease in the store.
 type wireRenew struct {
-	Lease platform.Lease `cbor:"lease"`
+	Lease int64        `cbor:"lease"`
+	Era   platform.Era `cbor:"era,omitempty"`
 }
 
 type wireRenewed struct {
--- a/coordinator/store_proxy.go
+++ b/coordinator/store_proxy.go
@@ -56,7 +56,7 @@
 // KeepAlive renews a lease. It fails with platform.ErrLeaseEnded if the lease has ended.
 func (p *StoreProxy) KeepAlive(ctx context.Context, lease platform.Lease) error {
 	var result wireRenewed
-	if err := p.call(ctx, kindRenew, wireRenew{Lease: lease}, &result, 0); err != nil {
+	if err := p.call(ctx, kindRenew, wireRenew{Lease: lease.Number, Era: lease.Era}, &result, 0); err != nil {
 		return err
 	}
 	if result.Ended {
@@ -127,7 +127,7 @@
 	if err := peer.Decode(body, &request); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	err := p.store.KeepAlive(ctx, request.Lease)
+	err := p.store.KeepAlive(ctx, platform.Lease{Number: request.Lease, Era: request.Era})
 	if errors.Is(err, platform.ErrLeaseEnded) {
 		return wireRenewed{Ended: true}, nil
 	}
--- a/coordinator/store_proxy_test.go
+++ b/coordinator/store_proxy_test.go
@@ -39,7 +39,7 @@
 	for range 4 { // whichever host is tried first
 		must.NoError(t, proxy.KeepAlive(t.Context(), lease))
 	}
-	must.ErrorIs(t, proxy.KeepAlive(t.Context(), lease+1), platform.ErrLeaseEnded)
+	must.ErrorIs(t, proxy.KeepAlive(t.Context(), platform.Lease{Number: lease.Number + 1, Era: lease.Era}), platform.ErrLeaseEnded)
 
 	wantEntries, wantAt, err := direct.Range(t.Context(), "servers/")
 	must.NoError(t, err)
--- a/election/election.go
+++ b/election/election.go
@@ -408,7 +408,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	era := lease.Era()
+	era := lease.Era
 	e.mu.Lock()
 	e.observeEra(era)
 	e.mu.Unlock()
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -130,7 +130,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastLease++
-	lease := s.era.Lease(s.lastLease)
+	lease := platform.Lease{Number: s.lastLease, Era: s.era}
 	s.leases[lease] = time.Now().Add(ttl)
 	return lease, nil
 }
@@ -183,7 +183,7 @@
 
 func (c *hostStore) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
 	if err := c.err(); err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
 	return c.Metadata.Grant(ctx, ttl)
 }
@@ -541,7 +541,7 @@
 }
 
 func (s hangingStore) Grant(ctx context.Context, _ time.Duration) (platform.Lease, error) {
-	return 0, s.KeepAlive(ctx, 0)
+	return platform.Lease{}, s.KeepAlive(ctx, platform.Lease{})
 }
 
 // A coordinator that is stopped names its successor. That host is elected although others
--- a/election/restored_store_test.go
+++ b/election/restored_store_test.go
@@ -40,23 +40,20 @@
 	s.era++
 	s.revision, s.entry, s.lastLease = c.revision, nil, c.lastLease
 	s.leases = map[platform.Lease]time.Time{}
-	s.entryLease = 0
+	s.entryLease = platform.Lease{}
 	if keepLeases {
 		for lease, until := range c.leases {
-			s.leases[s.era.Lease(int64(number(lease)))] = until
+			s.leases[platform.Lease{Number: lease.Number, Era: s.era}] = until
 		}
-		s.entryLease = s.era.Lease(int64(number(c.entryLease)))
+		s.entryLease = platform.Lease{Number: c.entryLease.Number, Era: s.era}
 	}
 	if c.entry != nil {
 		entry := *c.entry
-		entry.Revision = s.era.Position(number(entry.Revision))
+		entry.Revision = s.era.Position(entry.Revision & (1<<40 - 1))
 		s.entry = &entry
 	}
 }
 
-// number returns the store's own number of a revision or lease.
-func number[N ~uint64 | ~int64](n N) N { return n & (1<<40 - 1) }
-
 // The store returns from a copy that has the entry of a former coordinator, of the
 // present one, or none. Exactly one host must lead again, fences must rise, and the
 // handover delay must pass between the orders of two hosts.
