Keep requests from targets that leave or ask for a pause

Nothing knew either header: a host went on sending to an engine whose registration lagged behind, and asked a paused one again after 25 ms.

Change: both count from the head of a response, so that a long stream's host knows at its beginning; reports and orders tell of leaving too. The roster keeps a leaving target out until it starts again, whatever is registered, and hosts tell the coordinator, whose registrations tell the others. While all targets of a pool are paused, a request that may be repeated is refused at once with the time until the first may be asked; others wait.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -150,7 +150,9 @@
 	search        leaderSearch
 	download      configDownload
 	screen        *quarantine.Screen
-	updateLoad    func(id target.ID, work int)
+	// leaving returns the targets that have told this host that they leave.
+	leaving    func() []roster.Target
+	updateLoad func(id target.ID, work int)
 	// connected is set by each view of the coordinator and cleared by a failed report.
 	connected bool
 	// incomplete is set while the last view left out some of the changed engines.
@@ -173,6 +175,12 @@
 	return func(c *Client) { c.screen = screen }
 }
 
+// WithLeaving sets the function that returns the targets that have told this host that
+// they leave.
+func WithLeaving(leaving func() []roster.Target) ClientOption {
+	return func(c *Client) { c.leaving = leaving }
+}
+
 // NewClient returns the client of a host. Local is the coordinator in the same
 // process, usage returns the contents of the next report, and updateLoad is called
 // with the number of requests at each engine.
@@ -194,6 +202,7 @@
 		requestedAt:    map[loadRequestKey]time.Time{},
 		changed:        make(chan struct{}),
 		leaderChanged:  make(chan struct{}, 1),
+		leaving:        func() []roster.Target { return nil },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -309,6 +318,9 @@
 		report.Running = append(report.Running, wireRunning(r))
 	}
 	c.addEvidence(&report)
+	for _, t := range c.leaving() {
+		report.Leaving = append(report.Leaving, wireLeaving{Target: t.ID, Start: t.Start})
+	}
 	sent := c.boot.Now()
 	view, err := c.send(ctx, leader, report)
 	if err != nil {
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -98,6 +98,12 @@
 			e.recordUse(r.Model, r.Adapter, now)
 		}
 	}
+	for _, w := range report.Leaving {
+		if c.roster.SetLeaving(w.Target, w.Start) {
+			c.log.Info("coordinator: target leaves", "target", w.Target, "start", w.Start, "host", host)
+			c.wake()
+		}
+	}
 	sound := c.recordEvidence(host, report, now)
 	since := report.Since
 	if report.Fence != c.fence {
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -116,10 +116,18 @@
 	Sound       []quarantine.Part `cbor:"sound,omitempty"`
 	Quarantined []wireQuarantine  `cbor:"quarantined,omitempty"`
 
+	// Leaving lists the targets that have told this host that they leave.
+	Leaving []wireLeaving `cbor:"leaving,omitempty"`
 	Demand  []wireDemand  `cbor:"asked"`
 	Running []wireRunning `cbor:"running"`
 }
 
+// wireLeaving is a target that leaves.
+type wireLeaving struct {
+	Target target.ID      `cbor:"target"`
+	Start  roster.StartID `cbor:"start"`
+}
+
 // wireCrash is the end of an engine as it began to respond to a request.
 type wireCrash struct {
 	Target  target.ID         `cbor:"target"`
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,7 +153,7 @@
 		coordinator.WithMesh(g.links),
 		coordinator.WithRoster(g.roster),
 		coordinator.WithCatalogs(g.catalog.Load),
-		coordinator.WithEngines(platform.NewEngines()),
+		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves))),
 		coordinator.WithBounds(s.Bounds),
 		coordinator.WithFirstStart(s.FirstStart),
 		coordinator.WithConfirmedAge(g.freshness.age),
@@ -165,7 +165,7 @@
 	g.balancer = balance.New(s.Domain, g.clock)
 	usage := newUsageTracker()
 	screen := quarantine.NewScreen(g.clock, g.log)
-	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(screen))
+	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(screen), coordinator.WithLeaving(g.roster.Leaving))
 	g.placer = &placer{gateway: g, usage: usage}
 	g.targetClient = exchange.New(exchange.WithClock(g.clock))
 	g.follower = platform.NewFollower(store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay),
@@ -180,7 +180,7 @@
 		relay.WithKeysConfirmed(g.freshness.current),
 		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime)),
 		relay.WithPlacer(g.placer),
-		relay.WithProber(&prober{engines: platform.NewEngines()}),
+		relay.WithProber(&prober{engines: platform.NewEngines(platform.WithLeaving(g.targetLeaves))}),
 		relay.WithClient(g.targetClient),
 		relay.WithObserver(&observer{log: g.log, scope: g.metrics.Scope()}),
 		relay.WithClock(g.clock),
@@ -395,6 +395,13 @@
 // Registered implements platform.Listener.
 func (g *gateway) Registered(t roster.Target) { g.roster.Put(t) }
 
+// targetLeaves keeps requests from a target that says that it leaves.
+func (g *gateway) targetLeaves(t roster.Target) {
+	if g.roster.SetLeaving(t.ID, t.Start) {
+		g.log.Info("gateway: target says that it leaves", "target", t.ID, "start", t.Start)
+	}
+}
+
 // Unregistered implements platform.Listener.
 func (g *gateway) Unregistered(id target.ID) { g.roster.Remove(id) }
 
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -141,7 +141,11 @@
 func (p *placer) refuseIfUnplaceable(ready []roster.Target, request relay.PlacementRequest, diskLoadTime time.Duration) *outcome.NotRun {
 	g := p.gateway
 	now := g.clock.Now()
-	switch {
+	switch pause, paused := g.roster.AllPaused(request.Pool); {
+	case paused && (request.Repeatable || now.Add(pause+minRunTime).After(request.Deadline)):
+		return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: pause, Detail: "all targets of the pool ask for a pause"}
+	case paused:
+		return nil // the caller might not send it again
 	case len(ready) == 0:
 		return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: emptyPoolRetryAfter, Detail: "the pool has no target"}
 	case now.Add(minRunTime).After(request.Deadline):
@@ -176,6 +180,7 @@
 	var once sync.Once
 	return relay.Placement{
 		Target: t,
+		Notice: func(notice relay.Notice) { p.recordNotice(t, notice) },
 		Done: func(result relay.Result) {
 			once.Do(func() {
 				end()
@@ -185,6 +190,17 @@
 	}
 }
 
+// recordNotice applies what a target says of itself.
+func (p *placer) recordNotice(t roster.Target, notice relay.Notice) {
+	switch n := notice.(type) {
+	case relay.Leaving:
+		p.gateway.targetLeaves(t)
+	case relay.Paused:
+		p.gateway.roster.Pause(t.ID, t.Start, n.For)
+		p.gateway.log.Info("gateway: target asks for a pause", "target", t.ID, "for", n.For)
+	}
+}
+
 // recordResult passes the result of an attempt to the balancer and the usage
 // tracker.
 func (p *placer) recordResult(t roster.Target, request relay.PlacementRequest, result relay.Result) {
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -60,7 +60,7 @@
 		if f.firstSent.IsZero() {
 			f.firstSent = r.clock.Now()
 		}
-		result := d.send(ctx, placement.Target)
+		result := d.send(ctx, placement)
 		placement.Done(result.placerResult())
 		if final := d.handleResult(ctx, placement.Target, result); final != nil {
 			return final
@@ -80,11 +80,25 @@
 		Priority:     f.priority,
 		Due:          f.due(),
 		Deadline:     r.callerDeadline(f),
+		Repeatable:   f.route.Repeatable(),
 		Team:         f.team.ID,
 		ID:           f.req.ID,
 	}
 }
 
+// notify passes on what the target says of itself.
+func (p Placement) notify(info ResponseInfo) {
+	if p.Notice == nil {
+		return
+	}
+	if info.Leaving {
+		p.Notice(Leaving{})
+	}
+	if info.Pause > 0 {
+		p.Notice(Paused{info.Pause})
+	}
+}
+
 // callerDeadline returns the time when the caller stops waiting: its deadline,
 // or earlier if a stream stays silent for too long.
 func (r *Relay) callerDeadline(f *inflight) time.Time {
@@ -335,8 +349,8 @@
 }
 
 // send sends the request to one target and passes its response on.
-func (d *dispatcher) send(ctx context.Context, t roster.Target) attemptResult {
-	r, f := d.relay, d.inflight
+func (d *dispatcher) send(ctx context.Context, placement Placement) attemptResult {
+	r, f, t := d.relay, d.inflight, placement.Target
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := d.startWatchdog(ctx, cancel, t)
@@ -372,6 +386,7 @@
 	defer resp.Close()
 	w.recordActivity()
 	info := r.dialect.ParseResponse(t.ID, resp.Status, resp.Header)
+	placement.notify(info)
 	switch {
 	case info.NotRun || info.Replaced:
 		resp.Skip()
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -59,7 +59,8 @@
 }
 
 func (dialect) ParseResponse(_ target.ID, _ int, header http.Header) relay.ResponseInfo {
-	return relay.ResponseInfo{NotRun: header.Get("Not-Run") != "", Signed: header.Get("Seal") != ""}
+	pause, _ := time.ParseDuration(header.Get("Pause")) // zero if there is none
+	return relay.ResponseInfo{NotRun: header.Get("Not-Run") != "", Signed: header.Get("Seal") != "", Leaving: header.Get("Leaving") != "", Pause: pause}
 }
 
 func (dialect) CallerHeader(header http.Header) http.Header { return header.Clone() }
@@ -70,6 +71,8 @@
 	targets []roster.Target
 	next    int
 	results []string
+	// notice receives what targets say of themselves, unless it is nil.
+	notice func(relay.Notice)
 }
 
 func (p *placer) Place(ctx context.Context, request relay.PlacementRequest) (relay.Placement, *outcome.NotRun) {
@@ -84,7 +87,7 @@
 		if request.Avoid[t.ID] {
 			continue
 		}
-		return relay.Placement{Target: t, Done: func(r relay.Result) {
+		return relay.Placement{Target: t, Notice: p.notice, Done: func(r relay.Result) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.results = append(p.results, fmt.Sprintf("%T", r))
--- a/relay/request.go
+++ b/relay/request.go
@@ -91,6 +91,10 @@
 	Signed bool
 	// Load is nil if the target does not report its load.
 	Load *TargetLoad
+	// Leaving is set if the target says that it leaves.
+	Leaving bool
+	// Pause is how long the target wants no requests from this host, or zero.
+	Pause time.Duration
 }
 
 // TargetLoad is the number of requests at a target and its slots.
@@ -133,17 +137,34 @@
 	Due time.Time
 	// Deadline is the time when the caller stops waiting.
 	Deadline time.Time
-	Team     team.ID
-	ID       RequestID
+	// Repeatable is set if the caller may send the request again after any failure.
+	Repeatable bool
+	Team       team.ID
+	ID         RequestID
 }
 
 // Placement is a target chosen for one attempt.
 type Placement struct {
 	Target roster.Target
+	// Notice, unless it is nil, must be called with what the target says of itself, as
+	// soon as its response begins.
+	Notice func(Notice)
 	// Done must be called exactly once, with the result of the attempt.
 	Done func(Result)
 }
 
+// Notice is what a target says of itself beside a response: Leaving or Paused.
+type Notice interface{ notice() }
+
+// Leaving means that the target leaves and wants no further requests.
+type Leaving struct{}
+
+// Paused means that the target wants no requests from this host for some time.
+type Paused struct{ For time.Duration }
+
+func (Leaving) notice() {}
+func (Paused) notice()  {}
+
 // Result is the result of an attempt for the placer: Served, Refused, Failed or
 // Abandoned.
 type Result interface{ sealed() }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -128,6 +128,16 @@
 	// storeRegainedAt is when the last outage of the store ended, or zero.
 	storeRegainedAt boottime.Instant
 	storeLost       bool
+	// leaving holds when targets have said that they leave, and pausedUntil until when
+	// targets want no requests from this host.
+	leaving     map[startKey]boottime.Instant
+	pausedUntil map[startKey]boottime.Instant
+}
+
+// startKey identifies one start of a target.
+type startKey struct {
+	id    target.ID
+	start StartID
 }
 
 type entry struct {
@@ -140,7 +150,10 @@
 
 // New returns an empty Roster.
 func New(clock boottime.Clock) *Roster {
-	return &Roster{clock: clock, targets: map[target.ID]entry{}, addresses: map[string][]target.ID{}, changed: make(chan struct{})}
+	return &Roster{
+		clock: clock, targets: map[target.ID]entry{}, addresses: map[string][]target.ID{}, changed: make(chan struct{}),
+		leaving: map[startKey]boottime.Instant{}, pausedUntil: map[startKey]boottime.Instant{},
+	}
 }
 
 // Put adds or replaces a target. Older registrations at the same address belong to
@@ -148,6 +161,9 @@
 func (r *Roster) Put(t Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if _, leaves := r.leaving[startKey{t.ID, t.Start}]; leaves {
+		t.Draining = true // the registration lags behind
+	}
 	r.deleteEntry(t.ID)
 	for _, id := range slices.Clone(r.addresses[t.Address]) {
 		if r.targets[id].target.Revision < t.Revision {
@@ -312,7 +328,14 @@
 	}
 	slices.SortFunc(r.all, func(a, b Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, t := range r.all {
-		if !t.Draining {
+		until := r.pausedUntil[startKey{t.ID, t.Start}]
+		switch {
+		case t.Draining:
+		case now.Before(until):
+			if r.listsValidUntil == 0 || until.Before(r.listsValidUntil) {
+				r.listsValidUntil = until
+			}
+		default:
 			r.ready[t.Pool] = append(r.ready[t.Pool], t)
 		}
 	}
