A host that starts while the store is older waits for the newest configuration

What callers would see: after the store's return from an older copy, a host that started before the operator had written the newest configuration again took the older one for confirmed, and served a key that had been withdrawn (all machines, in touch or not).

Cause: what a host reads from the store was taken for the newest in any case.

Change: a host doesn't confirm a configuration that is older than one the coordinator has named. Where the store states an era, a host that has just started first hears from the coordinator, or waits for as long as it takes to replace one. Stores without eras never return, and a first start has nothing to wait for.

--- a/gateway/crash_part_test.go
+++ b/gateway/crash_part_test.go
@@ -21,6 +21,7 @@
 		// maxCrashes is five crashes, and three requests that were on their way.
 		maxCrashes = 8
 	)
+	t.Parallel()
 	f := newFleet(t, config(1), 3)
 	sound := func(i int) platformtest.Call {
 		return platformtest.Call{Key: "secret", Model: "m0", Prefix: fmt.Sprintf("aa:10,bb:20,s%d:5", i)}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,10 @@
 
 	roster        *roster.Roster
 	catalog       atomic.Pointer[catalog.Catalog]
+	// newestVersion is the newest version of the configuration that the coordinator has
+	// named, and startedAt when this process started.
+	newestVersion atomic.Int64
+	startedAt     boottime.Instant
 	catalogKnown  chan struct{}
 	closeKnown    sync.Once
 	targetsListed atomic.Bool
@@ -98,6 +102,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.startedAt = g.bootClock.Now()
 	g.metrics = metric.New()
 	g.roster = roster.New(g.bootClock)
 	g.freshness.clock = g.bootClock
@@ -423,7 +428,25 @@
 
 // Confirmed implements platform.Listener. All data received so far is current
 // as of the given instant.
-func (g *gateway) Confirmed(at boottime.Instant) { g.freshness.confirm(at) }
+func (g *gateway) Confirmed(at boottime.Instant) {
+	if g.storeIsNewest() {
+		g.freshness.confirm(at)
+	}
+}
+
+// storeIsNewest reports whether the configuration in the store may be taken for the
+// newest. A store that has returned from an older copy has an older one, perhaps with keys
+// that were withdrawn, until the operator writes the newest again. A host that has just
+// started learns of that from the coordinator, unless there is none.
+func (g *gateway) storeIsNewest() bool {
+	current, newest := g.catalog.Load(), catalog.Version(g.newestVersion.Load())
+	if current == nil || current.Version < newest {
+		return false
+	}
+	_, _, leads := g.election.Term()
+	neverReturned := platform.EraOf(g.follower.ReadRevision()) == 0
+	return newest > 0 || leads || neverReturned || g.settings.FirstStart || g.bootClock.Now().Sub(g.startedAt) >= election.TakeoverTime
+}
 
 // Unreachable implements platform.Listener. It is called when the store does
 // not respond.
@@ -486,6 +509,7 @@
 // configuration version and store revision that the coordinator knows.
 func (g *gateway) ConfirmCurrent(version catalog.Version, read keyvalue.Revision, at boottime.Instant) {
 	g.follower.SetRelayedRevision(read)
+	g.newestVersion.Store(max(g.newestVersion.Load(), int64(version))) // calls don't overlap
 	current := g.catalog.Load()
 	if current == nil || current.Version < version {
 		g.follower.FetchConfig(version)
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -13,6 +13,7 @@
 // An engine says in its answers that it leaves, and its registration never does. Hosts
 // that haven't asked it either must learn of it, and its model is served by another one.
 func TestEngineThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, config(1), 3)
 	e := f.engines[0]
 	e.Leave()
@@ -32,6 +33,7 @@
 // The only target of a pool turns a request away and asks for a pause. The request isn't
 // lost, and the target gets nothing more from that host until the pause has ended.
 func TestPausedTargetGetsNoRequests(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, config(1), 1)
 	f.plain.TurnAway("1.5")
 	time.AfterFunc(time.Second, func() { f.plain.TurnAway("") })
