Refuse requests with a quarantined part while they wait for a target

A request that waits for its model was refused only once a target was found for it, after loads for its sake. The placer now asks for a refusal whenever it looks for a target.

--- a/gateway/crash_part_test.go
+++ b/gateway/crash_part_test.go
@@ -40,6 +40,11 @@
 		time.Sleep(interval)
 	}
 	must.LessEq(t, maxCrashes, crashes())
+	// A model that nobody may load now: the refusal doesn't wait for it.
+	sent := time.Now()
+	waiting := f.send(f.hosts[1], platformtest.Call{Key: "secret", Model: "m11", Prefix: "aa:10," + crashPart + ":20,w:5"})
+	must.Eq(t, http.StatusServiceUnavailable, waiting.status)
+	must.Less(t, time.Second, time.Since(sent))
 	last := f.send(f.hosts[0], platformtest.Call{Key: "secret", Model: "m0", Prefix: "aa:10," + crashPart + ":20,q:5"})
 	must.Eq(t, http.StatusServiceUnavailable, last.status)
 	for i := range 6 {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -53,6 +53,9 @@
 	diskLoadTime := g.diskLoadTime(request)
 	for {
 		changed, rosterChanged := g.coordinatorClient.Changed(), g.roster.Changed()
+		if refusal := request.Refusal(); refusal != nil {
+			return relay.Placement{}, refusal
+		}
 		ready := g.roster.Ready(request.Pool)
 		if t, ok := p.choose(ready, request); ok {
 			if waited {
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -52,10 +52,6 @@
 		if refusal != nil {
 			return d.placementRefused(*refusal)
 		}
-		if refusal := r.quarantined(f); refusal != nil {
-			placement.Done(Abandoned{})
-			return d.placementRefused(*refusal)
-		}
 		f.targets = append(f.targets, placement.Target.ID)
 		if f.firstSent.IsZero() {
 			f.firstSent = r.clock.Now()
@@ -81,6 +77,7 @@
 		Due:          f.due(),
 		Deadline:     r.callerDeadline(f),
 		Repeatable:   f.route.Repeatable(),
+		Refusal:      func() *outcome.NotRun { return r.quarantined(f) },
 		Team:         f.team.ID,
 		ID:           f.req.ID,
 	}
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -81,6 +81,9 @@
 	if ctx.Err() != nil {
 		return relay.Placement{}, &outcome.NotRun{Reason: outcome.ReasonDeadline}
 	}
+	if refusal := request.Refusal(); refusal != nil {
+		return relay.Placement{}, refusal
+	}
 	for range p.targets {
 		t := p.targets[p.next%len(p.targets)]
 		p.next++
--- a/relay/request.go
+++ b/relay/request.go
@@ -6,6 +6,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/model"
+	"hawthornway/outcome"
 	"hawthornway/quarantine"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -139,6 +140,9 @@
 	Deadline time.Time
 	// Repeatable is set if the caller may send the request again after any failure.
 	Repeatable bool
+	// Refusal returns a refusal if it has become known that the request must not be sent.
+	// The placer asks it while the request waits.
+	Refusal func() *outcome.NotRun
 	Team       team.ID
 	ID         RequestID
 }
