coordinator: don't give up a slow call to the store through another host

What callers would see: a coordinator that the store refuses, or that is cut off from it, reads through three other hosts in turn, each with 0.4 s for the whole answer. While a large configuration is new and these hosts have slow links, every read fails, and hosts lose the state that it relays.

Change: after 0.4 s the next host is asked as well, and the first answer counts, within three seconds beyond a watch's wait. TestStoreProxyWaitsForSlowHosts fails on the code before.

--- a/coordinator/store_proxy.go
+++ b/coordinator/store_proxy.go
@@ -23,8 +23,10 @@
 	// peerSilenceMargin is how much longer than the interval of its reports a host may be
 	// silent until it counts as out of reach.
 	peerSilenceMargin = 300 * time.Millisecond
-	// proxyTimeout limits a call through one other host, beyond the wait of a watch.
+	// proxyTimeout is the time, beyond the wait of a watch, after which another host is
+	// tried as well, and maxProxyTime the longest time for all of them.
 	proxyTimeout = 400 * time.Millisecond
+	maxProxyTime = 3 * time.Second
 )
 
 // errFewHostsReached means that the coordinator has lost most hosts, which are better
@@ -55,8 +57,8 @@
 
 // KeepAlive renews a lease. It fails with platform.ErrLeaseEnded if the lease has ended.
 func (p *StoreProxy) KeepAlive(ctx context.Context, lease platform.Lease) error {
-	var result wireRenewed
-	if err := p.call(ctx, kindRenew, wireRenew{Lease: lease.Number, Era: lease.Era}, &result, 0); err != nil {
+	result, err := callThrough[wireRenewed](ctx, p, kindRenew, wireRenew{Lease: lease.Number, Era: lease.Era}, 0)
+	if err != nil {
 		return err
 	}
 	if result.Ended {
@@ -67,8 +69,8 @@
 
 // Range returns all entries under a prefix, as platform.Metadata does.
 func (p *StoreProxy) Range(ctx context.Context, prefix string) ([]keyvalue.Entry, keyvalue.Revision, error) {
-	var result wireStoreEvents
-	if err := p.call(ctx, kindStoreRead, wireStoreRead{Prefix: prefix}, &result, 0); err != nil {
+	result, err := callThrough[wireStoreEvents](ctx, p, kindStoreRead, wireStoreRead{Prefix: prefix}, 0)
+	if err != nil {
 		return nil, 0, err
 	}
 	entries := make([]keyvalue.Entry, 0, len(result.Events))
@@ -80,9 +82,9 @@
 
 // Watch waits for changes, as platform.Metadata does.
 func (p *StoreProxy) Watch(ctx context.Context, prefix string, after keyvalue.Revision, wait time.Duration) ([]keyvalue.Event, keyvalue.Revision, error) {
-	var result wireStoreEvents
 	request := wireStoreRead{Prefix: prefix, Watch: true, After: after, Wait: wait.Milliseconds()}
-	if err := p.call(ctx, kindStoreRead, request, &result, wait); err != nil {
+	result, err := callThrough[wireStoreEvents](ctx, p, kindStoreRead, request, wait)
+	if err != nil {
 		return nil, 0, err
 	}
 	if result.Restored {
@@ -98,28 +100,52 @@
 	return events, result.At, nil
 }
 
-// call asks other hosts, one after another, until one has called the store.
-func (p *StoreProxy) call(ctx context.Context, kind peer.Kind, request, response any, wait time.Duration) error {
+// callThrough asks other hosts, one after another, until one has called the store. A host
+// that hasn't answered in time may still do so while the next one is asked, since a large
+// answer takes long over a slow link.
+func callThrough[T any](ctx context.Context, p *StoreProxy, kind peer.Kind, request any, wait time.Duration) (T, error) {
+	type result struct {
+		answer T
+		err    error
+	}
+	var none T
 	peers, hosts := p.mesh.Peers(), p.hosts()
 	maxSilence := reportInterval(hosts) + peerSilenceMargin
 	peers = slices.DeleteFunc(peers, func(other peer.Peer) bool { return p.clock.Since(other.LastReceived) > maxSilence })
 	if len(peers) == 0 || 2*(len(peers)+1) <= hosts {
-		return errFewHostsReached
+		return none, errFewHostsReached
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+maxProxyTime)
+	defer cancel()
+	attempts := min(proxyAttempts, len(peers))
+	results := make(chan result, attempts)
+	started, pending := 0, 0
 	var err error
-	for range min(proxyAttempts, len(peers)) {
-		to := peers[int(p.next.Add(1))%len(peers)]
-		if err = p.callThrough(ctx, to.Host, kind, request, response, wait); err == nil || ctx.Err() != nil {
-			return err
+	for {
+		if started < attempts {
+			to := peers[int(p.next.Add(1))%len(peers)]
+			started, pending = started+1, pending+1
+			go func() {
+				var r result
+				r.err = p.mesh.Call(ctx, to.Host, kind, request, &r.answer)
+				results <- r
+			}()
+		}
+		var next <-chan time.Time
+		if started < attempts {
+			next = p.clock.After(wait + proxyTimeout)
+		}
+		select {
+		case r := <-results:
+			if r.err == nil || ctx.Err() != nil {
+				return r.answer, trace.Wrap(r.err)
+			}
+			if err, pending = r.err, pending-1; pending == 0 && started == attempts {
+				return none, trace.Wrap(err, "store through other hosts")
+			}
+		case <-next:
 		}
 	}
-	return trace.Wrap(err, "store through other hosts")
-}
-
-func (p *StoreProxy) callThrough(ctx context.Context, to fleet.HostID, kind peer.Kind, request, response any, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+proxyTimeout)
-	defer cancel()
-	return trace.Wrap(p.mesh.Call(ctx, to, kind, request, response))
 }
 
 func (p *StoreProxy) handleRenew(ctx context.Context, _ fleet.Member, body []byte) (any, error) {
--- a/coordinator/store_proxy_test.go
+++ b/coordinator/store_proxy_test.go
@@ -1,7 +1,10 @@
 package coordinator
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -74,3 +77,48 @@
 	_, _, err = proxy.Range(t.Context(), "")
 	must.ErrorIs(t, err, errFewHostsReached)
 }
+
+// slowStore is a store that takes some time to answer reads, as over a slow link.
+type slowStore struct {
+	platform.Metadata
+	delay time.Duration
+	reads atomic.Int32
+}
+
+func (s *slowStore) Range(ctx context.Context, _ string) ([]keyvalue.Entry, keyvalue.Revision, error) {
+	s.reads.Add(1)
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(s.delay):
+		return []keyvalue.Entry{{Key: "k", Revision: 3}}, 3, nil
+	}
+}
+
+// The store refuses the coordinator while the configuration is large, and all hosts that
+// it asks have slow links. It must get the answer of the first one, and ask no more than
+// a few.
+func TestStoreProxyWaitsForSlowHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.NewNetwork(1)
+		hosts := func() int { return 6 }
+		proxy := NewStoreProxy(network.Join(fleet.Member{Host: "coordinator", Incarnation: 1}), nil, clockwork.NewRealClock(), hosts)
+		stores := make([]*slowStore, 5)
+		for i := range stores {
+			stores[i] = &slowStore{delay: 1500 * time.Millisecond}
+			NewStoreProxy(network.Join(fleet.Member{Host: fleet.HostID(rune('a' + i)), Incarnation: 1}), stores[i], clockwork.NewRealClock(), hosts)
+		}
+		start := time.Now()
+		entries, at, err := proxy.Range(t.Context(), "k")
+		must.NoError(t, err)
+		must.SliceLen(t, 1, entries)
+		must.Eq(t, 3, at)
+		must.LessEq(t, 1600*time.Millisecond, time.Since(start))
+		reads := int32(0)
+		for _, s := range stores {
+			reads += s.reads.Load()
+		}
+		must.LessEq(t, proxyAttempts, reads)
+		time.Sleep(maxProxyTime) // ends the other calls
+	})
+}
