--- a/quarantine/screen.go
+++ b/quarantine/screen.go
@@ -116,7 +116,7 @@
 	now := s.clock.Now()
 	for _, part := range parts {
 		s.own.RecordSound(now, part)
-		if now.Sub(s.reportedAt[part]) >= soundReportInterval {
+		if now.Sub(s.reportedAt[part]) >= soundReportInterval && len(s.unreported) < maxSound {
 			s.unreported[part] = true
 		}
 	}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -109,6 +109,16 @@
 		s.store.Compact()
 		return nil
 	}, 0},
+	{"store returns older", func(s *soak) func() {
+		older := s.store.Copy()
+		s.recordFault("copy of the store")
+		return func() {
+			s.recordFault("store returns from the copy")
+			present := s.store.Copy()
+			s.store.Restore(older)
+			s.store.Rewrite(present)
+		}
+	}, 0},
 	{"path to the store", func(s *soak) func() {
 		h := s.randomHost()
 		m := s.randomMode()
@@ -141,6 +151,23 @@
 		s.replaceEngine()
 		return e.Unregister
 	}, 0},
+	{"engine says that it leaves", func(s *soak) func() {
+		if len(s.engines) < engineCount {
+			return nil
+		}
+		e := s.engines[0]
+		s.engines, s.removedEngines = s.engines[1:], append(s.removedEngines, e)
+		s.replaceEngine()
+		s.recordFault("engine %s says that it leaves", e.ID)
+		e.Leave()
+		return e.Unregister
+	}, 0},
+	{"engine asks for a pause", func(s *soak) func() {
+		e := s.engines[s.random.IntN(len(s.engines))]
+		s.recordFault("engine %s asks for a pause", e.ID)
+		e.TurnAway("0.8")
+		return func() { e.TurnAway("") }
+	}, 0},
 	{"coordinator loses the store", func(s *soak) func() {
 		h := s.coordinator()
 		s.recordFault("path of the coordinator, %s, to the store: %v", h, modeSilent)
