Only a complete success shows that a part is sound; bound a read of the configuration

And a host that reads the configuration from a slow coordinator stayed with it for as long as parts came; it tries the store again after two seconds, and keeps the parts.

--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -24,8 +24,10 @@
 	// configPartBytes is the size of a part. Every host of a fleet may wait for one at
 	// the same time.
 	configPartBytes = 16 << 10
-	// configPartTimeout limits the call for one part.
+	// configPartTimeout limits the call for one part, and configReadTime a call of
+	// Configuration, after which the store may be tried again.
 	configPartTimeout = time.Second
+	configReadTime    = 2 * time.Second
 )
 
 // wireConfigPartRequest asks for the part of a compressed configuration that begins at an
@@ -152,6 +154,8 @@
 // Configuration fetches the operators' configuration entry that the coordinator read from
 // the store. After an error, the next call continues with the part that is missing.
 func (c *Client) Configuration(ctx context.Context) (keyvalue.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, configReadTime)
+	defer cancel()
 	d := &c.download
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,8 +68,8 @@
 	bootClock     boottime.Clock
 	log           *slog.Logger
 
-	roster        *roster.Roster
-	catalog       atomic.Pointer[catalog.Catalog]
+	roster  *roster.Roster
+	catalog atomic.Pointer[catalog.Catalog]
 	// newestVersion is the newest version of the configuration that the coordinator has
 	// named, and startedAt when this process started.
 	newestVersion atomic.Int64
--- a/keyvalue/option.go
+++ b/keyvalue/option.go
@@ -14,7 +14,8 @@
 // Option configures a client.
 type Option func(*client)
 
-// WithTimeout sets the timeout of calls. Watches add it to their wait. A write
+// WithTimeout sets the timeout of calls until their answer begins, and between its parts.
+// Watches add it to their wait. A write
 // that times out fails with ErrUnknown.
 func WithTimeout(timeout time.Duration) Option {
 	return func(c *client) { c.timeout = timeout }
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -163,7 +163,7 @@
 	d.attempts++
 	switch res := result.(type) {
 	case completed:
-		if res.delimited {
+		if res.answered {
 			r.quarantine.RecordSound(f.req.PromptParts)
 		}
 		return outcome.Served{}
@@ -249,9 +249,15 @@
 // completed means that the response was passed on to the caller in full.
 type completed struct {
 	load *TargetLoad
-	// delimited is set if a length or chunks have marked the end of the response. The
-	// end of the connection may also be that of the target.
-	delimited bool
+	// answered is set if the target has certainly lived through its answer to the request:
+	// the answer is a success whose end is marked by a length or by chunks. The end of a
+	// connection may also be that of the target.
+	answered bool
+}
+
+// completedBy returns the result of a response that was passed on in full.
+func completedBy(resp *exchange.Response, info ResponseInfo) completed {
+	return completed{load: info.Load, answered: resp.Status < http.StatusMultipleChoices && resp.Delimited()}
 }
 
 // refused means that the target did not run the request.
@@ -426,7 +432,7 @@
 		return d.relayLong(ctx, resp, response, info, w)
 	}
 	r.writeBuffered(f, response)
-	return completed{load: info.Load, delimited: resp.Delimited()}
+	return completedBy(resp, info)
 }
 
 // relayLong passes on a response of which the start has been read. No other target can
@@ -448,7 +454,7 @@
 		switch err {
 		case nil:
 		case io.EOF:
-			return completed{load: info.Load, delimited: resp.Delimited()}
+			return completedBy(resp, info)
 		default:
 			return interrupted{err: err, abandoned: w.abandoned(ctx), silent: w.silent(ctx), partial: true}
 		}
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -50,6 +50,7 @@
 		{"refused", stream, refuse, false, false},
 		{"complete stream", stream, events(3, nil), false, true},
 		{"complete body", catalog.AtMostOnce{}, signed(200, "body"), false, true},
+		{"failure of the request", catalog.AtMostOnce{}, signed(400, "body"), false, false},
 		{"stream that ends with its connection", stream, untilClosed("id: 1\ndata: a\n\n"), false, false},
 		{"stream that ends with its connection within an event", stream, untilClosed("id: 1\ndata: a\n\nid: 2\nda"), true, false},
 		{"body that ends with its connection", catalog.AtMostOnce{}, untilClosed("body"), false, false},
--- a/relay/request.go
+++ b/relay/request.go
@@ -143,8 +143,8 @@
 	// Refusal returns a refusal if it has become known that the request must not be sent.
 	// The placer asks it while the request waits.
 	Refusal func() *outcome.NotRun
-	Team       team.ID
-	ID         RequestID
+	Team    team.ID
+	ID      RequestID
 }
 
 // Placement is a target chosen for one attempt.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -75,7 +75,7 @@
 	for events := 0; ; events++ {
 		e, err := readEvent(reader)
 		if err == io.EOF {
-			return completed{load: info.Load, delimited: resp.Delimited()}
+			return completedBy(resp, info)
 		}
 		if err != nil {
 			// Delivers the complete events that were written so far.
