quarantine: hosts don't report crashes under parts that they know to be sound

After a crash of many engines it would have refused requests with sound parts for a second or two. TestNextCoordinatorDoesNotSuspectSoundParts fails on the commit before.

--- a/quarantine/screen.go
+++ b/quarantine/screen.go
@@ -139,7 +139,13 @@
 		expired++
 	}
 	s.crashes, s.sent = slices.Delete(s.crashes, 0, expired), max(0, s.sent-expired)
-	e.Crashes = slices.Clone(s.crashes[s.sent:])
+	for _, crash := range s.crashes[s.sent:] {
+		// The coordinator may not have been told yet that a part is sound.
+		crash.Parts = slices.DeleteFunc(slices.Clone(crash.Parts), func(part Part) bool { return s.own.Sound(now, part) })
+		if len(crash.Parts) > 0 {
+			e.Crashes = append(e.Crashes, crash)
+		}
+	}
 	s.sent = len(s.crashes)
 	for part := range s.unreported {
 		if len(e.Sound) == maxSoundPerReport {
--- a/quarantine/screen_test.go
+++ b/quarantine/screen_test.go
@@ -150,3 +150,20 @@
 	must.False(t, c.detector.Quarantined(clock.Now(), "y"))
 	must.False(t, quarantined(s, "y"))
 }
+
+// Engines crashed for other reasons while many requests began. A new coordinator hears of
+// the crashes before it hears that the parts are sound, and must not quarantine them.
+func TestNextCoordinatorDoesNotSuspectSoundParts(t *testing.T) {
+	clock, screens := newScreens(4)
+	for i, s := range screens {
+		s.RecordCrash(crash(string(rune('a'+i)), string(rune('1'+i)), "y"))
+		s.RecordSound([]Part{"y"})
+	}
+	c := coordinator{1, NewDetector()}
+	for _, s := range screens {
+		e := s.Take(c.fence)
+		for _, reported := range e.Crashes {
+			must.SliceEmpty(t, c.detector.RecordCrash(clock.Now(), reported))
+		}
+	}
+}
