--- a/soak/mutation_test.go
+++ b/soak/mutation_test.go
@@ -29,7 +29,7 @@
 	},
 	{
 		name: "leaving engines get requests", file: "roster/roster.go",
-		before: "if !t.Draining {\n\t\t\tr.ready", after: "if true {\n\t\t\tr.ready",
+		before: "case t.Draining:", after: "case false:",
 		planned: true, broken: "after it said that it leaves",
 	},
 }
