--- /dev/null
+++ b/quarantine/example_test.go
@@ -0,0 +1,28 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	"hawthornway/quarantine"
+	"hawthornway/target"
+)
+
+// Three engines end as they begin to respond to prompts with the same document, under a
+// system prompt that other requests share.
+func ExampleDetector() {
+	d, now := quarantine.NewDetector(), time.Now()
+	d.RecordSound(now, "system")
+	for i, engine := range []target.ID{"e1", "e2", "e3"} {
+		quarantined := d.RecordCrash(now, quarantine.Crash{
+			Target: engine, Start: 1, Request: fmt.Sprint(i), Parts: []quarantine.Part{"system", "document"}, At: now,
+		})
+		fmt.Println(engine, quarantined)
+	}
+	fmt.Println(d.Quarantined(now, "system"), d.Quarantined(now, "document"))
+	// Output:
+	// e1 []
+	// e2 []
+	// e3 [document]
+	// false true
+}
