coordinator: lend nothing under a limit that isn't known

Callers of a limited team could have been served beyond the team's rate: a coordinator that had yet to read the configuration, or that had an older one without the team, granted every borrow in full and kept no account of it.

Cause: Coordinator.limit reported 'no limit' both for a team without one and for a team that it doesn't know.

Change: without a configuration, a borrow fails as it does without a coordinator, so the host spends its reserve; tokens of an unknown team have to be waited for. A team that is known to have no limit is served as before.

Found by reading, while tracing a withdrawn key that comes back at a starting coordinator.

TestBorrow's team is now listed in its configuration, as every team that a host asks for is.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -51,6 +51,9 @@
 	// maxHostReportAge is the age from which a host's report of its running requests
 	// is ignored.
 	maxHostReportAge = 2 * time.Second
+	// unknownTeamDelay is the wait for tokens of a team that the coordinator doesn't know,
+	// since the asking host has a newer configuration, or an older one.
+	unknownTeamDelay = 100 * time.Millisecond
 	// forecastTolerance is the change of a forecast from which hosts are told.
 	forecastTolerance = 500 * time.Millisecond
 	// weightStoreLoadSlack is the number of loads allowed in addition to the rate limit. The
@@ -266,7 +269,10 @@
 	}
 }
 
-var errNotLeading = trace.NotFound("this host is not the coordinator")
+var (
+	errNotLeading = trace.NotFound("this host is not the coordinator")
+	errNoConfig   = trace.NotFound("the coordinator has yet to read the configuration")
+)
 
 func (c *Coordinator) handleBorrow(_ context.Context, from fleet.Member, body []byte) (any, error) {
 	var request wireBorrow
@@ -284,6 +290,13 @@
 	if _, _, leads := c.terms.Term(); !leads || ledger == nil {
 		return wireGrant{}, errNotLeading
 	}
+	current := c.catalogs()
+	if current == nil {
+		return wireGrant{}, errNoConfig
+	}
+	if _, ok := current.Team(request.Team); !ok {
+		return wireGrant{Wait: unknownTeamDelay.Milliseconds()}, nil
+	}
 	grant := ledger.Borrow(host, request.Team, quota.BorrowRequest{
 		Need: request.Need, MaxWait: time.Duration(request.MaxWait) * time.Millisecond, Queued: request.Queued,
 		Extra: request.Extra, ReserveSpent: request.ReserveSpent, Returned: request.Returned,
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -254,7 +254,7 @@
 	for _, name := range slices.Concat(modelsOnDisk, inStore) {
 		models[name] = catalog.Model{Name: name, Size: size, AdapterSize: 1e8, StoreLoadTime: storeLoadTime, DiskLoadTime: diskLoadTime, MemoryLoadTime: memoryLoadTime}
 	}
-	c := catalog.New(catalog.Content{Version: 1, Pools: []catalog.Pool{{Name: "p", Engines: &catalog.Engines{
+	c := catalog.New(catalog.Content{Version: 1, Teams: []catalog.Team{{ID: "team"}}, Pools: []catalog.Pool{{Name: "p", Engines: &catalog.Engines{
 		Slots: 16, Memory: 3*size + 1e9, HostMemory: 2 * size, AdapterSlots: 8, LoadsPerSecond: 4, Models: models,
 	}}}})
 	for id, names := range loaded {
