Learn the newest configuration from all hosts after a store's return

Cause: the host took whatever the store had for the newest because it led. There was no coordinator to tell it, and the other hosts, which knew better, had no way to.

Change: hosts name the version that they have confirmed in their reports. A coordinator that started since the return, or whose keys were too old to tell, confirms the store's configuration only two report intervals into its term, reads a newer one from the host that named it, and neither plans nor lends by one that it hasn't confirmed. Other hosts that started wait until it names its version, or until they have found no coordinator for the time of a takeover. Whether the store has returned is judged by the era of the last confirmation, so fleets whose store has returned at some time lose nothing later.

A host that reaches the store and no other host still has to take the store's word.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -317,6 +317,9 @@
 	for _, r := range usage.Running {
 		report.Running = append(report.Running, wireRunning(r))
 	}
+	if current := c.local.catalogs(); current != nil {
+		report.Config = current.Version
+	}
 	c.addEvidence(&report)
 	for _, t := range c.leaving() {
 		report.Leaving = append(report.Leaving, wireLeaving{Target: t.ID, Start: t.Start})
--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -11,13 +11,15 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
+	"hawthornway/catalog"
 	"hawthornway/fleet"
 	"hawthornway/jsonhttp"
 	"hawthornway/keyvalue"
 	"hawthornway/peer"
 )
 
-// Hosts that the store refuses read the configuration from the coordinator. It is sent
+// Hosts that the store refuses read the configuration from the coordinator, and a
+// coordinator whose store has an older one from another host. It is sent
 // in parts, compressed, so that views aren't delayed behind it on the coordinator's link,
 // and a host whose call timed out continues where it was.
 const (
@@ -103,6 +105,32 @@
 	}, nil
 }
 
+// recordConfig records the version of a host's configuration. A process that has just
+// started may be the coordinator, and the store may have returned from an older copy, so
+// that only other hosts have the newest configuration.
+func (c *Coordinator) recordConfig(host fleet.HostID, version catalog.Version) {
+	known := catalog.Version(0)
+	if current := c.catalogs(); current != nil {
+		known = current.Version
+	}
+	if version <= known || version < c.newestConfig {
+		return
+	}
+	if version > c.newestConfig {
+		c.log.Info("coordinator: a host has a newer configuration", "host", host, "version", version, "known", known)
+	}
+	c.newestConfig, c.newestHost = version, host
+	c.newerConfig(version)
+}
+
+// configHost returns the host that has the newest configuration as far as this
+// coordinator knows, or no host.
+func (c *Coordinator) configHost() fleet.HostID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newestHost
+}
+
 // configDownload holds the parts of a configuration that have been received.
 type configDownload struct {
 	mu       sync.Mutex
@@ -151,18 +179,25 @@
 	return keyvalue.Entry{Key: d.key, Revision: d.revision, Value: value}, nil
 }
 
-// Configuration fetches the operators' configuration entry that the coordinator read from
-// the store. After an error, the next call continues with the part that is missing.
+// Configuration fetches the operators' configuration entry from the coordinator or, if this
+// host is the coordinator, from the host that reported the newest version. After an error, the next call continues with the part that is missing.
 func (c *Client) Configuration(ctx context.Context) (keyvalue.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, configReadTime)
 	defer cancel()
 	d := &c.download
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	host := c.knownLeader().Host
+	if c.isLeader() {
+		host = c.local.configHost()
+	}
+	if host == "" || host == c.mesh.Self().Host {
+		return keyvalue.Entry{}, trace.NotFound("no other host is known to have a configuration")
+	}
 	for {
-		part, err := c.configPart(ctx, d.next())
+		part, err := c.configPart(ctx, host, d.next())
 		if err != nil {
-			return keyvalue.Entry{}, trace.Wrap(err, "coordinator, after %d of %d bytes", len(d.data), d.size)
+			return keyvalue.Entry{}, trace.Wrap(err, "host %s, after %d of %d bytes", host, len(d.data), d.size)
 		}
 		complete, err := d.add(part)
 		if err != nil {
@@ -176,9 +211,9 @@
 	}
 }
 
-func (c *Client) configPart(ctx context.Context, request wireConfigPartRequest) (wireConfigPart, error) {
+func (c *Client) configPart(ctx context.Context, host fleet.HostID, request wireConfigPartRequest) (wireConfigPart, error) {
 	ctx, cancel := context.WithTimeout(ctx, configPartTimeout)
 	defer cancel()
 	var part wireConfigPart
-	return part, trace.Wrap(c.mesh.Call(ctx, c.knownLeader().Host, kindConfigPart, request, &part))
+	return part, trace.Wrap(c.mesh.Call(ctx, host, kindConfigPart, request, &part))
 }
--- a/coordinator/configuration_test.go
+++ b/coordinator/configuration_test.go
@@ -17,6 +17,7 @@
 	"github.com/shoenig/test/must"
 
 	"hawthornway/boottime"
+	"hawthornway/catalog"
 	"hawthornway/election"
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
@@ -121,6 +122,54 @@
 	})
 }
 
+// The store has returned from an older copy, and the host that just started leads. It must
+// read the newest configuration from a host that reports it, and name its own version to
+// hosts only once it is known to be the newest.
+func TestCoordinatorReadsNewerConfigurationFromHost(t *testing.T) {
+	entry := keyvalue.Entry{Key: "op/config", Revision: 9, Value: routes(2000)}
+	newest := New(WithMesh(&partialMesh{}), WithConfigEntry(func() (keyvalue.Entry, bool) { return entry, true }))
+	var asked []fleet.HostID
+	mesh := &partialMesh{answers: map[fleet.HostID]func(peer.Kind, any) error{}}
+	offset := 0
+	for _, host := range []fleet.HostID{"older", "newer"} {
+		mesh.answers[host] = func(_ peer.Kind, response any) error {
+			asked = append(asked, host)
+			part := response.(*wireConfigPart)
+			data, content, err := newest.compressed.of(entry.Value)
+			if err != nil {
+				return err
+			}
+			*part = wireConfigPart{Key: entry.Key, Revision: entry.Revision, Content: content, Size: len(data), Offset: offset, Data: data[offset:min(len(data), offset+configPartBytes)]}
+			offset += len(part.Data)
+			return nil
+		}
+	}
+	var announced []catalog.Version
+	c := New(WithMesh(mesh), WithTerms(&changingTerms{fence: 1, leads: true}), WithLogger(slog.New(slog.DiscardHandler)),
+		WithNewerConfig(func(v catalog.Version) { announced = append(announced, v) }))
+	client := NewClient(mesh, mesh, c, mesh, func() Usage { return Usage{} }, func(target.ID, int) {},
+		clockwork.NewRealClock(), boottime.SystemClock{}, slog.New(slog.DiscardHandler))
+	client.leader = election.Leader{Host: "h"}
+	c.beginTerm(1)
+	_, err := client.Configuration(t.Context())
+	must.ErrorContains(t, err, "no other host")
+	for _, report := range []struct {
+		host    fleet.HostID
+		version catalog.Version
+	}{{"starting", 0}, {"older", 3}, {"newer", 5}, {"older", 3}} {
+		view, err := c.report(report.host, wireReport{Config: report.version})
+		must.NoError(t, err)
+		must.Eq(t, 0, view.Config)
+	}
+	must.Eq(t, []catalog.Version{3, 5}, announced)
+	got, err := client.Configuration(t.Context())
+	must.NoError(t, err)
+	must.True(t, bytes.Equal(entry.Value, got.Value))
+	must.SliceNotContains(t, asked, "older")
+	_, leads := c.TermAge()
+	must.True(t, leads)
+}
+
 // Parts of different configurations, repeated and damaged parts arrive in any order. A
 // complete download must be one of the configurations, and must come to an end once the
 // parts are sound.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -39,6 +39,9 @@
 	// maxPlanGap limits the pause after a plan that took long because the process was
 	// suspended.
 	maxPlanGap = time.Second
+	// ReportTime is the time from the beginning of a term within which all hosts that
+	// reach the coordinator have reported to it.
+	ReportTime = 2 * reportIntervalLargeFleet
 	// loadRequestTTL is the time after which a load request expires unless the host
 	// repeats it, which hosts do about three times a second.
 	loadRequestTTL = 900 * time.Millisecond
@@ -82,7 +85,13 @@
 	mu      sync.Mutex
 	fence   target.Fence
 	leading bool
-	ledger  *quota.Ledger
+	// termBegan is when the current term began.
+	termBegan time.Time
+	ledger    *quota.Ledger
+	// newestConfig is the newest version of the configuration that a host reported in
+	// this term, and newestHost that host.
+	newestConfig catalog.Version
+	newestHost   fleet.HostID
 	// version is the version of the last broadcast view.
 	version      uint64
 	engines      map[target.ID]*engine
@@ -111,8 +120,8 @@
 // New returns a new Coordinator and registers its message handlers with the mesh.
 func New(opts ...Option) *Coordinator {
 	o := options{
-		clock: clockwork.NewRealClock(), log: slog.Default(), deliverLocal: func(wireView) {}, configEntry: noConfigEntry,
-		confirmedAge: func() time.Duration { return 0 }, readRevision: func() keyvalue.Revision { return 0 },
+		clock: clockwork.NewRealClock(), log: slog.Default(), deliverLocal: func(wireView) {}, configEntry: noConfigEntry, catalogs: func() *catalog.Catalog { return nil },
+		newerConfig: func(catalog.Version) {}, confirmedAge: func() time.Duration { return 0 }, readRevision: func() keyvalue.Revision { return 0 },
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -140,6 +149,7 @@
 	c.forecasts = map[model.Name]time.Time{}
 	c.changedForecasts = map[model.Name]bool{}
 	c.version = 0
+	c.newestConfig, c.newestHost = 0, ""
 	c.detector, c.quarantineChanged = quarantine.NewDetector(), false
 }
 
@@ -202,7 +212,7 @@
 		opts = append(opts, quota.WithFullBuckets())
 		c.firstStart = false
 	}
-	c.fence, c.leading = fence, true
+	c.fence, c.leading, c.termBegan = fence, true, c.clock.Now()
 	c.ledger = quota.NewLedger(c.clock, c.limit, opts...)
 	c.log.Info("coordinator: term begins", "fence", fence)
 }
@@ -215,6 +225,13 @@
 	c.log.Info("coordinator: term ends", "fence", c.fence)
 }
 
+// TermAge returns the time since this host's term began, and false if it has none.
+func (c *Coordinator) TermAge() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Since(c.termBegan), c.leading
+}
+
 // limit returns the configured limit of a team.
 func (c *Coordinator) limit(id team.ID) (catalog.Limit, bool) {
 	current := c.catalogs()
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -88,6 +88,7 @@
 		return wireView{}, errNotLeading
 	}
 	c.ledger.RecordReport(host, report.Hosts)
+	c.recordConfig(host, report.Config)
 	now := c.clock.Now()
 	c.hosts[host] = hostReport{receivedAt: now, running: report.Running, weak: report.Weak}
 	for _, demand := range report.Demand {
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -110,6 +110,9 @@
 	// Weak is set by a host with too little processor time to be preferred as the
 	// coordinator.
 	Weak bool `cbor:"weak"`
+	// Config is the version of the host's configuration, or zero if the host doesn't know
+	// whether that is the newest.
+	Config catalog.Version `cbor:"config,omitempty"`
 	// Crashes and Sound are evidence of which parts of prompts crash engines, and
 	// Quarantined lists the parts that this host knows of.
 	Crashes     []wireCrash       `cbor:"crashes,omitempty"`
@@ -170,7 +173,8 @@
 	Answer  bool         `cbor:"answer"`
 	Hosts   int          `cbor:"hosts"`
 	Engines []wireEngine `cbor:"engines"`
-	// Config is the coordinator's version of the configuration. ConfirmedAgo is the
+	// Config is the coordinator's version of the configuration, or zero while it doesn't
+	// know whether that is the newest. ConfirmedAgo is the
 	// time in milliseconds since the store confirmed it and the targets.
 	Config       catalog.Version `cbor:"config"`
 	ConfirmedAgo int64           `cbor:"confirmed-ago-ms"`
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -30,6 +30,9 @@
 	confirmedAge func() time.Duration
 	// configEntry returns the configuration in force as a store entry.
 	configEntry func() (keyvalue.Entry, bool)
+	// newerConfig is called with the version of a host's configuration that is newer than
+	// this host's.
+	newerConfig func(catalog.Version)
 	// readRevision returns the store revision up to which this host has read.
 	readRevision func() keyvalue.Revision
 	clock        clockwork.Clock
@@ -51,7 +54,8 @@
 // WithRoster sets the registered targets.
 func WithRoster(r *roster.Roster) Option { return func(o *options) { o.roster = r } }
 
-// WithCatalogs sets the function that returns the configuration in force.
+// WithCatalogs sets the function that returns the configuration in force, or nil while it
+// isn't known whether that is the newest.
 func WithCatalogs(current func() *catalog.Catalog) Option {
 	return func(o *options) { o.catalogs = current }
 }
@@ -78,6 +82,12 @@
 	return func(o *options) { o.configEntry = entry }
 }
 
+// WithNewerConfig sets the function that is called when a host reports a newer
+// configuration than that in force here. It must not block.
+func WithNewerConfig(newer func(catalog.Version)) Option {
+	return func(o *options) { o.newerConfig = newer }
+}
+
 // WithReadRevision sets the function that returns the store revision up to which this
 // host has read.
 func WithReadRevision(revision func() keyvalue.Revision) Option {
--- /dev/null
+++ b/gateway/freshness.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"hawthornway/boottime"
+)
+
+// freshness tracks whether the configuration was confirmed recently enough.
+type freshness struct {
+	clock       boottime.Clock
+	maxAgeNanos atomic.Int64
+	confirmedAt atomic.Int64
+}
+
+func (f *freshness) setMaxAge(maxAge time.Duration) { f.maxAgeNanos.Store(int64(maxAge)) }
+
+// maxAge returns the age from which the configuration is no longer trusted.
+func (f *freshness) maxAge() time.Duration { return time.Duration(f.maxAgeNanos.Load()) }
+
+// confirm records that the configuration was current at an instant.
+func (f *freshness) confirm(at boottime.Instant) {
+	for {
+		previous := f.confirmedAt.Load()
+		if int64(at) <= previous || f.confirmedAt.CompareAndSwap(previous, int64(at)) {
+			return
+		}
+	}
+}
+
+// age returns the time since the last confirmation.
+func (f *freshness) age() time.Duration {
+	return f.clock.Now().Sub(boottime.Instant(f.confirmedAt.Load()))
+}
+
+// confirmed reports whether there was a confirmation.
+func (f *freshness) confirmed() bool { return f.confirmedAt.Load() != 0 }
+
+// current reports whether the last confirmation is recent enough.
+func (f *freshness) current() bool {
+	at := f.confirmedAt.Load()
+	return at != 0 && f.clock.Now().Sub(boottime.Instant(at)) < f.maxAge()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,12 +68,9 @@
 	bootClock     boottime.Clock
 	log           *slog.Logger
 
-	roster  *roster.Roster
-	catalog atomic.Pointer[catalog.Catalog]
-	// newestVersion is the newest version of the configuration that the coordinator has
-	// named, and startedAt when this process started.
-	newestVersion atomic.Int64
-	startedAt     boottime.Instant
+	roster        *roster.Roster
+	catalog       atomic.Pointer[catalog.Catalog]
+	newest        newestConfig
 	catalogKnown  chan struct{}
 	closeKnown    sync.Once
 	targetsListed atomic.Bool
@@ -102,7 +99,6 @@
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.startedAt = g.bootClock.Now()
 	g.metrics = metric.New()
 	g.roster = roster.New(g.bootClock)
 	g.freshness.clock = g.bootClock
@@ -157,7 +153,8 @@
 		coordinator.WithTerms(g.election),
 		coordinator.WithMesh(g.links),
 		coordinator.WithRoster(g.roster),
-		coordinator.WithCatalogs(g.catalog.Load),
+		coordinator.WithCatalogs(g.confirmedCatalog),
+		coordinator.WithNewerConfig(g.newerConfig),
 		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves))),
 		coordinator.WithBounds(s.Bounds),
 		coordinator.WithFirstStart(s.FirstStart),
@@ -430,22 +427,45 @@
 // as of the given instant.
 func (g *gateway) Confirmed(at boottime.Instant) {
 	if g.storeIsNewest() {
+		g.newest.trustEra(platform.EraOf(g.follower.ReadRevision()))
 		g.freshness.confirm(at)
 	}
 }
 
-// storeIsNewest reports whether the configuration in the store may be taken for the
-// newest. A store that has returned from an older copy has an older one, perhaps with keys
-// that were withdrawn, until the operator writes the newest again. A host that has just
-// started learns of that from the coordinator, unless there is none.
+// storeIsNewest reports whether the configuration that was read from the store may be
+// taken for the newest.
 func (g *gateway) storeIsNewest() bool {
-	current, newest := g.catalog.Load(), catalog.Version(g.newestVersion.Load())
-	if current == nil || current.Version < newest {
+	current := g.catalog.Load()
+	if current == nil {
 		return false
 	}
-	_, _, leads := g.election.Term()
-	neverReturned := platform.EraOf(g.follower.ReadRevision()) == 0
-	return newest > 0 || leads || neverReturned || g.settings.FirstStart || g.bootClock.Now().Sub(g.startedAt) >= election.TakeoverTime
+	termAge, leads := g.coordinator.TermAge()
+	return storeReading{
+		version:    current.Version,
+		newest:     g.newest.get(),
+		returned:   g.newest.returnedSince(platform.EraOf(g.follower.ReadRevision())),
+		fresh:      g.freshness.current(),
+		firstStart: g.settings.FirstStart,
+		leads:      leads,
+		termAge:    termAge,
+		named:      g.newest.namedWithin(g.bootClock.Now(), g.freshness.maxAge()),
+		isolated:   g.coordinatorClient.Isolated(),
+	}.isNewest()
+}
+
+// confirmedCatalog returns the configuration in force, or nil if it was never confirmed.
+func (g *gateway) confirmedCatalog() *catalog.Catalog {
+	if !g.freshness.confirmed() {
+		return nil
+	}
+	return g.catalog.Load()
+}
+
+// newerConfig is called when another host has a newer configuration than this host, which
+// is the coordinator.
+func (g *gateway) newerConfig(version catalog.Version) {
+	g.newest.learn(version)
+	g.follower.FetchConfig(version)
 }
 
 // Unreachable implements platform.Listener. It is called when the store does
@@ -509,7 +529,10 @@
 // configuration version and store revision that the coordinator knows.
 func (g *gateway) ConfirmCurrent(version catalog.Version, read keyvalue.Revision, at boottime.Instant) {
 	g.follower.SetRelayedRevision(read)
-	g.newestVersion.Store(max(g.newestVersion.Load(), int64(version))) // calls don't overlap
+	g.newest.learn(version)
+	if version > 0 {
+		g.newest.named(g.bootClock.Now())
+	}
 	current := g.catalog.Load()
 	if current == nil || current.Version < version {
 		g.follower.FetchConfig(version)
@@ -519,36 +542,3 @@
 		g.freshness.confirm(at)
 	}
 }
-
-// freshness tracks whether the configuration was confirmed recently enough.
-type freshness struct {
-	clock       boottime.Clock
-	maxAgeNanos atomic.Int64
-	confirmedAt atomic.Int64
-}
-
-func (f *freshness) setMaxAge(maxAge time.Duration) { f.maxAgeNanos.Store(int64(maxAge)) }
-
-// maxAge returns the age from which the configuration is no longer trusted.
-func (f *freshness) maxAge() time.Duration { return time.Duration(f.maxAgeNanos.Load()) }
-
-// confirm records that the configuration was current at an instant.
-func (f *freshness) confirm(at boottime.Instant) {
-	for {
-		previous := f.confirmedAt.Load()
-		if int64(at) <= previous || f.confirmedAt.CompareAndSwap(previous, int64(at)) {
-			return
-		}
-	}
-}
-
-// age returns the time since the last confirmation.
-func (f *freshness) age() time.Duration {
-	return f.clock.Now().Sub(boottime.Instant(f.confirmedAt.Load()))
-}
-
-// current reports whether the last confirmation is recent enough.
-func (f *freshness) current() bool {
-	at := f.confirmedAt.Load()
-	return at != 0 && f.clock.Now().Sub(boottime.Instant(at)) < f.maxAge()
-}
--- /dev/null
+++ b/gateway/newest.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"hawthornway/boottime"
+	"hawthornway/catalog"
+	"hawthornway/coordinator"
+	"hawthornway/platform"
+)
+
+// newestConfig is what other hosts have told of the newest configuration. The store may
+// have an older one after it has returned from an older copy of itself, perhaps with keys
+// that were withdrawn, until the operator writes the newest again.
+type newestConfig struct {
+	version atomic.Int64
+	// namedAt is when the coordinator last named its version.
+	namedAt atomic.Int64
+	// era is the store's era when its configuration was last confirmed.
+	era atomic.Uint64
+}
+
+// learn records that a version exists.
+func (n *newestConfig) learn(version catalog.Version) {
+	for {
+		known := n.version.Load()
+		if int64(version) <= known || n.version.CompareAndSwap(known, int64(version)) {
+			return
+		}
+	}
+}
+
+func (n *newestConfig) get() catalog.Version { return catalog.Version(n.version.Load()) }
+
+// named records that the coordinator has named its version.
+func (n *newestConfig) named(at boottime.Instant) { n.namedAt.Store(int64(at)) }
+
+// namedWithin reports whether the coordinator has named its version in the last time.
+func (n *newestConfig) namedWithin(now boottime.Instant, recent time.Duration) bool {
+	at := n.namedAt.Load()
+	return at != 0 && now.Sub(boottime.Instant(at)) < recent
+}
+
+// trustEra records that the store's configuration was confirmed in an era.
+func (n *newestConfig) trustEra(era platform.Era) { n.era.Store(uint64(era)) }
+
+// returnedSince reports whether the store has returned from an older copy since its
+// configuration was last confirmed. A process that has just started can't know that, and
+// takes any return for a recent one.
+func (n *newestConfig) returnedSince(era platform.Era) bool { return uint64(era) != n.era.Load() }
+
+// storeReading is what a host knows when it has read the configuration from the store.
+type storeReading struct {
+	version, newest catalog.Version
+	// returned is set if the store has returned from an older copy since this host last
+	// confirmed its configuration, and fresh while that confirmation is recent.
+	returned, fresh bool
+	firstStart      bool
+	// leads is set if this host is the coordinator, for termAge.
+	leads   bool
+	termAge time.Duration
+	// named is set if the coordinator has named its version recently, and isolated if
+	// this host should have found a coordinator by now and hasn't.
+	named, isolated bool
+}
+
+// isNewest reports whether the store's configuration may be taken for the newest. A host
+// whose own is too old to tell, or that has just started, learns of a newer one from the
+// coordinator, and the coordinator from the other hosts' reports. A host that reaches
+// neither has to take the store's.
+func (r storeReading) isNewest() bool {
+	switch {
+	case r.version < r.newest:
+		return false
+	case r.fresh || !r.returned || r.firstStart:
+		return true
+	case r.leads:
+		return r.termAge >= coordinator.ReportTime
+	default:
+		return r.named || r.isolated
+	}
+}
