Record the confirmed configuration in the store, once in each era

All hosts that start again while a returned store still has an older configuration have nobody to hear the newest from: after the time of a takeover they took the older one, with its withdrawn keys. And where a store's eras begin above zero, or it has returned at some time, each restart of all hosts cost the coordinator's wait for reports.

Cause: the only record of the newest version was in the processes' memory.

A host that starts trusts the store's configuration at once if the record is of the same era and not newer, and never takes one older than the record. Within an era the store doesn't go back, so later versions need no record. Stores that state no era get no call more.

The test fleet's hosts now close a channel as they end, so that a test can wait for them as well as the clean-up does.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,7 +70,7 @@
 
 	roster        *roster.Roster
 	catalog       atomic.Pointer[catalog.Catalog]
-	newest        newestConfig
+	newest        *newestConfig
 	catalogKnown  chan struct{}
 	closeKnown    sync.Once
 	targetsListed atomic.Bool
@@ -84,6 +84,7 @@
 	coordinatorClient *coordinator.Client
 	balancer          *balance.Balancer
 	placer            *placer
+	store             platform.Metadata
 	follower          *platform.Follower
 	targetClient      exchange.Client
 	relay             *relay.Relay
@@ -95,7 +96,7 @@
 // New returns a new Gateway with its listeners bound. It fails if an address
 // can't be bound.
 func New(s platform.Settings, opts ...Option) (Gateway, error) {
-	g := &gateway{settings: s, clock: clockwork.NewRealClock(), bootClock: boottime.SystemClock{}, log: slog.Default(), catalogKnown: make(chan struct{})}
+	g := &gateway{settings: s, clock: clockwork.NewRealClock(), bootClock: boottime.SystemClock{}, log: slog.Default(), catalogKnown: make(chan struct{}), newest: newNewestConfig()}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -132,6 +133,7 @@
 	g.links = peer.New(peer.WithSelf(self), peer.WithSecret([]byte(peerSecret)), peer.WithClock(g.clock), peer.WithLogger(g.log),
 		peer.WithHTTPClient(&http.Client{Transport: &http.Transport{}}))
 	store := platform.NewMetadata(s.Store)
+	g.store = store
 	storeProxy := coordinator.NewStoreProxy(g.links, store, g.clock, func() int { return g.coordinator.Hosts() })
 	opts := []election.Option{
 		election.WithBackup(storeProxy),
@@ -293,6 +295,7 @@
 	start("follower", runCtx, g.follower.Run)
 	start("coordinator", electionCtx, g.coordinator.Run)
 	start("election", electionCtx, g.election.Run)
+	start("confirmation", electionCtx, g.recordConfirmed)
 	start("client", runCtx, g.coordinatorClient.Run)
 	start("upkeep", runCtx, g.cleanup)
 	start("reload", runCtx, g.reload)
@@ -426,12 +429,37 @@
 // Confirmed implements platform.Listener. All data received so far is current
 // as of the given instant.
 func (g *gateway) Confirmed(at boottime.Instant) {
-	if g.storeIsNewest() {
-		g.newest.trustEra(platform.EraOf(g.follower.ReadRevision()))
-		g.freshness.confirm(at)
+	if !g.storeIsNewest() {
+		return
+	}
+	era := platform.EraOf(g.follower.ReadRevision())
+	g.newest.trustEra(era)
+	g.freshness.confirm(at)
+	if termAge, leads := g.coordinator.TermAge(); leads && termAge >= coordinator.ReportTime {
+		g.newest.record(platform.ConfirmedConfig{Era: era, Version: g.catalog.Load().Version})
+	}
+}
+
+// recordConfirmed writes the coordinator's confirmations to the store.
+func (g *gateway) recordConfirmed(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-g.newest.unrecorded:
+			if err := platform.RecordConfirmed(ctx, g.store, c); err != nil {
+				g.log.Warn("gateway: recording the confirmed configuration failed; the next confirmation repeats it", "error", err)
+			}
+		}
 	}
 }
 
+// Recorded implements platform.Listener.
+func (g *gateway) Recorded(c platform.ConfirmedConfig) {
+	g.newest.recorded.Store(&c)
+	g.newest.learn(c.Version)
+}
+
 // storeIsNewest reports whether the configuration that was read from the store may be
 // taken for the newest.
 func (g *gateway) storeIsNewest() bool {
@@ -440,10 +468,12 @@
 		return false
 	}
 	termAge, leads := g.coordinator.TermAge()
+	era := platform.EraOf(g.follower.ReadRevision())
 	return storeReading{
 		version:    current.Version,
 		newest:     g.newest.get(),
-		returned:   g.newest.returnedSince(platform.EraOf(g.follower.ReadRevision())),
+		returned:   g.newest.returnedSince(era),
+		recorded:   g.newest.recorded.Load().Covers(era, current.Version),
 		fresh:      g.freshness.current(),
 		firstStart: g.settings.FirstStart,
 		leads:      leads,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -33,7 +32,7 @@
 type host struct {
 	platformtest.Host
 	stop   context.CancelFunc
-	ended  chan error
+	ended  chan struct{}
 	reload chan os.Signal
 	path   string
 }
@@ -61,7 +60,16 @@
 
 func (f *fleet) start(name string, firstStart bool) *host {
 	f.t.Helper()
-	h := &host{Host: platformtest.NewHost(name, "zone-0"), ended: make(chan error, 1), reload: make(chan os.Signal, 1)}
+	h := f.launch(name, firstStart)
+	f.hosts = append(f.hosts, h)
+	f.waitUntil("ready", func() bool { return h.ready() })
+	return h
+}
+
+// launch starts a host without waiting until it is ready.
+func (f *fleet) launch(name string, firstStart bool) *host {
+	f.t.Helper()
+	h := &host{Host: platformtest.NewHost(name, "zone-0"), ended: make(chan struct{}), reload: make(chan os.Signal, 1)}
 	h.path = filepath.Join(f.t.TempDir(), name+".toml")
 	must.NoError(f.t, h.WriteSettings(h.path, f.store.Address(), firstStart))
 	load := func() (platform.Settings, error) { return platform.LoadSettings(h.path) }
@@ -71,14 +79,14 @@
 	must.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
-	var once sync.Once
-	go func() { h.ended <- g.Run(ctx) }()
+	go func() {
+		defer close(h.ended)
+		_ = g.Run(ctx) // tests see whether the host serves
+	}()
 	f.t.Cleanup(func() {
 		stop()
-		once.Do(func() { <-h.ended })
+		<-h.ended
 	})
-	f.hosts = append(f.hosts, h)
-	f.waitUntil("ready", func() bool { return h.ready() })
 	return h
 }
 
--- a/gateway/newest.go
+++ b/gateway/newest.go
@@ -19,6 +19,16 @@
 	namedAt atomic.Int64
 	// era is the store's era when its configuration was last confirmed.
 	era atomic.Uint64
+	// recorded is the store's own record of a confirmed version, and unrecorded the one
+	// that the coordinator has yet to write there.
+	recorded   atomic.Pointer[platform.ConfirmedConfig]
+	unrecorded chan platform.ConfirmedConfig
+}
+
+func newNewestConfig() *newestConfig {
+	n := &newestConfig{unrecorded: make(chan platform.ConfirmedConfig, 1)}
+	n.recorded.Store(&platform.ConfirmedConfig{})
+	return n
 }
 
 // learn records that a version exists.
@@ -50,6 +60,18 @@
 // takes any return for a recent one.
 func (n *newestConfig) returnedSince(era platform.Era) bool { return uint64(era) != n.era.Load() }
 
+// record lets the coordinator's confirmation be written to the store, unless the store has
+// one of its era. One for each era is enough: within an era, the store doesn't go back.
+func (n *newestConfig) record(c platform.ConfirmedConfig) {
+	if c.Era == 0 || n.recorded.Load().Era == c.Era {
+		return
+	}
+	select {
+	case n.unrecorded <- c:
+	default: // it is being written
+	}
+}
+
 // storeReading is what a host knows when it has read the configuration from the store.
 type storeReading struct {
 	version, newest catalog.Version
@@ -57,6 +79,8 @@
 	// confirmed its configuration, and fresh while that confirmation is recent.
 	returned, fresh bool
 	firstStart      bool
+	// recorded is set if the store says itself that the version is the newest.
+	recorded bool
 	// leads is set if this host is the coordinator, for termAge.
 	leads   bool
 	termAge time.Duration
@@ -73,7 +97,7 @@
 	switch {
 	case r.version < r.newest:
 		return false
-	case r.fresh || !r.returned || r.firstStart:
+	case r.fresh || !r.returned || r.firstStart || r.recorded:
 		return true
 	case r.leads:
 		return r.termAge >= coordinator.ReportTime
--- a/gateway/newest_test.go
+++ b/gateway/newest_test.go
@@ -25,6 +25,8 @@
 		{"older than the coordinator's", storeReading{version: 1, newest: 2, fresh: true, named: true}, false},
 		{"starting host, no word yet", storeReading{version: 1, returned: true}, false},
 		{"starting host, the coordinator's word", storeReading{version: 2, newest: 2, returned: true, named: true}, true},
+		{"starting host, the store's word", storeReading{version: 2, returned: true, recorded: true}, true},
+		{"older than a host's, the store's word", storeReading{version: 2, newest: 3, returned: true, recorded: true}, false},
 		{"starting host, alone", storeReading{version: 1, returned: true, isolated: true}, true},
 		{"starting coordinator, before the reports", storeReading{version: 1, returned: true, leads: true, termAge: coordinator.ReportTime - 1}, false},
 		{"starting coordinator, after one older report", storeReading{version: 1, newest: 1, returned: true, leads: true}, false},
