platform: hosts don't all list a store that has returned

After the return of an older store every host of a fleet listed all registrations and the configuration at the same moment: 194 lists in a second with 195 hosts, on links over which one list takes a second. A fourth of them also stood for election, since they saw the winner's entry only after that.

Cause: a revision from before the return can't be watched from, and the follower's only other way to go on was a complete list; what hosts knew was thrown away. A host whose read failed while the store was away listed it too.

Ruled out: waiting a random time before the list (all lists stay, callers wait); a watch from the new revision as if nothing was missing (a change between the last relay and the copy would be missed, and with it a withdrawn key).

It lists the store at a random time in the second half of what its keys are good for.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -515,6 +515,11 @@
 	return ok && age < g.freshness.maxAge()-storeReadTime
 }
 
+// MaxListDelay implements platform.Listener.
+func (g *gateway) MaxListDelay() time.Duration {
+	return max(0, g.freshness.maxAge()-storeReadTime-g.freshness.age())
+}
+
 // UpdateTargets implements coordinator.Host. It applies the coordinator's
 // changes to the registrations.
 func (g *gateway) UpdateTargets(changed []roster.Target, removed, all []target.ID, buckets []roster.Bucket) {
