Tests: what binds callers and models to an engine that leaves

One test each for callers on kept connections, sessions, the resumption of a stream whose connection breaks, and loads: none brings an engine requests or loads after a host has passed on that it leaves.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -129,12 +129,17 @@
 
 // send sends a request to a host, with an ID of its own.
 func (f *fleet) send(h *host, call platformtest.Call) reply {
+	return f.sendWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, h, call)
+}
+
+// sendWith sends a request with a client, which may keep its connection.
+func (f *fleet) sendWith(client *http.Client, h *host, call platformtest.Call) reply {
 	f.next++
 	id := fmt.Sprintf("r%d", f.next)
 	call.ID, call.Timeout = id, 8*time.Second
 	req, err := call.NewRequest(h.Callers)
 	must.NoError(f.t, err)
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return reply{id: id, err: err}
 	}
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -30,6 +30,65 @@
 	must.Eq(t, before, e.LastRun())
 }
 
+// Once a host has passed on that an engine leaves, nothing that binds callers or models to
+// the engine brings it further requests or loads.
+func TestLeavingEngineIsNotUsedAgain(t *testing.T) {
+	t.Parallel()
+	kept := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	t.Cleanup(kept.CloseIdleConnections)
+	cases := []struct {
+		name string
+		// first makes the host learn of the notice, and then is done after that.
+		first, then func(f *fleet, e *platformtest.Engine)
+	}{
+		{"callers on kept connections", func(f *fleet, _ *platformtest.Engine) {
+			must.Eq(f.t, http.StatusOK, f.sendWith(kept, f.hosts[0], platformtest.Call{Key: "secret", Model: "m0"}).status)
+		}, func(f *fleet, _ *platformtest.Engine) {
+			for range 3 {
+				must.Eq(f.t, http.StatusOK, f.sendWith(kept, f.hosts[0], platformtest.Call{Key: "secret", Model: "m0"}).status)
+			}
+		}},
+		{"sessions", func(f *fleet, _ *platformtest.Engine) {
+			must.Eq(f.t, http.StatusOK, f.send(f.hosts[0], platformtest.Call{Key: "secret", Model: "m0", Prefix: "shared:8,own:2"}).status)
+		}, func(f *fleet, _ *platformtest.Engine) {
+			for range 3 {
+				must.Eq(f.t, http.StatusOK, f.send(f.hosts[0], platformtest.Call{Key: "secret", Model: "m0", Prefix: "shared:8,own:2"}).status)
+			}
+		}},
+		{"resumption of a stream", func(*fleet, *platformtest.Engine) {}, func(f *fleet, e *platformtest.Engine) {
+			time.AfterFunc(20*time.Millisecond, e.BreakOff)
+			r := f.call(f.hosts[0], "secret", "m0")
+			must.NoError(f.t, r.err)
+			must.Eq(f.t, fullStream(r.id), r.body)
+			must.Eq(f.t, 1, e.Runs()[r.id])
+		}},
+		{"loads", func(f *fleet, _ *platformtest.Engine) {
+			must.Eq(f.t, http.StatusOK, f.call(f.hosts[0], "secret", "m0").status)
+		}, func(f *fleet, e *platformtest.Engine) {
+			time.Sleep(time.Second) // until the coordinator knows, and orders before that are done
+			before, _ := e.Orders()
+			for _, model := range models(12) {
+				must.Eq(f.t, http.StatusOK, f.call(f.hosts[0], "secret", model).status)
+			}
+			after, _ := e.Orders()
+			must.SliceLen(f.t, len(before), after)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, config(1), 1)
+			e := f.engines[0] // the only one with m0
+			e.Leave()
+			tc.first(f, e)
+			runs := len(e.Runs())
+			tc.then(f, e)
+			must.LessEq(t, max(1, runs), len(e.Runs()))
+			f.checkOrders()
+		})
+	}
+}
+
 // The only target of a pool turns a request away and asks for a pause. The request isn't
 // lost, and the target gets nothing more from that host until the pause has ended.
 func TestPausedTargetGetsNoRequests(t *testing.T) {
