coordinator: an adapter that a former coordinator had unloaded keeps its slot

An engine may be ordered to load more adapters than it has room for, and crash, after a coordinator is replaced; or, if it counts orders in the other way, get no order carried out for good.

Hypotheses: (1) the further unload is answered with 200 and advances the sequence: the slot is taken for free, and the next load is one too many; (2) it is answered with 200 and doesn't: the coordinator expects a sequence that the engine never has, and ignores its reports as old; (3) reports no longer show the adapter. (3) is ruled out: in a trial with logged reports it was in each of five over 0.6 s. The protocol leaves (1) and (2) open, and both break the coordinator.

Change: for an adapter that this coordinator hasn't loaded, 200 to an unload says nothing of the slot or the sequence; the next report does. An order that doesn't fit is given up only if it still doesn't fit after the report.

Tests: TestAdapterThatAFormerCoordinatorUnloadedKeepsItsSlot fails before in both rows (one adapter too many; no load in 10 s). TestAdapterWhoseUnloadWasNotAnsweredKeepsItsSlot passes before too.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -46,6 +46,11 @@
 	orders []platform.Order
 	// adapterUse is how long requests still use an adapter when it is unloaded.
 	adapterUse time.Duration
+	// leaving holds the adapters that are unloaded once no request uses them. A further
+	// unload of one is answered as already done, and advances the sequence unless
+	// skipRepeated is set.
+	leaving      map[model.Name]bool
+	skipRepeated bool
 	// memoryModels is the number of models whose weights fit into host memory, and
 	// inMemory holds those, the least recently used first. Unloads count as uses.
 	memoryModels int
@@ -102,7 +107,7 @@
 		})
 		return platform.Accepted{}, errResponseLost
 	}
-	freed := order.Unload && order.Adapter != "" && s.adapterUse == 0
+	freed := order.Unload && order.Adapter != "" && (s.adapterUse == 0 || s.leaving[order.Adapter])
 	return platform.Accepted{AlreadyDone: freed}, e.accept(s, order)
 }
 
@@ -110,6 +115,9 @@
 	if order.Expected != s.sequence || (s.busy && order.Adapter == "") {
 		return platform.ErrEngineBusy
 	}
+	if s.skipRepeated && order.Unload && s.leaving[order.Adapter] {
+		return nil
+	}
 	s.sequence++
 	s.orders = append(s.orders, order)
 	defer s.recordReport()
@@ -118,13 +126,18 @@
 		unload := func() {
 			s.adapters[order.Model] = slices.DeleteFunc(s.adapters[order.Model], func(n model.Name) bool { return n == order.Adapter })
 		}
+		if s.leaving[order.Adapter] {
+			break
+		}
 		if s.adapterUse == 0 {
 			unload()
 			break
 		}
+		s.leaving[order.Adapter] = true
 		time.AfterFunc(s.adapterUse, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
+			delete(s.leaving, order.Adapter)
 			unload()
 			s.recordReport()
 		})
@@ -258,7 +271,7 @@
 		Slots: 16, Memory: 3*size + 1e9, HostMemory: 2 * size, AdapterSlots: 8, LoadsPerSecond: 4, Models: models,
 	}}}})
 	for id, names := range loaded {
-		f.engines.engines[id] = &fakeEngine{models: names, adapters: map[model.Name][]model.Name{}}
+		f.engines.engines[id] = &fakeEngine{models: names, adapters: map[model.Name][]model.Name{}, leaving: map[model.Name]bool{}}
 		f.engines.engines[id].recordReport()
 		f.roster.Put(roster.Target{ID: id, Pool: "p", Address: "10.0.0.1:" + string(id), Domain: "d", Slots: 16})
 	}
@@ -464,7 +477,48 @@
 	})
 }
 
-// Many adapters requested at the same time must not exceed the engine's slots.
+// A former coordinator has had an adapter unloaded that requests still use. The engine
+// answers a further unload of it at once, and the adapter keeps its slot all the same.
+func TestAdapterThatAFormerCoordinatorUnloadedKeepsItsSlot(t *testing.T) {
+	for _, skip := range []bool{false, true} {
+		t.Run(fmt.Sprintf("sequence advances %t", !skip), func(t *testing.T) {
+			runFixture(t, oneEngine(), func(f *fixture) {
+				s := f.engines.engines["e1"]
+				f.engines.mu.Lock()
+				s.adapterUse, s.skipRepeated = 3*time.Second, skip
+				for i := range 8 {
+					must.NoError(t, f.engines.accept(s, platform.Order{Model: "m0", Adapter: model.Name(fmt.Sprint("a", i)), Expected: s.sequence}))
+				}
+				must.NoError(t, f.engines.accept(s, platform.Order{Unload: true, Model: "m0", Adapter: "a0", Expected: s.sequence}))
+				f.engines.mu.Unlock()
+				time.Sleep(1500 * time.Millisecond) // until a report has been read
+				for i := range 3 {
+					took := f.requestUntilLoaded("e1", "m0", model.Name(fmt.Sprint("b", i)), 10*time.Second)
+					must.Less(t, 5*time.Second, took)
+				}
+				must.Zero(t, s.overloaded)
+			})
+		})
+	}
+}
+
+// The response to an adapter's unload is lost while requests use the adapter. Its repetition
+// is answered at once, and the adapter keeps its slot all the same.
+func TestAdapterWhoseUnloadWasNotAnsweredKeepsItsSlot(t *testing.T) {
+	runFixture(t, oneEngine(), func(f *fixture) {
+		s := f.engines.engines["e1"]
+		for i := range 8 {
+			f.requestUntilLoaded("e1", "m0", model.Name(fmt.Sprint("a", i)), 5*time.Second)
+		}
+		f.engines.mu.Lock()
+		s.adapterUse, s.lose, s.delay = 2*time.Second, 1, 10*time.Millisecond
+		f.engines.mu.Unlock()
+		took := f.requestUntilLoaded("e1", "m0", "b", 10*time.Second)
+		must.Less(t, 5*time.Second, took)
+		must.Zero(t, s.overloaded)
+	})
+}
+
 // An adapter that requests use keeps its slot after its unload was accepted. Another one
 // must not be loaded before it is free.
 func TestAdapterInUseKeepsItsSlotUntilItIsUnloaded(t *testing.T) {
@@ -487,6 +541,7 @@
 	})
 }
 
+// Many adapters requested at the same time must not exceed the engine's slots.
 func TestConcurrentAdapterRequestsKeepToSlots(t *testing.T) {
 	runFixture(t, oneEngine(), func(f *fixture) {
 		for range 300 {
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -55,6 +55,10 @@
 	// leavingAdapters holds the adapters whose unload the engine has accepted while
 	// requests used them. They keep their slots until a report no longer shows them.
 	leavingAdapters map[adapterJob]bool
+	// uncertainAdapters holds the reported adapters that this coordinator hasn't loaded. A
+	// former one may have had them unloaded while requests use them, and the engine may
+	// answer a further unload as already done.
+	uncertainAdapters map[adapterJob]bool
 	// pendingAdapters holds the adapter loads that are queued or in progress.
 	pendingAdapters map[adapterJob]bool
 	cancel          context.CancelFunc
@@ -250,6 +254,8 @@
 		leavingAdapters: map[adapterJob]bool{},
 		pendingAdapters: map[adapterJob]bool{},
 		cancel:          cancel,
+
+		uncertainAdapters: map[adapterJob]bool{},
 	}
 	w := &worker{coordinator: c, engine: e, target: t, fence: c.fence}
 	workers.Go(func() { w.run(ctx) })
--- a/coordinator/worker.go
+++ b/coordinator/worker.go
@@ -174,7 +174,7 @@
 	c, e := w.coordinator, w.engine
 	now := c.clock.Now()
 	current := map[model.Name]*resident{}
-	stillLeaving := map[adapterJob]bool{}
+	stillLeaving, uncertain := map[adapterJob]bool{}, map[adapterJob]bool{}
 	e.busy, e.fetchingAdapters = report.Busy, 0
 	e.ownOrder = e.ownOrder && report.Busy && report.Sequence == e.sequence
 	for _, m := range report.Holdings.Models {
@@ -186,20 +186,24 @@
 			r.lastUsed = time.Time{}
 		}
 		for _, adapter := range m.Adapters {
-			if job := (adapterJob{m.Model, adapter}); e.leavingAdapters[job] {
+			job := adapterJob{m.Model, adapter}
+			if e.leavingAdapters[job] {
 				stillLeaving[job] = true
 				continue
 			}
 			r.adapterLastUsed[adapter] = now
+			known := false
 			if ok {
-				if lastUsed, ok := previous.adapterLastUsed[adapter]; ok {
+				var lastUsed time.Time
+				if lastUsed, known = previous.adapterLastUsed[adapter]; known {
 					r.adapterLastUsed[adapter] = lastUsed
 				}
 			}
+			uncertain[job] = e.uncertainAdapters[job] || !known
 		}
 		current[m.Model] = r
 	}
-	e.leavingAdapters = stillLeaving
+	e.leavingAdapters, e.uncertainAdapters = stillLeaving, uncertain
 	for name, r := range e.resident {
 		if _, ok := current[name]; !ok && !r.unloading && !r.loadExpectedAt.IsZero() && now.Sub(r.loadExpectedAt) < 2*maxReportLag {
 			current[name] = r // the report predates the end of the load
@@ -427,13 +431,20 @@
 		switch {
 		case ok && orderCarriedOut(report, order):
 			return true
-		case ok && !fits && !report.Busy:
+		case ok && !fits && !report.Busy && !w.fits(canFit):
 			return false // no order is in progress that would free memory
 		}
 	}
 	return false
 }
 
+// fits calls a condition with the coordinator's lock held.
+func (w *worker) fits(condition func() bool) bool {
+	w.coordinator.mu.Lock()
+	defer w.coordinator.mu.Unlock()
+	return condition()
+}
+
 // orderCarriedOut reports whether a report shows the effect of an unanswered order.
 func orderCarriedOut(report platform.Report, order platform.Order) bool {
 	return report.Sequence > order.Expected && report.Holdings.Has(order.Model, order.Adapter) != order.Unload
@@ -444,14 +455,16 @@
 	c, e := w.coordinator, w.engine
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	adapter := adapterJob{order.Model, order.Adapter}
 	unloadedAdapter := order.Unload && order.Adapter != ""
+	uncertain := unloadedAdapter && accepted.AlreadyDone && e.uncertainAdapters[adapter]
 	if r, ok := e.resident[order.Model]; ok && order.Unload && order.Adapter == "" {
 		r.unloadAccepted = true
 	}
-	if unloadedAdapter && !accepted.AlreadyDone {
-		e.leavingAdapters[adapterJob{order.Model, order.Adapter}] = true
+	if unloadedAdapter && (!accepted.AlreadyDone || uncertain) {
+		e.leavingAdapters[adapter] = true
 	}
-	if !accepted.AlreadyDone || unloadedAdapter {
+	if !accepted.AlreadyDone || (unloadedAdapter && !uncertain) {
 		e.sequence = order.Expected + 1
 		e.ownOrder = e.ownOrder || order.Adapter == ""
 	}
