coordinator: adopt an engine's sequence that stays below the expected one

An engine that accepts an order without counting it would get no order carried out any more: the coordinator took each of its reports for one from before that order.

Cause: a report with a lower sequence than expected was ignored without a bound. Reports are some hundred milliseconds old; two seconds after the last accepted order, none predates it.

Ruled out: orders beyond the engine's room: an order with a lower sequence than the engine's own is refused.

Test: TestOrderThatTheEngineDoesNotCount fails before: no load within 10 s.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -502,6 +502,26 @@
 	}
 }
 
+// The engine accepts an order without counting it. The coordinator must not wait for the
+// sequence that it expects for good.
+func TestOrderThatTheEngineDoesNotCount(t *testing.T) {
+	runFixture(t, oneEngine(), func(f *fixture) {
+		s := f.engines.engines["e1"]
+		for i := range 8 {
+			f.requestUntilLoaded("e1", "m0", model.Name(fmt.Sprint("a", i)), 5*time.Second)
+		}
+		f.engines.mu.Lock()
+		s.skipRepeated, s.leaving["a0"] = true, true
+		f.engines.mu.Unlock()
+		f.requestUntilLoaded("e1", "m0", "b", time.Second)
+		f.engines.mu.Lock()
+		delete(s.leaving, "a0")
+		f.engines.mu.Unlock()
+		must.Less(t, 5*time.Second, f.requestUntilLoaded("e1", "m0", "b", 10*time.Second))
+		must.Zero(t, s.overloaded)
+	})
+}
+
 // The response to an adapter's unload is lost while requests use the adapter. Its repetition
 // is answered at once, and the adapter keeps its slot all the same.
 func TestAdapterWhoseUnloadWasNotAnsweredKeepsItsSlot(t *testing.T) {
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -22,6 +22,8 @@
 	reported bool
 	start    roster.StartID
 	sequence roster.Sequence
+	// orderedAt is when the engine last accepted an order.
+	orderedAt time.Time
 	// resident holds the loaded models.
 	resident map[model.Name]*resident
 	inMemory placement.HostMemory
--- a/coordinator/worker.go
+++ b/coordinator/worker.go
@@ -38,6 +38,9 @@
 	// maxReportLag is the maximum age of an engine's report, according to the platform's
 	// documentation.
 	maxReportLag = 150 * time.Millisecond
+	// maxReportDelay is the time after an accepted order from which no report that arrives
+	// predates it, however late.
+	maxReportDelay = 2 * time.Second
 	// loadTimeoutFactor is the timeout of a load from the weight store, as a multiple of
 	// the time that it takes alone. Loads from a busy weight store take longer.
 	loadTimeoutFactor = 5
@@ -163,7 +166,10 @@
 	}
 	e.work = report.Running + report.Waiting
 	if report.Sequence < e.sequence && e.reported {
-		return report, false // predates the last order
+		if now := c.clock.Now(); now.Sub(e.orderedAt) < maxReportDelay {
+			return report, false // predates the last order
+		}
+		c.log.Warn("coordinator: engine has not counted an order that it accepted", "engine", w.target.ID, "sequence", report.Sequence, "expected", e.sequence)
 	}
 	w.applyReport(report)
 	return report, true
@@ -471,6 +477,7 @@
 	if pool, ok := w.pool(); ok && order.Adapter == "" && !accepted.AlreadyDone {
 		e.inMemory = e.inMemory.Use(order.Model, pool.Engines.Models, pool.Engines.HostMemory)
 	}
+	e.orderedAt = c.clock.Now()
 	c.log.Info("coordinator: order accepted", "engine", w.target.ID, "unload", order.Unload, "model", order.Model,
 		"adapter", order.Adapter, "sequence", e.sequence, "held-already", accepted.AlreadyDone, "fence", order.Fence)
 }
