gateway: refuse at once if the targets with a model pause for too long

A request for a model whose only target had asked this host for a long pause waited until its time ran out: 6.5 s of 8 in the test. Its refusal was known as soon as the target had answered.

Cause: only a pause of the whole pool was considered. With other targets in the pool the request waited for a load, which the coordinator doesn't order, since the model is loaded and it isn't told of pauses.

Ruled out: telling the coordinator, so that it loads another copy: a pause binds one host, and other hosts use the first copy.

Change: a pure decision over the paused targets. A request whose model only paused targets hold waits if the first pause ends in time, and is refused with that time otherwise.

Tests: TestWaitingRequestIsRefusedWhenHoldersPause fails before (refused after 6.5 s, 'the request's time is too short to begin'); TestRefusedIfTargetsPause covers the decision.

--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -102,3 +102,23 @@
 	must.GreaterEq(t, 1500*time.Millisecond, time.Since(sent))
 	must.Eq(t, 1, f.plain.TurnedAway())
 }
+
+// Targets ask for a long pause. Once all that have a model do, a request for it is refused at
+// once, although it waits, and its caller learns when to come back.
+func TestWaitingRequestIsRefusedWhenHoldersPause(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, config(1), 1)
+	for _, e := range f.engines {
+		e.TurnAway("30")
+	}
+	for _, model := range []string{"m0", "m2", "m6"} { // the last has to be loaded first
+		sent := time.Now()
+		r := f.call(f.hosts[0], "secret", model)
+		must.Eq(t, http.StatusServiceUnavailable, r.status)
+		must.StrContains(t, r.body, "ask for a pause")
+		must.Less(t, 4*time.Second, time.Since(sent)) // the caller would wait for eight
+	}
+	for _, e := range f.engines {
+		must.LessEq(t, 1, e.TurnedAway())
+	}
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -144,11 +144,15 @@
 func (p *placer) refuseIfUnplaceable(ready []roster.Target, request relay.PlacementRequest, diskLoadTime time.Duration) *outcome.NotRun {
 	g := p.gateway
 	now := g.clock.Now()
-	switch pause, paused := g.roster.AllPaused(request.Pool); {
-	case paused && (request.Repeatable || now.Add(pause+minRunTime).After(request.Deadline)):
-		return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: pause, Detail: "all targets of the pool ask for a pause"}
-	case paused:
-		return nil // the caller might not send it again
+	if paused := g.roster.Paused(request.Pool); len(paused) > 0 {
+		holds := func(t roster.Target) bool {
+			return request.Model == "" || g.coordinatorClient.Holdings(t).Has(request.Model, request.Adapter)
+		}
+		if refusal, wait := refuseIfPaused(now, request, ready, paused, holds); refusal != nil || wait {
+			return refusal
+		}
+	}
+	switch {
 	case len(ready) == 0:
 		return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: emptyPoolRetryAfter, Detail: "the pool has no target"}
 	case now.Add(minRunTime).After(request.Deadline):
@@ -162,6 +166,30 @@
 	}
 }
 
+// refuseIfPaused returns a refusal if a request can't be served because of targets that ask
+// for a pause. It reports whether the request waits until a pause ends.
+func refuseIfPaused(now time.Time, request relay.PlacementRequest, ready []roster.Target, paused []roster.PausedTarget, holds func(roster.Target) bool) (refusal *outcome.NotRun, wait bool) {
+	rest := time.Duration(0)
+	for _, p := range paused {
+		if (len(ready) == 0 || holds(p.Target)) && (rest == 0 || p.Rest < rest) {
+			rest = p.Rest
+		}
+	}
+	tooLate := now.Add(rest + minRunTime).After(request.Deadline)
+	switch {
+	case len(ready) == 0 && (request.Repeatable || tooLate):
+		return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: rest, Detail: "all targets of the pool ask for a pause"}, false
+	case len(ready) == 0:
+		return nil, true // the caller might not send it again
+	case rest == 0 || slices.ContainsFunc(ready, holds):
+		return nil, false
+	case tooLate:
+		return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: rest, Detail: "the targets with the model ask for a pause"}, false
+	default:
+		return nil, true
+	}
+}
+
 // refuseIfTooLate refuses a request whose model can't be loaded before the
 // caller stops waiting. The caller learns at once when to try again, instead of
 // waiting in vain.
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"hawthornway/relay"
+	"hawthornway/roster"
 )
 
 // Callers that wait for two to four seconds ask for models that can't be loaded
@@ -32,3 +35,41 @@
 		}
 	}
 }
+
+// A request waits for targets that ask for a pause only if it can still be served then. One
+// that may be repeated doesn't wait if all targets of the pool do, since another host may
+// not have been asked to pause.
+func TestRefusedIfTargetsPause(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	holder, other := roster.Target{ID: "holder"}, roster.Target{ID: "other"}
+	holds := func(t roster.Target) bool { return t.ID == "holder" }
+	pause := func(t roster.Target, rest time.Duration) roster.PausedTarget {
+		return roster.PausedTarget{Target: t, Rest: rest}
+	}
+	cases := []struct {
+		name       string
+		timeout    time.Duration
+		repeatable bool
+		ready      []roster.Target
+		paused     []roster.PausedTarget
+		wait       bool
+		retryAfter time.Duration
+	}{
+		{"all paused", 8 * time.Second, true, nil, []roster.PausedTarget{pause(holder, 3*time.Second), pause(other, 2*time.Second)}, false, 2 * time.Second},
+		{"all paused, not repeatable", 8 * time.Second, false, nil, []roster.PausedTarget{pause(other, 2*time.Second)}, true, 0},
+		{"all paused for too long, not repeatable", 2 * time.Second, false, nil, []roster.PausedTarget{pause(other, 2*time.Second)}, false, 2 * time.Second},
+		{"another holder", 8 * time.Second, true, []roster.Target{holder}, []roster.PausedTarget{pause(holder, time.Minute)}, false, 0},
+		{"holder paused for a moment", 8 * time.Second, true, []roster.Target{other}, []roster.PausedTarget{pause(holder, time.Second)}, true, 0},
+		{"holder paused for too long", 8 * time.Second, true, []roster.Target{other}, []roster.PausedTarget{pause(holder, time.Minute)}, false, time.Minute},
+		{"no holder", 8 * time.Second, true, []roster.Target{other}, []roster.PausedTarget{pause(other, time.Minute)}, false, 0},
+	}
+	for _, tc := range cases {
+		request := relay.PlacementRequest{Deadline: now.Add(tc.timeout), Repeatable: tc.repeatable}
+		refusal, wait := refuseIfPaused(now, request, tc.ready, tc.paused, holds)
+		must.Eq(t, tc.wait, wait, must.Sprint(tc.name))
+		must.Eq(t, tc.retryAfter > 0, refusal != nil, must.Sprint(tc.name))
+		if refusal != nil {
+			must.Eq(t, tc.retryAfter, refusal.RetryAfter, must.Sprint(tc.name))
+		}
+	}
+}
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -57,22 +57,28 @@
 	r.invalidateLists()
 }
 
-// AllPaused returns the time until the first target of a pool may get requests again. It
-// reports false unless all its targets that don't leave are paused.
-func (r *Roster) AllPaused(pool target.Pool) (time.Duration, bool) {
+// PausedTarget is a target that gets no requests for some time.
+type PausedTarget struct {
+	Target
+	// Rest is the time until it may get requests again.
+	Rest time.Duration
+}
+
+// Paused returns the targets of a pool that are paused, without those that leave.
+func (r *Roster) Paused(pool target.Pool) []PausedTarget {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refreshLists()
-	if len(r.pausedUntil) == 0 || len(r.ready[pool]) > 0 {
-		return 0, false
+	if len(r.pausedUntil) == 0 {
+		return nil
 	}
+	r.refreshLists()
 	now := r.clock.Now()
-	var earliest boottime.Instant
+	var paused []PausedTarget
 	for _, t := range r.all {
 		until := r.pausedUntil[startKey{t.ID, t.Start}]
-		if t.Pool == pool && !t.Draining && now.Before(until) && (earliest == 0 || until.Before(earliest)) {
-			earliest = until
+		if t.Pool == pool && !t.Draining && now.Before(until) {
+			paused = append(paused, PausedTarget{Target: t, Rest: until.Sub(now)})
 		}
 	}
-	return earliest.Sub(now), earliest != 0
+	return paused
 }
