gateway: a confirmation by the coordinator counts for the era too

A host whose configuration the coordinator had confirmed since the store's return took that return for a new one once its keys had grown too old, and waited for the coordinator before it trusted the store. Found by reading; the wait is at most that for the next coordinator.

--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -20,14 +20,7 @@
 func (f *freshness) maxAge() time.Duration { return time.Duration(f.maxAgeNanos.Load()) }
 
 // confirm records that the configuration was current at an instant.
-func (f *freshness) confirm(at boottime.Instant) {
-	for {
-		previous := f.confirmedAt.Load()
-		if int64(at) <= previous || f.confirmedAt.CompareAndSwap(previous, int64(at)) {
-			return
-		}
-	}
-}
+func (f *freshness) confirm(at boottime.Instant) { raise(&f.confirmedAt, int64(at)) }
 
 // age returns the time since the last confirmation.
 func (f *freshness) age() time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -574,6 +574,7 @@
 		return
 	}
 	if at != 0 && current.Version == version {
+		g.newest.trustEra(platform.EraOf(read))
 		g.freshness.confirm(at)
 	}
 }
--- a/gateway/newest.go
+++ b/gateway/newest.go
@@ -17,8 +17,8 @@
 	version atomic.Int64
 	// namedAt is when the coordinator last named its version.
 	namedAt atomic.Int64
-	// era is the store's era when its configuration was last confirmed.
-	era atomic.Uint64
+	// era is the store's era when this host's configuration was last confirmed.
+	era atomic.Int64
 	// recorded is the store's own record of a confirmed version, and unrecorded the one
 	// that the coordinator has yet to write there.
 	recorded   atomic.Pointer[platform.ConfirmedConfig]
@@ -32,10 +32,13 @@
 }
 
 // learn records that a version exists.
-func (n *newestConfig) learn(version catalog.Version) {
+func (n *newestConfig) learn(version catalog.Version) { raise(&n.version, int64(version)) }
+
+// raise sets a value unless it is higher already.
+func raise(value *atomic.Int64, to int64) {
 	for {
-		known := n.version.Load()
-		if int64(version) <= known || n.version.CompareAndSwap(known, int64(version)) {
+		known := value.Load()
+		if to <= known || value.CompareAndSwap(known, to) {
 			return
 		}
 	}
@@ -46,19 +49,19 @@
 // named records that the coordinator has named its version.
 func (n *newestConfig) named(at boottime.Instant) { n.namedAt.Store(int64(at)) }
 
-// namedWithin reports whether the coordinator has named its version in the last time.
+// namedWithin reports whether the coordinator has named its version within a time.
 func (n *newestConfig) namedWithin(now boottime.Instant, recent time.Duration) bool {
 	at := n.namedAt.Load()
 	return at != 0 && now.Sub(boottime.Instant(at)) < recent
 }
 
-// trustEra records that the store's configuration was confirmed in an era.
-func (n *newestConfig) trustEra(era platform.Era) { n.era.Store(uint64(era)) }
+// trustEra records that the configuration was confirmed in an era of the store.
+func (n *newestConfig) trustEra(era platform.Era) { raise(&n.era, int64(era)) }
 
 // returnedSince reports whether the store has returned from an older copy since its
 // configuration was last confirmed. A process that has just started can't know that, and
 // takes any return for a recent one.
-func (n *newestConfig) returnedSince(era platform.Era) bool { return uint64(era) != n.era.Load() }
+func (n *newestConfig) returnedSince(era platform.Era) bool { return int64(era) > n.era.Load() }
 
 // record lets the coordinator's confirmation be written to the store, unless the store has
 // one of its era. One for each era is enough: within an era, the store doesn't go back.
