--- a/placement/plan.go
+++ b/placement/plan.go
@@ -184,12 +184,20 @@
 }
 
 func newPlanner(s State) *planner {
-	p := &planner{State: s, engines: slices.Clone(s.Engines), replicas: map[model.Name]int{}, cached: map[model.Name]bool{}}
+	p := &planner{
+		State: s, engines: slices.Clone(s.Engines), replicas: map[model.Name]int{}, cached: map[model.Name]bool{},
+		loading: map[model.Name]bool{}, requested: map[model.Name]bool{},
+	}
 	for i := range p.engines {
-		p.engines[i].Resident = slices.Clone(p.engines[i].Resident)
-		p.countReplicas(&p.engines[i])
+		e := &p.engines[i]
+		e.Resident = slices.Clone(e.Resident)
+		p.countReplicas(e)
+		if !e.Busy {
+			p.idle++
+		}
 	}
 	for _, request := range p.LoadRequests {
+		p.requested[request.Model] = true
 		if p.weightStoreOnly(request.Model) {
 			p.weightStoreOnlyRequests++
 		}
@@ -208,8 +216,11 @@
 	engines []Engine
 	// replicas holds the number of engines that hold or load each model.
 	replicas map[model.Name]int
-	// cached holds the models whose weights some engine has.
-	cached map[model.Name]bool
+	// cached holds the models whose weights some engine has, loading those that an engine
+	// loads, and requested those that requests wait for.
+	cached, loading, requested map[model.Name]bool
+	// idle is the number of engines that may get a job.
+	idle int
 	// weightStoreOnlyRequests is the number of load requests for models whose weights only the
 	// weight store has.
 	weightStoreOnlyRequests int
@@ -227,7 +238,7 @@
 	}
 	if e.Loading != "" {
 		p.replicas[e.Loading]++
-		p.cached[e.Loading] = true
+		p.cached[e.Loading], p.loading[e.Loading] = true, true
 	}
 	for _, name := range e.InMemory {
 		p.cached[name] = true
@@ -248,10 +259,21 @@
 
 // requestsByUrgency returns the load requests, the most urgent first.
 func (p *planner) requestsByUrgency() []LoadRequest {
-	requests := slices.Clone(p.LoadRequests)
-	slices.SortFunc(requests, func(a, b LoadRequest) int {
-		return cmp.Or(cmp.Compare(p.urgency(b), p.urgency(a)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Model, b.Model))
+	type ranked struct {
+		LoadRequest
+		urgency float64
+	}
+	ranking := make([]ranked, len(p.LoadRequests))
+	for i, request := range p.LoadRequests {
+		ranking[i] = ranked{request, p.urgency(request)}
+	}
+	slices.SortFunc(ranking, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Model, b.Model))
 	})
+	requests := make([]LoadRequest, len(ranking))
+	for i, r := range ranking {
+		requests[i] = r.LoadRequest
+	}
 	return requests
 }
 
@@ -276,7 +298,7 @@
 	}
 	for _, name := range sortedNames(p.Rates) {
 		replicas := float64(p.replicas[name])
-		if replicas == 0 || p.isLoading(name) {
+		if replicas == 0 || p.loading[name] {
 			continue
 		}
 		slotsFull := slots[name] > 0 && float64(work[name]) >= spreadSlotShare*factor*float64(slots[name]) && p.Rates[name] >= minSpreadRate
@@ -340,10 +362,6 @@
 	return n
 }
 
-func (p *planner) isLoading(name model.Name) bool {
-	return slices.ContainsFunc(p.engines, func(e Engine) bool { return e.Loading == name })
-}
-
 func anyEngine(*Engine) bool { return true }
 
 // place plans a load on the engine with the lowest cost. It plans nothing if that
@@ -352,7 +370,7 @@
 // longer than maxInUseWait.
 func (p *planner) place(name model.Name, reason Reason, late time.Duration, allowed func(*Engine) bool) {
 	m, ok := p.Models[name]
-	if !ok {
+	if !ok || p.idle == 0 {
 		return
 	}
 	var best *Engine
@@ -363,6 +381,9 @@
 		if !allowed(e) || e.holds(name) {
 			continue
 		}
+		if best != nil && p.minCost(e, m) >= bestCost {
+			continue
+		}
 		job, cost, fits := p.cost(e, m, reason)
 		if !fits {
 			cost += (inUseTime + late).Seconds()
@@ -378,6 +399,8 @@
 		return
 	}
 	p.jobs = append(p.jobs, bestJob)
+	p.idle--
+	p.loading[name] = true
 	best.Busy, best.Loading, best.FreeAt = true, name, p.Now.Add(LoadTime(m, bestJob.Source))
 	best.Resident = slices.DeleteFunc(best.Resident, func(r Resident) bool { return slices.Contains(bestJob.Evict, r.Model) })
 	p.replicas[name]++
@@ -402,15 +425,36 @@
 func (p *planner) cost(e *Engine, m catalog.Model, reason Reason) (Job, float64, bool) {
 	evict, evictCost, ok := p.victims(e, m)
 	job := Job{Engine: e.ID, Load: m.Name, Evict: evict, Source: p.sourceAfter(e, m.Name, evict), Reason: reason}
-	cost := LoadTime(m, job.Source).Seconds()
-	if job.Source == SourceWeightStore {
+	return job, p.loadCost(m, job.Source) + p.waitCost(e) + evictCost + prefillWeight*p.prefillLoad(e), ok
+}
+
+// minCost returns a lower bound of cost that takes little time to compute. A load from
+// memory may turn into another one by the evictions before it.
+func (p *planner) minCost(e *Engine, m catalog.Model) float64 {
+	source := e.source(m.Name)
+	cost := p.loadCost(m, source)
+	if source == SourceMemory {
+		cost = min(cost, p.loadCost(m, SourceDisk), p.loadCost(m, SourceWeightStore))
+	}
+	return cost + p.waitCost(e)
+}
+
+// loadCost returns the expected duration of a load in seconds.
+func (p *planner) loadCost(m catalog.Model, from Source) float64 {
+	cost := LoadTime(m, from).Seconds()
+	if from == SourceWeightStore {
 		cost *= max(1, float64(p.WeightStoreLoads+p.plannedLoads(SourceWeightStore)+1)/WeightStoreStreams)
 	}
-	if e.Busy {
-		// An order that is overdue by some time is assumed to last as long again.
-		cost += e.FreeAt.Sub(p.Now).Abs().Seconds()
+	return cost
+}
+
+// waitCost returns the expected time in seconds until an engine accepts another order. One
+// that is overdue by some time is assumed to last as long again.
+func (p *planner) waitCost(e *Engine) float64 {
+	if !e.Busy {
+		return 0
 	}
-	return job, cost + evictCost + prefillWeight*p.prefillLoad(e), ok
+	return e.FreeAt.Sub(p.Now).Abs().Seconds()
 }
 
 // victims returns the models to evict so that another one fits, and the cost of their
@@ -491,8 +535,7 @@
 // evictable reports whether a model may be unloaded now. The unload of a model in use
 // would have to wait for its requests, and the next requests for the end of the unload.
 func (p *planner) evictable(r Resident) bool {
-	requested := slices.ContainsFunc(p.LoadRequests, func(request LoadRequest) bool { return request.Model == r.Model })
-	return r.Running == 0 && !requested && !r.Unloading && p.Now.Sub(r.LastUsed) >= p.MinResidency
+	return r.Running == 0 && !p.requested[r.Model] && !r.Unloading && p.Now.Sub(r.LastUsed) >= p.MinResidency
 }
 
 // evictionCost returns the cost of evicting a model: the expected time spent on loading
