coordinator: answer hosts while a plan is made

Change: the planner works on a copy of the state, and its jobs are started under the lock afterwards, unless the engine has got a job or is no longer usable. What else may change in that time, the engine's memory above all, is checked before each order as before.

Test: TestHostsAreAnsweredDuringAPlan fails with the plan under the lock.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -79,6 +79,8 @@
 	wakeups chan struct{}
 	// pollSlots holds a token for each poll of an idle engine in progress.
 	pollSlots chan struct{}
+	// makePlan is placement.Plan.
+	makePlan func(placement.State) []placement.Job
 	// compressed is the configuration that is sent to hosts.
 	compressed compressedConfig
 
@@ -126,7 +128,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	c := &Coordinator{options: o, wakeups: make(chan struct{}, 1), pollSlots: make(chan struct{}, maxConcurrentPolls)}
+	c := &Coordinator{options: o, wakeups: make(chan struct{}, 1), pollSlots: make(chan struct{}, maxConcurrentPolls), makePlan: placement.Plan}
 	c.reset()
 	c.mesh.Handle(kindBorrow, c.handleBorrow)
 	c.mesh.Handle(kindReport, c.handleReport)
@@ -246,36 +248,55 @@
 }
 
 // step applies changes of the roster, starts the jobs of a new plan, and notifies
-// hosts.
+// hosts. Plans are made without the lock, since they take long in a large fleet and hosts
+// wait for answers.
 func (c *Coordinator) step(ctx context.Context, workers *sync.WaitGroup, mayOrder bool) {
 	current := c.catalogs()
 	if current == nil {
 		return
 	}
+	var plans []poolPlan
+	if mayOrder {
+		plans = c.planPools(ctx, workers, current)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.followRoster(ctx, workers, current)
 	c.expireLoadRequests()
-	if mayOrder {
-		c.plan(current)
+	for _, p := range plans {
+		c.updateForecasts(p.pool, p.state)
+		for _, job := range p.jobs {
+			c.startJob(p.pool, job)
+		}
+		c.queueAdapterLoads(p.pool)
+		c.logPendingRequests(p.pool)
 	}
 	c.announce(current)
 }
 
-// plan makes a plan for each pool of engines and starts its jobs.
-func (c *Coordinator) plan(current *catalog.Catalog) {
+// poolPlan is a plan for one pool of engines.
+type poolPlan struct {
+	pool  catalog.Pool
+	state placement.State
+	jobs  []placement.Job
+}
+
+// planPools makes a plan for each pool of engines.
+func (c *Coordinator) planPools(ctx context.Context, workers *sync.WaitGroup, current *catalog.Catalog) []poolPlan {
+	var plans []poolPlan
+	c.mu.Lock()
+	c.followRoster(ctx, workers, current)
+	c.expireLoadRequests()
 	for _, pool := range current.Pools() {
-		if pool.Engines == nil {
-			continue
+		if pool.Engines != nil {
+			plans = append(plans, poolPlan{pool: pool, state: c.planState(pool)})
 		}
-		state := c.planState(pool)
-		c.updateForecasts(pool, state)
-		for _, job := range placement.Plan(state) {
-			c.startJob(pool, job)
-		}
-		c.queueAdapterLoads(pool)
-		c.logPendingRequests(pool)
 	}
+	c.mu.Unlock()
+	for i := range plans {
+		plans[i].jobs = c.makePlan(plans[i].state)
+	}
+	return plans
 }
 
 // wake makes the coordinator plan without waiting for planInterval.
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -267,8 +267,8 @@
 // startJob passes a job to its engine's worker.
 func (c *Coordinator) startJob(pool catalog.Pool, job placement.Job) {
 	e, ok := c.engines[job.Engine]
-	if !ok || e.job != nil {
-		return
+	if !ok || e.job != nil || !e.usable() {
+		return // the engine has changed since the plan was made
 	}
 	now := c.clock.Now()
 	e.job, e.freeAt = &job, now.Add(placement.LoadTime(pool.Engines.Models[job.Load], job.Source))
--- a/coordinator/large_fleet_test.go
+++ b/coordinator/large_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,8 +12,11 @@
 
 	"hawthornway/boottime"
 	"hawthornway/catalog"
+	"hawthornway/fleet"
 	"hawthornway/model"
 	"hawthornway/peer"
+	"hawthornway/peer/peertest"
+	"hawthornway/placement"
 	"hawthornway/platform"
 	"hawthornway/quota"
 	"hawthornway/roster"
@@ -182,3 +186,37 @@
 		_ = r.Ready("p")
 	}
 }
+
+// A plan for a large fleet takes long on a weak host. The coordinator must answer hosts
+// meanwhile, and must not use what has changed since.
+func TestHostsAreAnsweredDuringAPlan(t *testing.T) {
+	pool := catalog.Pool{Name: "p", Engines: &catalog.Engines{Slots: 1, Models: map[model.Name]catalog.Model{"m": {Name: "m"}}}}
+	current := catalog.New(catalog.Content{Version: 1, Pools: []catalog.Pool{pool}})
+	r := roster.New(boottime.SystemClock{})
+	c := New(WithMesh(peertest.NewNetwork(1).Join(fleet.Member{Host: "h"})), WithTerms(&changingTerms{fence: 1, mayOrder: true, leads: true}),
+		WithCatalogs(func() *catalog.Catalog { return current }), WithRoster(r), WithLogger(slog.New(slog.DiscardHandler)))
+	c.beginTerm(1)
+	e := &engine{target: roster.Target{ID: "e", Pool: "p"}, reported: true, jobs: make(chan placement.Job, 1)}
+	r.Put(e.target)
+	c.engines["e"] = e
+	planned := 0
+	c.makePlan = func(s placement.State) []placement.Job {
+		planned++
+		must.SliceLen(t, 1, s.Engines)
+		must.True(t, c.mu.TryLock(), must.Sprint("no host is answered"))
+		c.mu.Unlock()
+		if planned == 2 {
+			r.SetLeaving("e", 0)
+		}
+		_, err := c.report("other", wireReport{})
+		must.NoError(t, err)
+		return []placement.Job{{Engine: "e", Load: "m"}}
+	}
+	var workers sync.WaitGroup
+	c.step(t.Context(), &workers, true)
+	must.NotNil(t, e.job)
+	e.job = nil
+	c.step(t.Context(), &workers, true)
+	must.Nil(t, e.job) // the engine has begun to leave
+	must.Eq(t, 2, planned)
+}
