placement: count the planned loads from the weight store

The planner counted them anew for each engine that it weighed, 40% of a plan for 200 models. The plans stay the same (3,000 random states against the code before the last change: none differs). Beside the same other work, least of four runs: 30.1 ms before, 12.7 and 12.9 ms now.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -225,6 +225,8 @@
 	// weight store has.
 	weightStoreOnlyRequests int
 	jobs                    []Job
+	// weightStoreJobs is the number of jobs that load from the weight store.
+	weightStoreJobs int
 }
 
 // countReplicas counts the models that an engine holds or loads, and records the models
@@ -338,12 +340,11 @@
 // prefetch plans loads of models whose weights no engine has, so that their first
 // request finds them on an engine's disk.
 func (p *planner) prefetch() {
-	if len(p.LoadRequests) > 0 && p.WeightStoreLoads+p.plannedLoads(SourceWeightStore) > 0 {
+	if len(p.LoadRequests) > 0 && p.WeightStoreLoads+p.weightStoreJobs > 0 {
 		return
 	}
 	for _, name := range sortedNames(p.Models) {
-		planned := p.plannedLoads(SourceWeightStore)
-		if p.WeightStoreLoads+planned >= prefetchStreams || planned >= p.WeightStoreBudget || len(p.jobs) >= len(p.engines) {
+		if p.WeightStoreLoads+p.weightStoreJobs >= prefetchStreams || p.weightStoreJobs >= p.WeightStoreBudget || len(p.jobs) >= len(p.engines) {
 			return
 		}
 		if !p.cached[name] {
@@ -352,16 +353,6 @@
 	}
 }
 
-func (p *planner) plannedLoads(source Source) int {
-	n := 0
-	for _, j := range p.jobs {
-		if j.Source == source {
-			n++
-		}
-	}
-	return n
-}
-
 func anyEngine(*Engine) bool { return true }
 
 // place plans a load on the engine with the lowest cost. It plans nothing if that
@@ -399,6 +390,9 @@
 		return
 	}
 	p.jobs = append(p.jobs, bestJob)
+	if bestJob.Source == SourceWeightStore {
+		p.weightStoreJobs++
+	}
 	p.idle--
 	p.loading[name] = true
 	best.Busy, best.Loading, best.FreeAt = true, name, p.Now.Add(LoadTime(m, bestJob.Source))
@@ -413,7 +407,7 @@
 // mayLoadFromWeightStore reports whether a load from the weight store may start now. Requested
 // models that no engine has take precedence over the other reasons.
 func (p *planner) mayLoadFromWeightStore(reason Reason) bool {
-	budget := p.WeightStoreBudget - p.plannedLoads(SourceWeightStore)
+	budget := p.WeightStoreBudget - p.weightStoreJobs
 	if reason != ReasonRequested {
 		budget -= p.weightStoreOnlyRequests
 	}
@@ -443,7 +437,7 @@
 func (p *planner) loadCost(m catalog.Model, from Source) float64 {
 	cost := LoadTime(m, from).Seconds()
 	if from == SourceWeightStore {
-		cost *= max(1, float64(p.WeightStoreLoads+p.plannedLoads(SourceWeightStore)+1)/WeightStoreStreams)
+		cost *= max(1, float64(p.WeightStoreLoads+p.weightStoreJobs+1)/WeightStoreStreams)
 	}
 	return cost
 }
