coordinator: read the store through the host that answered last

Timeline: from 1.0 s the coordinator (c-1) and two other hosts are cut off from the store. 2.66 s: the coordinator reads it through other hosts and gets version 9. 2.87 s: version 12 is acknowledged. 3.17 s: its next watch begins. 5.07 s: it has version 12.

Hypotheses: (1) the watch goes through a host that is cut off as well: that one waits for its own timeout, and the next one is asked only after the watch's second and 0.4 s more, twice in a row; (2) the store was tried directly in between; (3) other hosts lag behind the coordinator. (3) is ruled out by their logs (30 ms later), (2) by its timeout of 0.2 s.

Cause: the hosts were asked in turn, whether they had reached the store or not.

Change: the host through which the last call succeeded is asked first; others in turn, when it fails or doesn't answer in time.

--- a/coordinator/store_proxy.go
+++ b/coordinator/store_proxy.go
@@ -42,8 +42,11 @@
 	clock clockwork.Clock
 	// hosts returns the number of hosts in the fleet, including this one.
 	hosts func() int
-	// next rotates the hosts that are tried.
-	next atomic.Uint32
+	// next rotates the hosts that are tried, and answered is the one through which a call
+	// last succeeded. It is tried first: one that is cut off from the store itself doesn't
+	// say so before its own call has timed out.
+	next     atomic.Uint32
+	answered atomic.Pointer[fleet.HostID]
 }
 
 // NewStoreProxy returns a StoreProxy. It registers the handlers that call the store for
@@ -105,6 +108,7 @@
 // answer takes long over a slow link.
 func callThrough[T any](ctx context.Context, p *StoreProxy, kind peer.Kind, request any, wait time.Duration) (T, error) {
 	type result struct {
+		host   fleet.HostID
 		answer T
 		err    error
 	}
@@ -123,11 +127,10 @@
 	var err error
 	for {
 		if started < attempts {
-			to := peers[int(p.next.Add(1))%len(peers)]
+			r := result{host: p.choose(peers, started)}
 			started, pending = started+1, pending+1
 			go func() {
-				var r result
-				r.err = p.mesh.Call(ctx, to.Host, kind, request, &r.answer)
+				r.err = p.mesh.Call(ctx, r.host, kind, request, &r.answer)
 				results <- r
 			}()
 		}
@@ -137,6 +140,9 @@
 		}
 		select {
 		case r := <-results:
+			if r.err == nil {
+				p.answered.Store(&r.host)
+			}
 			if r.err == nil || ctx.Err() != nil {
 				return r.answer, trace.Wrap(r.err)
 			}
@@ -148,6 +154,20 @@
 	}
 }
 
+// choose returns the host to ask after a number of others.
+func (p *StoreProxy) choose(peers []peer.Peer, asked int) fleet.HostID {
+	answered := p.answered.Load()
+	known := answered != nil && slices.ContainsFunc(peers, func(other peer.Peer) bool { return other.Host == *answered })
+	if known && asked == 0 {
+		return *answered
+	}
+	host := peers[int(p.next.Add(1))%len(peers)].Host
+	if known && host == *answered && len(peers) > 1 {
+		host = peers[int(p.next.Add(1))%len(peers)].Host // it has been asked
+	}
+	return host
+}
+
 func (p *StoreProxy) handleRenew(ctx context.Context, _ fleet.Member, body []byte) (any, error) {
 	var request wireRenew
 	if err := peer.Decode(body, &request); err != nil {
--- a/coordinator/store_proxy_test.go
+++ b/coordinator/store_proxy_test.go
@@ -122,3 +122,56 @@
 		time.Sleep(maxProxyTime) // ends the other calls
 	})
 }
+
+// watchedStore is a store without changes. If it is silent, it never answers.
+type watchedStore struct {
+	platform.Metadata
+	silent  bool
+	watches atomic.Int32
+}
+
+func (s *watchedStore) Watch(_ context.Context, _ string, after keyvalue.Revision, wait time.Duration) ([]keyvalue.Event, keyvalue.Revision, error) {
+	s.watches.Add(1)
+	if s.silent {
+		time.Sleep(2 * maxProxyTime)
+		return nil, 0, keyvalue.ErrUnknown
+	}
+	time.Sleep(wait)
+	return nil, after, nil
+}
+
+// The coordinator and some hosts are cut off from the store, which answers none of them. A
+// watch that asks one of these sees changes late, so that watches must go through a host
+// that has answered.
+func TestStoreProxyKeepsToHostThatAnswers(t *testing.T) {
+	const (
+		wait    = time.Second
+		watches = 12
+	)
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.NewNetwork(1)
+		hosts := func() int { return 6 }
+		proxy := NewStoreProxy(network.Join(fleet.Member{Host: "coordinator", Incarnation: 1}), nil, clockwork.NewRealClock(), hosts)
+		stores := make([]*watchedStore, 5)
+		for i := range stores {
+			stores[i] = &watchedStore{silent: i < 2}
+			NewStoreProxy(network.Join(fleet.Member{Host: fleet.HostID(rune('a' + i)), Incarnation: 1}), stores[i], clockwork.NewRealClock(), hosts)
+		}
+		late := 0
+		for range watches {
+			start := time.Now()
+			_, _, err := proxy.Watch(t.Context(), "", 1, wait)
+			must.NoError(t, err)
+			if time.Since(start) > wait+proxyTimeout/2 {
+				late++
+			}
+		}
+		must.LessEq(t, 1, late) // the first one may ask any host
+		answered := int32(0)
+		for _, s := range stores[2:] {
+			answered += s.watches.Load()
+		}
+		must.LessEq(t, watches+1, answered)
+		time.Sleep(3 * maxProxyTime) // ends the other calls
+	})
+}
