--- a/roster/roster.go
+++ b/roster/roster.go
@@ -327,8 +327,12 @@
 		r.all = append(r.all, e.target)
 	}
 	slices.SortFunc(r.all, func(a, b Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	pauses := len(r.pausedUntil) > 0
 	for _, t := range r.all {
-		until := r.pausedUntil[startKey{t.ID, t.Start}]
+		var until boottime.Instant
+		if pauses {
+			until = r.pausedUntil[startKey{t.ID, t.Start}]
+		}
 		switch {
 		case t.Draining:
 		case now.Before(until):
