--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -19,9 +19,9 @@
 )
 
 // Hosts that the store refuses read the configuration from the coordinator, and a
-// coordinator whose store has an older one from another host. It is sent
-// in parts, compressed, so that views aren't delayed behind it on the coordinator's link,
-// and a host whose call timed out continues where it was.
+// coordinator whose store has an older one from another host. It is sent in parts,
+// compressed, so that views aren't delayed behind it on the coordinator's link, and a host
+// whose call timed out continues where it was.
 const (
 	// configPartBytes is the size of a part. Every host of a fleet may wait for one at
 	// the same time.
@@ -180,7 +180,8 @@
 }
 
 // Configuration fetches the operators' configuration entry from the coordinator or, if this
-// host is the coordinator, from the host that reported the newest version. After an error, the next call continues with the part that is missing.
+// host is the coordinator, from the host that reported the newest version. After an error,
+// the next call continues with the part that is missing.
 func (c *Client) Configuration(ctx context.Context) (keyvalue.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, configReadTime)
 	defer cancel()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,9 +132,8 @@
 	s := g.settings
 	g.links = peer.New(peer.WithSelf(self), peer.WithSecret([]byte(peerSecret)), peer.WithClock(g.clock), peer.WithLogger(g.log),
 		peer.WithHTTPClient(&http.Client{Transport: &http.Transport{}}))
-	store := platform.NewMetadata(s.Store)
-	g.store = store
-	storeProxy := coordinator.NewStoreProxy(g.links, store, g.clock, func() int { return g.coordinator.Hosts() })
+	g.store = platform.NewMetadata(s.Store)
+	storeProxy := coordinator.NewStoreProxy(g.links, g.store, g.clock, func() int { return g.coordinator.Hosts() })
 	opts := []election.Option{
 		election.WithBackup(storeProxy),
 		election.WithHandover(s.Bounds.MinHandoverDelay),
@@ -149,7 +148,7 @@
 	if s.FirstStart {
 		opts = append(opts, election.WithFirstStart())
 	}
-	g.election = election.New(store, self, opts...)
+	g.election = election.New(g.store, self, opts...)
 	g.coordinator = coordinator.New(
 		coordinator.WithSelf(self),
 		coordinator.WithTerms(g.election),
@@ -172,7 +171,7 @@
 	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(screen), coordinator.WithLeaving(g.roster.Leaving))
 	g.placer = &placer{gateway: g, usage: usage}
 	g.targetClient = exchange.New(exchange.WithClock(g.clock))
-	g.follower = platform.NewFollower(store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay),
+	g.follower = platform.NewFollower(g.store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay),
 		platform.WithBackup(storeProxy, func() bool {
 			_, _, leads := g.election.Term()
 			return leads
