gateway: a test's stream breaks once its head has arrived

Cause: the test broke the engine's connections 20 ms after its start. On a busy machine that is before the head of the response, which tells the host that the engine leaves, so that the request goes to the same engine again, as it should.

Change: the connections break once the caller has the beginning of the response.

Nothing is changed for it.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -134,6 +134,11 @@
 
 // sendWith sends a request with a client, which may keep its connection.
 func (f *fleet) sendWith(client *http.Client, h *host, call platformtest.Call) reply {
+	return f.sendAnd(client, h, call, func() {})
+}
+
+// sendAnd sends a request, and calls a function once the response has begun.
+func (f *fleet) sendAnd(client *http.Client, h *host, call platformtest.Call, begun func()) reply {
 	f.next++
 	id := fmt.Sprintf("r%d", f.next)
 	call.ID, call.Timeout = id, 8*time.Second
@@ -144,8 +149,13 @@
 		return reply{id: id, err: err}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return reply{id, resp.StatusCode, string(body), err}
+	first := make([]byte, 1)
+	if n, err := io.ReadFull(resp.Body, first); err != nil {
+		return reply{id, resp.StatusCode, string(first[:n]), err}
+	}
+	begun()
+	rest, err := io.ReadAll(resp.Body)
+	return reply{id, resp.StatusCode, string(first) + string(rest), err}
 }
 
 func models(n int) (names []string) {
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -56,8 +56,8 @@
 			}
 		}},
 		{"resumption of a stream", func(*fleet, *platformtest.Engine) {}, func(f *fleet, e *platformtest.Engine) {
-			time.AfterFunc(20*time.Millisecond, e.BreakOff)
-			r := f.call(f.hosts[0], "secret", "m0")
+			// The host knows the notice once the response has begun.
+			r := f.sendAnd(&http.Client{}, f.hosts[0], platformtest.Call{Key: "secret", Model: "m0"}, e.BreakOff)
 			must.NoError(f.t, r.err)
 			must.Eq(f.t, fullStream(r.id), r.body)
 			must.Eq(f.t, 1, e.Runs()[r.id])
