--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -79,7 +79,7 @@
 	wakeups chan struct{}
 	// pollSlots holds a token for each poll of an idle engine in progress.
 	pollSlots chan struct{}
-	// makePlan is placement.Plan.
+	// makePlan is placement.Plan, unless a test replaces it.
 	makePlan func(placement.State) []placement.Job
 	// compressed is the configuration that is sent to hosts.
 	compressed compressedConfig
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -246,18 +246,17 @@
 func (c *Coordinator) newEngine(ctx context.Context, workers *sync.WaitGroup, t roster.Target) *engine {
 	ctx, cancel := context.WithCancel(ctx)
 	e := &engine{
-		target:          t,
-		start:           t.Start,
-		sequence:        t.Sequence,
-		resident:        map[model.Name]*resident{},
-		doubted:         make(chan struct{}, 1),
-		jobs:            make(chan placement.Job, 1),
-		adapterJobs:     make(chan adapterJob, 64),
-		leavingAdapters: map[adapterJob]bool{},
-		pendingAdapters: map[adapterJob]bool{},
-		cancel:          cancel,
-
+		target:            t,
+		start:             t.Start,
+		sequence:          t.Sequence,
+		resident:          map[model.Name]*resident{},
+		doubted:           make(chan struct{}, 1),
+		jobs:              make(chan placement.Job, 1),
+		adapterJobs:       make(chan adapterJob, 64),
+		leavingAdapters:   map[adapterJob]bool{},
+		pendingAdapters:   map[adapterJob]bool{},
 		uncertainAdapters: map[adapterJob]bool{},
+		cancel:            cancel,
 	}
 	w := &worker{coordinator: c, engine: e, target: t, fence: c.fence}
 	workers.Go(func() { w.run(ctx) })
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -174,8 +174,8 @@
 	Hosts   int          `cbor:"hosts"`
 	Engines []wireEngine `cbor:"engines"`
 	// Config is the coordinator's version of the configuration, or zero while it doesn't
-	// know whether that is the newest. ConfirmedAgo is the
-	// time in milliseconds since the store confirmed it and the targets.
+	// know whether that is the newest. ConfirmedAgo is the time in milliseconds since the
+	// store confirmed it and the targets.
 	Config       catalog.Version `cbor:"config"`
 	ConfirmedAgo int64           `cbor:"confirmed-ago-ms"`
 	Targets      []wireTarget    `cbor:"targets"`
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,7 +175,8 @@
 		platform.WithBackup(storeProxy, func() bool {
 			_, _, leads := g.election.Term()
 			return leads
-		}))
+		}),
+		platform.WithRandom(rand.Float64))
 	g.relay = relay.New(
 		relay.WithDialect(platform.Dialect{}),
 		relay.WithCatalog(g.catalog.Load),
@@ -471,7 +472,7 @@
 	return storeReading{
 		version:    current.Version,
 		newest:     g.newest.get(),
-		returned:   g.newest.returnedSince(era),
+		restored:   g.newest.restoredSince(era),
 		recorded:   g.newest.recorded.Load().Covers(era, current.Version),
 		fresh:      g.freshness.current(),
 		firstStart: g.settings.FirstStart,
--- a/gateway/newest.go
+++ b/gateway/newest.go
@@ -58,10 +58,10 @@
 // trustEra records that the configuration was confirmed in an era of the store.
 func (n *newestConfig) trustEra(era platform.Era) { raise(&n.era, int64(era)) }
 
-// returnedSince reports whether the store has returned from an older copy since its
+// restoredSince reports whether the store has returned from an older copy since its
 // configuration was last confirmed. A process that has just started can't know that, and
 // takes any return for a recent one.
-func (n *newestConfig) returnedSince(era platform.Era) bool { return int64(era) > n.era.Load() }
+func (n *newestConfig) restoredSince(era platform.Era) bool { return int64(era) > n.era.Load() }
 
 // record lets the coordinator's confirmation be written to the store, unless the store has
 // one of its era. One for each era is enough: within an era, the store doesn't go back.
@@ -78,9 +78,9 @@
 // storeReading is what a host knows when it has read the configuration from the store.
 type storeReading struct {
 	version, newest catalog.Version
-	// returned is set if the store has returned from an older copy since this host last
+	// restored is set if the store has returned from an older copy since this host last
 	// confirmed its configuration, and fresh while that confirmation is recent.
-	returned, fresh bool
+	restored, fresh bool
 	firstStart      bool
 	// recorded is set if the store says itself that the version is the newest.
 	recorded bool
@@ -100,7 +100,7 @@
 	switch {
 	case r.version < r.newest:
 		return false
-	case r.fresh || !r.returned || r.firstStart || r.recorded:
+	case r.fresh || !r.restored || r.firstStart || r.recorded:
 		return true
 	case r.leads:
 		return r.termAge >= coordinator.ReportTime
