Log the limits that targets state

An engine's Server-Limit header was not read, so that nothing in the record of the incident tells whether hosts had heard of the limit or kept it each by itself. Hosts now read it and log each change; no request is handled otherwise.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"hawthornway/keyvalue"
 	"hawthornway/listener"
 	"hawthornway/metric"
+	"hawthornway/pace"
 	"hawthornway/peer"
 	"hawthornway/platform"
 	"hawthornway/quarantine"
@@ -69,6 +70,7 @@
 	log           *slog.Logger
 
 	roster        *roster.Roster
+	limits        *pace.Limits
 	catalog       atomic.Pointer[catalog.Catalog]
 	newest        *newestConfig
 	catalogKnown  chan struct{}
@@ -102,6 +104,7 @@
 	}
 	g.metrics = metric.New()
 	g.roster = roster.New(g.bootClock)
+	g.limits = pace.NewLimits(g.bootClock)
 	g.freshness.clock = g.bootClock
 	g.freshness.setMaxAge(s.Bounds.MaxWithdrawalDelay - withdrawalMargin)
 	g.stopTimeoutNanos.Store(int64(s.Bounds.StopTimeout))
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -11,6 +11,7 @@
 	"hawthornway/coordinator"
 	"hawthornway/model"
 	"hawthornway/outcome"
+	"hawthornway/pace"
 	"hawthornway/relay"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -229,6 +230,23 @@
 	case relay.Paused:
 		p.gateway.roster.Pause(t.ID, t.Start, n.For)
 		p.gateway.log.Info("gateway: target asks for a pause", "target", t.ID, "for", n.For)
+	case relay.Limited:
+		p.recordLimit(pace.Statement{Key: pace.KeyOf(t), Rate: n.Rate})
+	case relay.Unlimited:
+		p.recordLimit(pace.Statement{Key: pace.KeyOf(t), Ended: true})
+	}
+}
+
+// recordLimit records what a target has just said about its limit.
+func (p *placer) recordLimit(s pace.Statement) {
+	g := p.gateway
+	s.At = g.bootClock.Now()
+	switch {
+	case !g.limits.Record(s):
+	case s.Ended:
+		g.log.Info("gateway: target states no limit any more", "target", s.Target, "start", s.Start)
+	default:
+		g.log.Info("gateway: target states a limit", "target", s.Target, "start", s.Start, "requests-per-second", s.Rate)
 	}
 }
 
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -94,6 +94,13 @@
 	if info.Pause > 0 {
 		p.Notice(Paused{info.Pause})
 	}
+	switch {
+	case info.Replaced:
+	case info.Limit != nil:
+		p.Notice(Limited{*info.Limit})
+	case info.Signed || info.NotRun:
+		p.Notice(Unlimited{})
+	}
 }
 
 // callerDeadline returns the time when the caller stops waiting: its deadline,
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -18,6 +18,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/outcome"
+	"hawthornway/pace"
 	"hawthornway/quarantine"
 	"hawthornway/relay"
 	"hawthornway/roster"
@@ -60,7 +61,12 @@
 
 func (dialect) ParseResponse(_ target.ID, _ int, header http.Header) relay.ResponseInfo {
 	pause, _ := time.ParseDuration(header.Get("Pause")) // zero if there is none
-	return relay.ResponseInfo{NotRun: header.Get("Not-Run") != "", Signed: header.Get("Seal") != "", Leaving: header.Get("Leaving") != "", Pause: pause}
+	var limit *pace.Rate
+	if n, err := strconv.ParseFloat(header.Get("Limit"), 64); err == nil {
+		rate := pace.Rate(n)
+		limit = &rate
+	}
+	return relay.ResponseInfo{NotRun: header.Get("Not-Run") != "", Signed: header.Get("Seal") != "", Leaving: header.Get("Leaving") != "", Limit: limit, Pause: pause}
 }
 
 func (dialect) CallerHeader(header http.Header) http.Header { return header.Clone() }
--- a/relay/request.go
+++ b/relay/request.go
@@ -7,6 +7,7 @@
 	"hawthornway/catalog"
 	"hawthornway/model"
 	"hawthornway/outcome"
+	"hawthornway/pace"
 	"hawthornway/quarantine"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -96,6 +97,9 @@
 	Leaving bool
 	// Pause is how long the target wants no requests from this host, or zero.
 	Pause time.Duration
+	// Limit is the number of requests that the target takes from all hosts together, or nil
+	// if it states none.
+	Limit *pace.Rate
 }
 
 // TargetLoad is the number of requests at a target and its slots.
@@ -157,7 +161,8 @@
 	Done func(Result)
 }
 
-// Notice is what a target says of itself beside a response: Leaving or Paused.
+// Notice is what a target says of itself beside a response: Leaving, Paused, Limited or
+// Unlimited.
 type Notice interface{ notice() }
 
 // Leaving means that the target leaves and wants no further requests.
@@ -166,8 +171,16 @@
 // Paused means that the target wants no requests from this host for some time.
 type Paused struct{ For time.Duration }
 
-func (Leaving) notice() {}
-func (Paused) notice()  {}
+// Limited means that the target takes a number of requests from all hosts together.
+type Limited struct{ Rate pace.Rate }
+
+// Unlimited means that the target states no limit.
+type Unlimited struct{}
+
+func (Leaving) notice()   {}
+func (Paused) notice()    {}
+func (Limited) notice()   {}
+func (Unlimited) notice() {}
 
 // Result is the result of an attempt for the placer: Served, Refused, Failed or
 // Abandoned.
