--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,7 +28,7 @@
 	engines []*platformtest.Engine
 	plain   *platformtest.Engine
 	hosts   []*host
-	next    int
+	next    atomic.Int64
 }
 
 type host struct {
@@ -117,6 +119,7 @@
 	status int
 	body   string
 	err    error
+	header http.Header
 }
 
 // crashPart is the part of prompts under which the engines crash.
@@ -139,9 +142,8 @@
 
 // sendAnd sends a request, and calls a function once the response has begun.
 func (f *fleet) sendAnd(client *http.Client, h *host, call platformtest.Call, begun func()) reply {
-	f.next++
-	id := fmt.Sprintf("r%d", f.next)
-	call.ID, call.Timeout = id, 8*time.Second
+	id := fmt.Sprintf("r%d", f.next.Add(1))
+	call.ID, call.Timeout = id, cmp.Or(call.Timeout, 8*time.Second)
 	req, err := call.NewRequest(h.Callers)
 	must.NoError(f.t, err)
 	resp, err := client.Do(req)
@@ -151,11 +153,11 @@
 	defer resp.Body.Close()
 	first := make([]byte, 1)
 	if n, err := io.ReadFull(resp.Body, first); err != nil {
-		return reply{id, resp.StatusCode, string(first[:n]), err}
+		return reply{id, resp.StatusCode, string(first[:n]), err, resp.Header}
 	}
 	begun()
 	rest, err := io.ReadAll(resp.Body)
-	return reply{id, resp.StatusCode, string(first) + string(rest), err}
+	return reply{id, resp.StatusCode, string(first) + string(rest), err, resp.Header}
 }
 
 func models(n int) (names []string) {
