Hosts share the limits that engines state

What callers saw: nothing; an engine in need got up to 13 requests in four seconds where 11 were allowed, the more the more hosts there are.

Cause: no host read Server-Limit, so that the engine got its usual share of the traffic; and nothing would have joined the limits of several hosts. Class: something that a target states of itself and that only all hosts together can keep.

Ruled out: repeats after refusals.

Change: package pace. The newest statement of each target's start counts; reports and views carry a digest of all limits in force, and the statements if digests differ. A request to a target with a limit needs a place in its line, which the coordinator gives out one after the other, up to two seconds ahead and no later than the request is on time. Without the coordinator a host uses a third of its part of the rate; the coordinator withholds the parts of silent hosts, and a new one begins after the places of the former one. Requests go to targets without a limit first; one with a limit is asked now and then, as only its answers tell when that ends. Models of engines with a limit are loaded elsewhere if requests wait for them. If nothing else can run a request, it is refused at once, with the time until the line has a place.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -155,6 +155,8 @@
 	updateLoad func(id target.ID, work int)
 	// connected is set by each view of the coordinator and cleared by a failed report.
 	connected bool
+	// fleetLimits is the digest of the limits of targets that the coordinator knows.
+	fleetLimits uint64
 	// incomplete is set while the last view left out some of the changed engines.
 	incomplete bool
 	// confirmedAt is the instant up to which the relayed state of the store is
@@ -321,6 +323,7 @@
 		report.Config = current.Version
 	}
 	c.addEvidence(&report)
+	c.addLimits(&report)
 	for _, t := range c.leaving() {
 		report.Leaving = append(report.Leaving, wireLeaving{Target: t.ID, Start: t.Start})
 	}
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -48,6 +48,7 @@
 		c.leaders.Prefer(view.Successor)
 	}
 	c.adoptQuarantined(view)
+	c.adoptLimits(view)
 	leads := c.isLeader()
 	if !leads {
 		changed, removed, all := c.newerTargets(view)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -13,11 +13,13 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"hawthornway/boottime"
 	"hawthornway/catalog"
 	"hawthornway/election"
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
 	"hawthornway/model"
+	"hawthornway/pace"
 	"hawthornway/peer"
 	"hawthornway/placement"
 	"hawthornway/quarantine"
@@ -112,6 +114,10 @@
 	// set until hosts were sent its changes.
 	detector          *quarantine.Detector
 	quarantineChanged bool
+	// lines gives out the places in the lines of targets with a limit, and sentLimits is the
+	// digest of the limits that hosts were last sent.
+	lines      *pace.Schedule
+	sentLimits uint64
 	// forecasts holds when models that only the weight store has are expected to be
 	// loaded, and changedForecasts the models of which hosts don't know that yet.
 	forecasts            map[model.Name]time.Time
@@ -123,14 +129,18 @@
 func New(opts ...Option) *Coordinator {
 	o := options{
 		clock: clockwork.NewRealClock(), log: slog.Default(), deliverLocal: func(wireView) {}, configEntry: noConfigEntry, catalogs: func() *catalog.Catalog { return nil },
-		newerConfig: func(catalog.Version) {}, confirmedAge: func() time.Duration { return 0 }, readRevision: func() keyvalue.Revision { return 0 },
+		boot: boottime.SystemClock{}, newerConfig: func(catalog.Version) {}, confirmedAge: func() time.Duration { return 0 }, readRevision: func() keyvalue.Revision { return 0 },
 	}
 	for _, opt := range opts {
 		opt(&o)
 	}
+	if o.limits == nil {
+		o.limits = pace.NewLimits(o.boot)
+	}
 	c := &Coordinator{options: o, wakeups: make(chan struct{}, 1), pollSlots: make(chan struct{}, maxConcurrentPolls), makePlan: placement.Plan}
 	c.reset()
 	c.mesh.Handle(kindBorrow, c.handleBorrow)
+	c.mesh.Handle(kindReserve, c.handleReserve)
 	c.mesh.Handle(kindReport, c.handleReport)
 	c.mesh.Handle(kindLoadRequest, c.handleLoadRequest)
 	c.mesh.Handle(kindConfigPart, c.handleConfigPart)
@@ -152,6 +162,7 @@
 	c.changedForecasts = map[model.Name]bool{}
 	c.version = 0
 	c.newestConfig, c.newestHost = 0, ""
+	c.lines, c.sentLimits = pace.NewSchedule(c.clock.Now(), nil), 0
 	c.detector, c.quarantineChanged = quarantine.NewDetector(), false
 }
 
@@ -213,6 +224,8 @@
 	if c.firstStart {
 		opts = append(opts, quota.WithFullBuckets())
 		c.firstStart = false
+	} else {
+		c.lines = pace.NewSchedule(c.clock.Now().Add(pace.MaxWait), nil)
 	}
 	c.fence, c.leading, c.termBegan = fence, true, c.clock.Now()
 	c.ledger = quota.NewLedger(c.clock, c.limit, opts...)
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -105,6 +105,7 @@
 			c.wake()
 		}
 	}
+	c.recordLimits(host, report.Limits)
 	sound := c.recordEvidence(host, report, now)
 	since := report.Since
 	if report.Fence != c.fence {
@@ -113,6 +114,7 @@
 	view := c.newView()
 	view.Since = since
 	view.Answer, view.Sound = true, sound
+	c.addLimits(report, &view)
 	view.Neighbours = c.dueNeighbours(host, now)
 	switch {
 	case since > 0:
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -9,6 +9,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/model"
+	"hawthornway/pace"
 	"hawthornway/placement"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -158,6 +159,12 @@
 	return w
 }
 
+// limited reports whether an engine takes a limited number of requests only.
+func (c *Coordinator) limited(e *engine) bool {
+	_, limited := c.limits.Rate(pace.KeyOf(e.target))
+	return limited
+}
+
 // plannerEngine returns the engine's state as input for the planner.
 func (e *engine) plannerEngine(pool catalog.Pool, running map[runningKey]int, now time.Time) placement.Engine {
 	state := placement.Engine{
@@ -313,6 +320,9 @@
 			continue
 		}
 		if e.has(job.model, job.adapter) {
+			if c.limited(e) {
+				continue // requests wait although this engine could run them
+			}
 			c.publish(e) // the requesting host doesn't know yet that the adapter is loaded
 			return nil
 		}
@@ -327,11 +337,15 @@
 	return best
 }
 
-// adapterCost ranks engines for another adapter: those with free adapter slots come
-// first, then those with fewer requests.
+// adapterCost ranks engines for another adapter: those without a limit come first, then
+// those with free adapter slots, then those with fewer requests.
 func (c *Coordinator) adapterCost(pool catalog.Pool, e *engine) int {
 	excess := max(0, e.adapterCount()+len(e.pendingAdapters)-pool.Engines.AdapterSlots+1)
-	return excess*1000 + e.work
+	cost := excess*1000 + e.work
+	if c.limited(e) {
+		cost += 1_000_000
+	}
+	return cost
 }
 
 // publish includes an engine in the next view that is broadcast to hosts.
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -23,6 +23,7 @@
 	kindLeader      peer.Kind = "coordinator"
 	kindRenew       peer.Kind = "renew-lease"
 	kindStoreRead   peer.Kind = "read-store"
+	kindReserve     peer.Kind = "reserve-place"
 )
 
 // wireBorrow is a host's request to borrow tokens of a team.
@@ -121,6 +122,11 @@
 
 	// Leaving lists the targets that have told this host that they leave.
 	Leaving []wireLeaving `cbor:"leaving,omitempty"`
+	// LimitDigest is a digest of the limits of targets that the host knows, and Limits what
+	// targets said about them, unless the last view had the same digest.
+	LimitDigest uint64      `cbor:"limit-digest,omitempty"`
+	Limits      []wireLimit `cbor:"limits,omitempty"`
+
 	Demand  []wireDemand  `cbor:"asked"`
 	Running []wireRunning `cbor:"running"`
 }
@@ -198,6 +204,10 @@
 	// the reported crashes that don't.
 	Quarantined []wireQuarantine  `cbor:"quarantined,omitempty"`
 	Sound       []quarantine.Part `cbor:"sound,omitempty"`
+	// LimitDigest is a digest of the limits of targets that the coordinator knows, and Limits
+	// what targets said about them, unless the host reported the same digest.
+	LimitDigest uint64      `cbor:"limit-digest,omitempty"`
+	Limits      []wireLimit `cbor:"limits,omitempty"`
 	// More is set if further changes follow in the answer to the next report.
 	More bool `cbor:"more"`
 }
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -6,9 +6,11 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"hawthornway/boottime"
 	"hawthornway/catalog"
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
+	"hawthornway/pace"
 	"hawthornway/peer"
 	"hawthornway/platform"
 	"hawthornway/roster"
@@ -19,6 +21,7 @@
 	terms      Terms
 	mesh       peer.Mesh
 	roster     *roster.Roster
+	limits     *pace.Limits
 	catalogs   func() *catalog.Catalog
 	engineAPI  platform.Engines
 	bounds     platform.Bounds
@@ -36,6 +39,7 @@
 	// readRevision returns the store revision up to which this host has read.
 	readRevision func() keyvalue.Revision
 	clock        clockwork.Clock
+	boot         boottime.Clock
 	log          *slog.Logger
 }
 
@@ -54,6 +58,12 @@
 // WithRoster sets the registered targets.
 func WithRoster(r *roster.Roster) Option { return func(o *options) { o.roster = r } }
 
+// WithLimits sets the limits that targets state, which this host shares with the others.
+func WithLimits(l *pace.Limits) Option { return func(o *options) { o.limits = l } }
+
+// WithBootClock sets the clock that measures the age of what targets state.
+func WithBootClock(boot boottime.Clock) Option { return func(o *options) { o.boot = boot } }
+
 // WithCatalogs sets the function that returns the configuration in force, or nil while it
 // isn't known whether that is the newest.
 func WithCatalogs(current func() *catalog.Catalog) Option {
--- a/coordinator/plan_state.go
+++ b/coordinator/plan_state.go
@@ -63,7 +63,9 @@
 	running := c.runningRequests(now)
 	for _, e := range c.engines {
 		if e.target.Pool == pool.Name && e.usable() {
-			s.Engines = append(s.Engines, e.plannerEngine(pool, running, now))
+			engine := e.plannerEngine(pool, running, now)
+			engine.Limited = c.limited(e)
+			s.Engines = append(s.Engines, engine)
 		}
 	}
 	sortEngines(s.Engines)
--- a/coordinator/view.go
+++ b/coordinator/view.go
@@ -16,7 +16,7 @@
 func (c *Coordinator) announce(current *catalog.Catalog) {
 	read := c.readRevision() // before reading the roster, which is then at least as new
 	changed, removed := c.registered.update(read, c.roster.All(), c.version+1, c.published)
-	if len(changed) == 0 && len(removed) == 0 && len(c.dirty) == 0 && len(c.changedForecasts) == 0 && current.Version == c.config && !c.quarantineChanged {
+	if len(changed) == 0 && len(removed) == 0 && len(c.dirty) == 0 && len(c.changedForecasts) == 0 && current.Version == c.config && !c.quarantineChanged && c.limits.Digest() == c.sentLimits {
 		return
 	}
 	since := c.version
@@ -25,6 +25,10 @@
 	view := c.newView()
 	view.Since = since
 	view.Targets, view.Removed = changed, removed
+	if view.LimitDigest != c.sentLimits {
+		c.sentLimits = view.LimitDigest
+		view.Limits = newWireLimits(c.limits.List(), c.boot.Now())
+	}
 	for e := range c.dirty {
 		e.version = c.version
 		view.Engines = append(view.Engines, e.wire(c.clock.Now()))
@@ -71,6 +75,7 @@
 	view.Fence, view.Version, view.Hosts = c.fence, c.version, c.ledgerHosts()
 	view.ReadRevision = c.registered.readRevision
 	view.Quarantined = c.wireQuarantined(c.clock.Now())
+	view.LimitDigest = c.limits.Digest()
 	view.OrdersIn = c.terms.OrderDelay().Milliseconds()
 	if current := c.catalogs(); current != nil {
 		view.Config = current.Version
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,6 +157,8 @@
 		coordinator.WithTerms(g.election),
 		coordinator.WithMesh(g.links),
 		coordinator.WithRoster(g.roster),
+		coordinator.WithLimits(g.limits),
+		coordinator.WithBootClock(g.bootClock),
 		coordinator.WithCatalogs(g.confirmedCatalog),
 		coordinator.WithNewerConfig(g.newerConfig),
 		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves))),
@@ -172,7 +174,8 @@
 	usage := newUsageTracker()
 	screen := quarantine.NewScreen(g.clock, g.log)
 	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(screen), coordinator.WithLeaving(g.roster.Leaving))
-	g.placer = &placer{gateway: g, usage: usage}
+	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
+	g.placer = &placer{gateway: g, usage: usage, pacer: pacer}
 	g.targetClient = exchange.New(exchange.WithClock(g.clock))
 	g.follower = platform.NewFollower(g.store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay),
 		platform.WithBackup(storeProxy, func() bool {
--- /dev/null
+++ b/gateway/line.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"hawthornway/outcome"
+	"hawthornway/pace"
+	"hawthornway/relay"
+	"hawthornway/roster"
+)
+
+// minLineWait is how long a request may wait in the line of a target with a limit even if it
+// is late then, which smooths short bursts.
+const minLineWait = 200 * time.Millisecond
+
+// lineWait is the wait of one request for a target with a limit.
+type lineWait struct {
+	pacer *pace.Pacer
+	// place is the request's place in a line, or nil.
+	place *pace.Reservation
+	// untilFree is the time until a line has a place, if none had one in time.
+	untilFree time.Duration
+}
+
+// ask returns a target with a limit that is to be asked now and then, even if other targets
+// could run the request.
+func (l *lineWait) ask(ctx context.Context, c candidates) (roster.Target, bool) {
+	if len(c.limited) == 0 || len(c.eligible) == 0 || l.place != nil {
+		return roster.Target{}, false
+	}
+	place, ok := l.pacer.ReserveToAsk(ctx, keysOf(c.limited))
+	if !ok {
+		return roster.Target{}, false
+	}
+	return targetOf(place.Key, c.limited)
+}
+
+// wait returns the target at which it is the request's turn, if any. It gets a place in the
+// line of one of the targets unless the request has one.
+func (l *lineWait) wait(ctx context.Context, clock clockwork.Clock, limited []roster.Target, request relay.PlacementRequest) (roster.Target, bool) {
+	l.untilFree = 0
+	if l.place != nil {
+		if _, ok := targetOf(l.place.Key, limited); !ok {
+			l.leave() // the target can't run the request any more
+		}
+	}
+	if l.place == nil && len(limited) > 0 {
+		place, untilFree, ok := l.pacer.Reserve(ctx, keysOf(limited), lineWaitLimit(clock.Now(), request))
+		if !ok {
+			l.untilFree = untilFree
+			return roster.Target{}, false
+		}
+		l.place = &place
+	}
+	if l.place == nil || clock.Now().Before(l.place.At) {
+		return roster.Target{}, false
+	}
+	t, ok := targetOf(l.place.Key, limited)
+	l.place = nil
+	return t, ok
+}
+
+func keysOf(targets []roster.Target) []pace.Key {
+	keys := make([]pace.Key, 0, len(targets))
+	for _, t := range targets {
+		keys = append(keys, pace.KeyOf(t))
+	}
+	return keys
+}
+
+// targetOf returns the target with a key.
+func targetOf(key pace.Key, targets []roster.Target) (roster.Target, bool) {
+	i := slices.IndexFunc(targets, func(t roster.Target) bool { return pace.KeyOf(t) == key })
+	if i < 0 {
+		return roster.Target{}, false
+	}
+	return targets[i], true
+}
+
+// lineWaitLimit returns how long a request may wait in a line: as long as it is on time, so
+// that requests that can't be make room for those that can.
+func lineWaitLimit(now time.Time, request relay.PlacementRequest) time.Duration {
+	onTime := min(pace.MaxWait, max(minLineWait, request.Due.Sub(now)))
+	return max(0, min(onTime, request.Deadline.Sub(now)-minRunTime))
+}
+
+// leave gives the request's place to another one of this host.
+func (l *lineWait) leave() {
+	if l.place != nil {
+		l.pacer.GiveBack(*l.place)
+		l.place = nil
+	}
+}
+
+// recheckDelay returns the time after which the request looks for a target again.
+func (l *lineWait) recheckDelay(now time.Time) time.Duration {
+	if l.place == nil {
+		return recheckInterval
+	}
+	return max(0, min(recheckInterval, l.place.At.Sub(now)))
+}
+
+// refuseIfLimited returns a refusal if only targets with a limit could run the request, and
+// none has a place in its line in time.
+func (p *placer) refuseIfLimited(ready []roster.Target, c candidates, request relay.PlacementRequest, line lineWait) *outcome.NotRun {
+	if line.untilFree == 0 || len(c.eligible) > 0 {
+		return nil
+	}
+	if request.Model != "" {
+		for _, t := range ready {
+			if _, limited := p.gateway.limits.Rate(pace.KeyOf(t)); !limited {
+				return nil // the model can be loaded there
+			}
+		}
+	}
+	return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: line.untilFree, Detail: "the limits of the targets allow no further request in time"}
+}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -43,6 +43,7 @@
 type placer struct {
 	gateway *gateway
 	usage   *usageTracker
+	pacer   *pace.Pacer
 }
 
 // Place implements relay.Placer.
@@ -52,13 +53,23 @@
 	waitStart := g.clock.Now()
 	waited := false
 	diskLoadTime := g.diskLoadTime(request)
+	line := lineWait{pacer: p.pacer}
+	defer line.leave()
 	for {
 		changed, rosterChanged := g.coordinatorClient.Changed(), g.roster.Changed()
 		if refusal := request.Refusal(); refusal != nil {
 			return relay.Placement{}, refusal
 		}
 		ready := g.roster.Ready(request.Pool)
-		if t, ok := p.choose(ready, request); ok {
+		c := p.candidates(ready, request)
+		t, ok := line.ask(ctx, c)
+		if !ok {
+			t, ok = p.choose(c, request)
+		}
+		if !ok {
+			t, ok = line.wait(ctx, g.clock, c.limited, request)
+		}
+		if ok {
 			if waited {
 				g.log.Info("gateway: wait ended", "request", request.ID, "model", request.Model, "adapter", request.Adapter,
 					"target", t.ID, "waited", g.clock.Since(waitStart).Round(time.Millisecond))
@@ -68,15 +79,18 @@
 		if refusal := p.refuseIfUnplaceable(ready, request, diskLoadTime); refusal != nil {
 			return relay.Placement{}, refusal
 		}
+		if refusal := p.refuseIfLimited(ready, c, request, line); refusal != nil {
+			return relay.Placement{}, refusal
+		}
 		if !waited {
 			waited = true
 			defer p.usage.startWaiting(request)()
-			g.log.Info("gateway: waiting", "request", request.ID, "model", request.Model, "adapter", request.Adapter, "ready", len(ready))
+			g.log.Info("gateway: waiting", "request", request.ID, "model", request.Model, "adapter", request.Adapter, "ready", len(ready), "limited", len(c.limited))
 		}
-		if request.Model != "" {
+		if request.Model != "" && line.place == nil {
 			g.coordinatorClient.RequestLoad(request.Pool, request.Model, request.Adapter, p.usage.countWaiting(request, g.clock.Now().Add(diskLoadTime)), request.Priority)
 		}
-		timer := g.clock.NewTimer(recheckInterval)
+		timer := g.clock.NewTimer(line.recheckDelay(g.clock.Now()))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -111,31 +125,46 @@
 	return &outcome.NotRun{Reason: outcome.ReasonCallerLeft, Detail: "the caller left"}
 }
 
-// choose returns a target that can run the request now. Targets that have failed
-// the request are chosen only if there are no others or, for plain services, if
-// all others are backing off.
-func (p *placer) choose(ready []roster.Target, request relay.PlacementRequest) (roster.Target, bool) {
+// candidates are the targets that can run a request. Failed ones have failed it before, and
+// limited ones take a limited number of requests only.
+type candidates struct {
+	eligible, failed, limited []roster.Target
+}
+
+// candidates returns the targets that can run a request.
+func (p *placer) candidates(ready []roster.Target, request relay.PlacementRequest) candidates {
 	g := p.gateway
-	var eligible, failedBefore []roster.Target
+	var c candidates
 	for _, t := range ready {
-		if request.Model != "" && (!g.coordinatorClient.Holdings(t).Has(request.Model, request.Adapter) || p.usage.recentlyNotLoaded(t.ID, request, g.clock.Now())) {
-			continue
-		}
-		if request.Avoid[t.ID] {
-			failedBefore = append(failedBefore, t)
-			continue
+		_, limited := g.limits.Rate(pace.KeyOf(t))
+		switch {
+		case request.Model != "" && (!g.coordinatorClient.Holdings(t).Has(request.Model, request.Adapter) || p.usage.recentlyNotLoaded(t.ID, request, g.clock.Now())):
+		case limited && !request.Avoid[t.ID] && !g.balancer.BackingOff(t.ID):
+			c.limited = append(c.limited, t)
+		case limited:
+		case request.Avoid[t.ID]:
+			c.failed = append(c.failed, t)
+		default:
+			c.eligible = append(c.eligible, t)
 		}
-		eligible = append(eligible, t)
 	}
+	return c
+}
+
+// choose returns a target without a limit that can run the request now. Targets that have
+// failed the request are chosen only if there are no others or, for plain services, if all
+// others are backing off.
+func (p *placer) choose(c candidates, request relay.PlacementRequest) (roster.Target, bool) {
+	g := p.gateway
 	session := request.Session
 	if session == "" {
 		session = string(request.ID)
 	}
-	if t, ok := g.balancer.Choose(eligible, session); ok {
+	if t, ok := g.balancer.Choose(c.eligible, session); ok {
 		return t, true
 	}
-	if request.Model == "" || len(eligible) == 0 {
-		return g.balancer.Choose(failedBefore, session)
+	if len(c.limited) == 0 && (request.Model == "" || len(c.eligible) == 0) {
+		return g.balancer.Choose(c.failed, session)
 	}
 	return roster.Target{}, false
 }
--- a/pace/limits.go
+++ b/pace/limits.go
@@ -1,12 +1,23 @@
 // Package pace keeps the requests of all hosts together within the rates that targets
 // state for themselves.
+//
+// A host that hears a target's limit tells the coordinator, and through it all others.
+// Each request to such a target then needs a place in the target's line, which the
+// coordinator's Schedule gives out. A host that can't reach the coordinator keeps to its
+// own part of the rate.
 package pace
 
 import (
+	"fmt"
 	"maps"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hawthornway/boottime"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -33,30 +44,43 @@
 	At    boottime.Instant
 }
 
-// endedTTL is how long it is remembered that a limit has ended. By then, all hosts in
-// contact with each other know it.
-const endedTTL = time.Minute
+// minRate is the rate at which targets are asked that state a lower one, since only their
+// answers tell when that ends.
+const minRate = Rate(0.1)
 
-// statementTTL is how long a limit is remembered that no target repeats.
+// statementTTL is how long a statement is remembered that no target repeats.
 const statementTTL = time.Hour
 
-// Limits holds the newest statement of each target that stated a limit. It is safe for
-// concurrent use.
+// Limits holds the newest statement of each target that ever stated a limit. It is safe
+// for concurrent use.
 type Limits struct {
 	clock boottime.Clock
+	// active is replaced whenever a limit changes.
+	active atomic.Pointer[activeLimits]
 
 	mu    sync.Mutex
 	known map[Key]Statement
 }
 
+// activeLimits are the limits in force, with their digest.
+type activeLimits struct {
+	rates  map[Key]Rate
+	digest uint64
+}
+
 // NewLimits returns Limits without statements.
 func NewLimits(clock boottime.Clock) *Limits {
-	return &Limits{clock: clock, known: map[Key]Statement{}}
+	l := &Limits{clock: clock, known: map[Key]Statement{}}
+	l.active.Store(&activeLimits{})
+	return l
 }
 
 // Record records a statement unless a newer one is known. It reports whether the limit in
 // force has changed. A target that never stated a limit needs no record.
 func (l *Limits) Record(s Statement) (changed bool) {
+	if s.Ended && len(l.active.Load().rates) == 0 {
+		return false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	previous, known := l.known[s.Key]
@@ -66,25 +90,56 @@
 	case !known && s.Ended:
 		return false
 	case !known:
-		l.expire()
+		now := l.clock.Now()
+		maps.DeleteFunc(l.known, func(_ Key, old Statement) bool { return now.Sub(old.At) > statementTTL })
+	}
+	if !s.Ended {
+		s.Rate = max(s.Rate, minRate)
 	}
 	l.known[s.Key] = s
-	return !known || previous.Rate != s.Rate || previous.Ended != s.Ended
+	if known && previous.Rate == s.Rate && previous.Ended == s.Ended {
+		return false
+	}
+	l.activate()
+	return true
 }
 
-// expire removes statements that no longer matter.
-func (l *Limits) expire() {
-	now := l.clock.Now()
-	maps.DeleteFunc(l.known, func(_ Key, s Statement) bool {
-		age := now.Sub(s.At)
-		return age > statementTTL || s.Ended && age > endedTTL
-	})
+// activate computes the limits in force.
+func (l *Limits) activate() {
+	a := &activeLimits{rates: map[Key]Rate{}}
+	for key, s := range l.known {
+		if !s.Ended {
+			a.rates[key] = s.Rate
+			a.digest ^= xxhash.Sum64(fmt.Appendf(nil, "%q %d %g", key.Target, key.Start, s.Rate))
+		}
+	}
+	l.active.Store(a)
 }
 
 // Rate returns the limit of a target, and false if it has none.
 func (l *Limits) Rate(key Key) (Rate, bool) {
+	rate, limited := l.active.Load().rates[key]
+	return rate, limited
+}
+
+// Digest returns a hash of the limits in force. Limits with equal digests are the same.
+func (l *Limits) Digest() uint64 { return l.active.Load().digest }
+
+// List returns all statements, in order of their targets.
+func (l *Limits) List() []Statement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.SortedFunc(maps.Values(l.known), func(a, b Statement) int { return strings.Compare(string(a.Target), string(b.Target)) })
+}
+
+// Statements returns the statements of those keys that have a limit.
+func (l *Limits) Statements(keys []Key) (limited []Statement) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s, ok := l.known[key]
-	return s.Rate, ok && !s.Ended
+	for _, key := range keys {
+		if s, ok := l.known[key]; ok && !s.Ended {
+			limited = append(limited, s)
+		}
+	}
+	return limited
 }
--- /dev/null
+++ b/pace/pacer.go
@@ -0,0 +1,241 @@
+package pace
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Scheduler gives out places in the lines of targets to all hosts. It fails while it can't
+// be reached.
+type Scheduler interface {
+	Reserve(ctx context.Context, statements []Statement, maxWait time.Duration) (Grant, error)
+}
+
+const (
+	// reserveTimeout limits a call to the scheduler, which takes a few milliseconds.
+	reserveTimeout = 300 * time.Millisecond
+	// retryDelay is the time after a failed call until the scheduler is asked again.
+	retryDelay = 500 * time.Millisecond
+	// askIntervalPerHost is the interval, for each host of the fleet, at which a host sends a
+	// target with a limit a request that could go elsewhere, since only the target's answers
+	// tell when its limit changes.
+	askIntervalPerHost = 250 * time.Millisecond
+	// ownShare is the fraction of its part of a limit that a host uses while the scheduler
+	// can't be reached, since the scheduler may not know yet and give out all of the limit.
+	ownShare = 1.0 / 3
+	// maxOwnWait is how far ahead a host gives out its own places. They overlap with the
+	// scheduler's once that is back.
+	maxOwnWait = 300 * time.Millisecond
+	// unusedTTL is how long after its time a place may be used that its request didn't need.
+	unusedTTL = time.Second
+)
+
+// Reservation is a place in the line of a target.
+type Reservation struct {
+	Key Key
+	// At is the time from which the request may be sent.
+	At time.Time
+}
+
+// Pacer gets the places that the requests of one host need. It is safe for concurrent use.
+type Pacer struct {
+	limits    *Limits
+	scheduler Scheduler
+	// hosts returns the number of hosts of the fleet, or zero if it is unknown.
+	hosts  func() int
+	clock  clockwork.Clock
+	log    *slog.Logger
+	random func() float64
+
+	mu sync.Mutex
+	// own is this host's part of the lines while the scheduler can't be reached, or nil.
+	own     *Schedule
+	retryAt time.Time
+	// unused are places that requests gave back.
+	unused []Reservation
+	// full holds, for targets whose line was too long, the time of their next place.
+	full map[Key]fullLine
+	// askedAt is when targets were last asked by requests that could go elsewhere.
+	askedAt map[Key]time.Time
+}
+
+// fullLine is a line that had no place in time, while the target stated a rate.
+type fullLine struct {
+	rate Rate
+	next time.Time
+}
+
+// PacerOption sets an option of a Pacer.
+type PacerOption func(*Pacer)
+
+// WithRandom sets the source of random numbers, which are at least 0 and below 1.
+func WithRandom(random func() float64) PacerOption { return func(p *Pacer) { p.random = random } }
+
+// NewPacer returns a Pacer.
+func NewPacer(limits *Limits, scheduler Scheduler, hosts func() int, clock clockwork.Clock, log *slog.Logger, opts ...PacerOption) *Pacer {
+	p := &Pacer{limits: limits, scheduler: scheduler, hosts: hosts, clock: clock, log: log, random: rand.Float64, full: map[Key]fullLine{}, askedAt: map[Key]time.Time{}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Reserve gets a place in the line of one of the targets, no later than maxWait from now.
+// If there is none, it returns the time until there is one. A target that has lost its
+// limit meanwhile has a place at once.
+func (p *Pacer) Reserve(ctx context.Context, targets []Key, maxWait time.Duration) (Reservation, time.Duration, bool) {
+	now := p.clock.Now()
+	statements := p.limits.Statements(targets)
+	if len(statements) < len(targets) {
+		for _, key := range targets {
+			if _, limited := p.limits.Rate(key); !limited {
+				return Reservation{Key: key, At: now}, 0, true
+			}
+		}
+	}
+	if r, ok := p.takeUnused(targets, now, maxWait); ok {
+		return r, 0, true
+	}
+	if wait, full := p.knownFull(statements, now, maxWait); full {
+		return Reservation{}, wait, false
+	}
+	grant := p.ask(ctx, statements, maxWait)
+	if grant.Refused {
+		p.recordFull(statements, now.Add(grant.Wait))
+		return Reservation{}, grant.Wait, false
+	}
+	return Reservation{Key: grant.Key, At: p.clock.Now().Add(grant.Wait)}, 0, true
+}
+
+// ReserveToAsk gets a place at once in the line of one of the targets that this host hasn't
+// asked for some time, for a request that could go elsewhere.
+func (p *Pacer) ReserveToAsk(ctx context.Context, targets []Key) (Reservation, bool) {
+	key, ok := p.dueToAsk(targets)
+	if !ok {
+		return Reservation{}, false
+	}
+	r, _, ok := p.Reserve(ctx, []Key{key}, 0)
+	return r, ok
+}
+
+// dueToAsk returns the first of the targets that is due to be asked, and counts it as asked.
+func (p *Pacer) dueToAsk(targets []Key) (Key, bool) {
+	interval := time.Duration(max(1, p.hosts())) * askIntervalPerHost
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for _, key := range targets {
+		if now.Sub(p.askedAt[key]) < interval {
+			continue
+		}
+		maps.DeleteFunc(p.askedAt, func(_ Key, at time.Time) bool { return now.Sub(at) >= interval })
+		p.askedAt[key] = now
+		return key, true
+	}
+	return Key{}, false
+}
+
+// GiveBack makes a place available to other requests of this host.
+func (p *Pacer) GiveBack(r Reservation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.unused = slices.DeleteFunc(p.unused, func(old Reservation) bool { return now.Sub(old.At) > unusedTTL })
+	p.unused = append(p.unused, r)
+}
+
+func (p *Pacer) takeUnused(targets []Key, now time.Time, maxWait time.Duration) (Reservation, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.unused, func(r Reservation) bool {
+		return now.Sub(r.At) <= unusedTTL && r.At.Sub(now) <= maxWait && slices.Contains(targets, r.Key)
+	})
+	if i < 0 {
+		return Reservation{}, false
+	}
+	r := p.unused[i]
+	p.unused = slices.Delete(p.unused, i, i+1)
+	return r, true
+}
+
+// knownFull reports whether all lines are known to have no place in time, and the time
+// until the first place.
+func (p *Pacer) knownFull(statements []Statement, now time.Time, maxWait time.Duration) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var soonest time.Duration
+	for i, s := range statements {
+		f, ok := p.full[s.Key]
+		wait := f.next.Sub(now)
+		if !ok || f.rate != s.Rate || wait <= maxWait {
+			return 0, false
+		}
+		if i == 0 || wait < soonest {
+			soonest = wait
+		}
+	}
+	return soonest, true
+}
+
+func (p *Pacer) recordFull(statements []Statement, next time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for key, f := range p.full {
+		if f.next.Before(now) {
+			delete(p.full, key)
+		}
+	}
+	for _, s := range statements {
+		p.full[s.Key] = fullLine{rate: s.Rate, next: next}
+	}
+}
+
+// ask asks the scheduler for a place, or this host's own part of the lines if the scheduler
+// can't be reached.
+func (p *Pacer) ask(ctx context.Context, statements []Statement, maxWait time.Duration) Grant {
+	p.mu.Lock()
+	lost := p.clock.Now().Before(p.retryAt)
+	p.mu.Unlock()
+	if !lost {
+		callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
+		defer cancel()
+		grant, err := p.scheduler.Reserve(callCtx, statements, maxWait)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if err == nil {
+			p.own, p.retryAt = nil, time.Time{}
+			return grant
+		}
+		if p.own == nil {
+			p.log.Warn("pace: places in the lines of targets can't be had; keeping to this host's part of their limits", "hosts", p.hosts(), "error", err)
+			// At random, so that not all hosts send at the same time.
+			p.own = NewSchedule(p.clock.Now(), p.random)
+		}
+		p.retryAt = p.clock.Now().Add(retryDelay)
+		return p.reserveOwn(statements, maxWait)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reserveOwn(statements, maxWait)
+}
+
+func (p *Pacer) reserveOwn(statements []Statement, maxWait time.Duration) Grant {
+	hosts := p.hosts()
+	if hosts == 0 || p.own == nil {
+		// Another host is likely to know more.
+		return Grant{Refused: true, Wait: max(retryDelay, maxWait)}
+	}
+	var candidates []Candidate
+	for _, s := range statements {
+		candidates = append(candidates, Candidate{s.Key, s.Rate * ownShare / Rate(hosts)})
+	}
+	return p.own.Reserve(p.clock.Now(), candidates, min(maxWait, maxOwnWait))
+}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -62,6 +62,9 @@
 	// run at the same time.
 	Work  int
 	Slots int
+	// Limited is set if the engine takes a limited number of requests only. Requests wait
+	// for a model although such an engine holds it, and models are loaded elsewhere.
+	Limited bool
 }
 
 // Resident is a model that an engine holds.
@@ -186,7 +189,8 @@
 func newPlanner(s State) *planner {
 	p := &planner{
 		State: s, engines: slices.Clone(s.Engines), replicas: map[model.Name]int{}, cached: map[model.Name]bool{},
-		loading: map[model.Name]bool{}, requested: map[model.Name]bool{},
+		loading: map[model.Name]bool{}, requested: map[model.Name]bool{}, unlimited: map[model.Name]int{},
+		allLimited: !slices.ContainsFunc(s.Engines, func(e Engine) bool { return !e.Limited }),
 	}
 	for i := range p.engines {
 		e := &p.engines[i]
@@ -219,6 +223,10 @@
 	// cached holds the models whose weights some engine has, loading those that an engine
 	// loads, and requested those that requests wait for.
 	cached, loading, requested map[model.Name]bool
+	// unlimited holds the number of engines without a limit that hold or load each model, and
+	// allLimited is set if there is no engine without one.
+	unlimited  map[model.Name]int
+	allLimited bool
 	// idle is the number of engines that may get a job.
 	idle int
 	// weightStoreOnlyRequests is the number of load requests for models whose weights only the
@@ -235,11 +243,11 @@
 	for _, r := range e.Resident {
 		p.cached[r.Model] = true
 		if !r.Unloading {
-			p.replicas[r.Model]++
+			p.countReplica(r.Model, e)
 		}
 	}
 	if e.Loading != "" {
-		p.replicas[e.Loading]++
+		p.countReplica(e.Loading, e)
 		p.cached[e.Loading], p.loading[e.Loading] = true, true
 	}
 	for _, name := range e.InMemory {
@@ -250,6 +258,18 @@
 	}
 }
 
+func (p *planner) countReplica(name model.Name, e *Engine) {
+	p.replicas[name]++
+	if !e.Limited {
+		p.unlimited[name]++
+	}
+}
+
+// served reports whether an engine that may take the requests for a model holds or loads it.
+func (p *planner) served(name model.Name) bool {
+	return p.unlimited[name] > 0 || p.allLimited && p.replicas[name] > 0
+}
+
 // urgency ranks load requests by the number of requests that a load allows to be
 // served on time: those that wait, and those that are likely to follow. Late
 // requests count less, but gain with age, since their callers give up. Loading in the
@@ -282,7 +302,7 @@
 // loadRequested plans loads of the requested models that no engine holds.
 func (p *planner) loadRequested() {
 	for _, request := range p.requestsByUrgency() {
-		if p.replicas[request.Model] == 0 {
+		if !p.served(request.Model) {
 			p.place(request.Model, ReasonRequested, max(0, p.Now.Sub(request.Since)-maxInUseWait), anyEngine)
 		}
 	}
@@ -369,7 +389,7 @@
 	bestCost, bestBlocked := 0.0, false
 	for i := range p.engines {
 		e := &p.engines[i]
-		if !allowed(e) || e.holds(name) {
+		if !allowed(e) || e.holds(name) || e.Limited && !p.allLimited {
 			continue
 		}
 		if best != nil && p.minCost(e, m) >= bestCost {
@@ -397,10 +417,13 @@
 	p.loading[name] = true
 	best.Busy, best.Loading, best.FreeAt = true, name, p.Now.Add(LoadTime(m, bestJob.Source))
 	best.Resident = slices.DeleteFunc(best.Resident, func(r Resident) bool { return slices.Contains(bestJob.Evict, r.Model) })
-	p.replicas[name]++
+	p.countReplica(name, best)
 	p.cached[name] = true
 	for _, evicted := range bestJob.Evict {
 		p.replicas[evicted]--
+		if !best.Limited {
+			p.unlimited[evicted]--
+		}
 	}
 }
 
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -365,3 +365,35 @@
 		}
 	})
 }
+
+// Requests wait for a model whose only engine has a limit. Another engine loads it, and only
+// if all engines have limits, none does.
+func TestModelOfLimitedEngineIsLoadedOnAnother(t *testing.T) {
+	cases := []struct {
+		name    string
+		limited []int
+		want    []target.ID
+	}{
+		{"no limit", nil, nil},
+		{"its engine", []int{0}, []target.ID{"e1"}},
+		{"its engine and another", []int{0, 1}, []target.ID{"e2"}},
+		{"all engines", []int{0, 1, 2}, nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newState(9, 3)
+			for _, i := range tc.limited {
+				s.Engines[i].Limited = true
+			}
+			for i := range s.Engines {
+				s.Engines[i].OnDisk["m0"] = true
+			}
+			s.LoadRequests = []placement.LoadRequest{{Model: "m0", Waiting: 1, Since: now}}
+			var engines []target.ID
+			for _, job := range placement.Plan(s) {
+				engines = append(engines, job.Engine)
+			}
+			must.Eq(t, tc.want, engines)
+		})
+	}
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -156,6 +156,15 @@
 	return known
 }
 
+// SilentShare returns the fraction of the known hosts that are silent, and may be spending
+// by themselves.
+func (l *Ledger) SilentShare() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, silent := l.countHosts(l.clock.Now())
+	return float64(len(silent)) / float64(max(1, known))
+}
+
 // countHosts returns the number of known hosts, and which of them are silent. It removes
 // hosts that have been silent for hostTTL.
 func (l *Ledger) countHosts(now time.Time) (known int, silent []fleet.HostID) {
