quarantine: name what crashes may follow a suspect; log that of requests

A suspect is a part of prompts or, by a hash of host, path, key and body, a whole request; interrupted attempts log that of their request. No request is handled otherwise.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -171,7 +171,7 @@
 // the coordinator.
 func WithWeakHost(weak bool) ClientOption { return func(c *Client) { c.weak = weak } }
 
-// WithScreen sets the quarantined parts of prompts that this host keeps from engines, and
+// WithScreen sets the quarantined suspects that this host keeps from targets, and
 // its evidence for the coordinator.
 func WithScreen(screen *quarantine.Screen) ClientOption {
 	return func(c *Client) { c.screen = screen }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -110,7 +110,7 @@
 	config     catalog.Version
 	// dirty holds the engines whose changes haven't been sent to hosts yet.
 	dirty map[*engine]bool
-	// detector finds the parts of prompts that crash engines, and quarantineChanged is
+	// detector finds the suspects that crash targets, and quarantineChanged is
 	// set until hosts were sent its changes.
 	detector          *quarantine.Detector
 	quarantineChanged bool
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -114,11 +114,11 @@
 	// Config is the version of the host's configuration, or zero if the host doesn't know
 	// whether that is the newest.
 	Config catalog.Version `cbor:"config,omitempty"`
-	// Crashes and Sound are evidence of which parts of prompts crash engines, and
-	// Quarantined lists the parts that this host knows of.
-	Crashes     []wireCrash       `cbor:"crashes,omitempty"`
-	Sound       []quarantine.Part `cbor:"sound,omitempty"`
-	Quarantined []wireQuarantine  `cbor:"quarantined,omitempty"`
+	// Crashes and Sound are evidence of what crashes targets, and Quarantined lists the
+	// suspects that this host knows of.
+	Crashes     []wireCrash          `cbor:"crashes,omitempty"`
+	Sound       []quarantine.Suspect `cbor:"sound,omitempty"`
+	Quarantined []wireQuarantine     `cbor:"quarantined,omitempty"`
 
 	// Leaving lists the targets that have told this host that they leave.
 	Leaving []wireLeaving `cbor:"leaving,omitempty"`
@@ -137,19 +137,19 @@
 	Start  roster.StartID `cbor:"start"`
 }
 
-// wireCrash is the end of an engine as it began to respond to a request.
+// wireCrash is the end of a target as it began to respond to a request.
 type wireCrash struct {
-	Target  target.ID         `cbor:"target"`
-	Start   roster.StartID    `cbor:"start"`
-	Request string            `cbor:"request"`
-	Parts   []quarantine.Part `cbor:"parts"`
+	Target   target.ID            `cbor:"target"`
+	Start    roster.StartID       `cbor:"start"`
+	Request  string               `cbor:"request"`
+	Suspects []quarantine.Suspect `cbor:"parts"`
 	// Ago is the time since then in milliseconds.
 	Ago int64 `cbor:"ago-ms"`
 }
 
-// wireQuarantine is a part of prompts that crashes engines.
+// wireQuarantine is a suspect that crashes targets.
 type wireQuarantine struct {
-	Part quarantine.Part `cbor:"part"`
+	Suspect quarantine.Suspect `cbor:"part"`
 	// Left is the time in milliseconds until the quarantine ends.
 	Left int64 `cbor:"left-ms"`
 }
@@ -200,10 +200,10 @@
 	CompleteBuckets []roster.Bucket `cbor:"whole"`
 	// Successor is the host that a resigning coordinator prefers.
 	Successor fleet.HostID `cbor:"successor"`
-	// Quarantined lists the parts of prompts that crash engines, and Sound those parts of
-	// the reported crashes that don't.
-	Quarantined []wireQuarantine  `cbor:"quarantined,omitempty"`
-	Sound       []quarantine.Part `cbor:"sound,omitempty"`
+	// Quarantined lists the suspects that crash targets, and Sound those of the reported
+	// crashes that don't.
+	Quarantined []wireQuarantine     `cbor:"quarantined,omitempty"`
+	Sound       []quarantine.Suspect `cbor:"sound,omitempty"`
 	// LimitDigest is a digest of the limits of targets that the coordinator knows, and Limits
 	// what targets said about them, unless the host reported the same digest.
 	LimitDigest uint64      `cbor:"limit-digest,omitempty"`
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -1,9 +1,8 @@
-// Package quarantine finds the parts of prompts that crash engines, by what the requests
-// under which engines crashed have in common, and keeps requests with such a part from
-// engines.
+// Package quarantine finds what crashes targets, by what the requests under which targets
+// crashed have in common, and keeps such requests from targets.
 //
-// Requests of many callers run at an engine together, so that a crash also interrupts
-// requests that have nothing to do with it. A part is quarantined if several engines
+// Requests of many callers run at a target together, so that a crash also interrupts
+// requests that have nothing to do with it. A suspect is quarantined if several targets
 // crashed as they began to respond to different requests with it, and none has ever
 // completed a response to such a request.
 package quarantine
@@ -17,41 +16,37 @@
 	"hawthornway/target"
 )
 
-// Part identifies a part of a prompt that requests of several sessions may share, such as
-// a system prompt or a document.
-type Part string
-
 // The parameters of a Detector.
 const (
-	// A part is quarantined after the crashes of minEngines engines under minRequests
+	// A suspect is quarantined after the crashes of minEngines targets under minRequests
 	// requests. One request may be sent to several engines.
 	minEngines  = 3
 	minRequests = 2
 	// crashTTL is how long a crash counts.
 	crashTTL = 5 * time.Minute
-	// Duration is how long a part is quarantined. After that it takes as many crashes as
+	// Duration is how long a suspect is quarantined. After that it takes as many crashes as
 	// before to quarantine it again.
 	Duration = 10 * time.Minute
-	// soundTTL is for how long a part is at least known to be sound after a complete
+	// soundTTL is for how long a suspect is at least known to be sound after a complete
 	// response.
 	soundTTL = 10 * time.Minute
-	// maxSound limits the parts known to be sound, and maxSuspects those under which
-	// engines have crashed, each with the last maxCrashesPerPart.
+	// maxSound limits the suspects known to be sound, and maxSuspects those under which
+	// engines have crashed, each with the last maxCrashesPerSuspect.
 	maxSound    = 20_000
 	maxSuspects = 2000
 
-	maxCrashesPerPart = 16
+	maxCrashesPerSuspect = 16
 )
 
-// Crash is the end of an engine as it began to respond to a request.
+// Crash is the end of a target as it began to respond to a request.
 type Crash struct {
 	Target target.ID
 	Start  roster.StartID
 	// Request identifies the request.
 	Request string
-	// Parts are the parts of the request's prompt.
-	Parts []Part
-	At    time.Time
+	// Suspects are what the crash may follow.
+	Suspects []Suspect
+	At       time.Time
 }
 
 // engineStart is one start of an engine.
@@ -78,55 +73,55 @@
 	return len(keys)
 }
 
-// Quarantine is a part that crashes engines.
+// Quarantine is a suspect that crashes engines.
 type Quarantine struct {
-	Part  Part
-	Until time.Time
+	Suspect Suspect
+	Until   time.Time
 }
 
-// Detector decides which parts are quarantined. It is not safe for concurrent use.
+// Detector decides which suspects are quarantined. It is not safe for concurrent use.
 type Detector struct {
-	sound soundParts
-	// suspects holds the crashes under each part that isn't known to be sound.
-	suspects    map[Part][]Crash
-	quarantined map[Part]time.Time
+	sound soundSuspects
+	// suspects holds the crashes under each suspect that isn't known to be sound.
+	suspects    map[Suspect][]Crash
+	quarantined map[Suspect]time.Time
 }
 
 // NewDetector returns a Detector without evidence.
 func NewDetector() *Detector {
-	return &Detector{suspects: map[Part][]Crash{}, quarantined: map[Part]time.Time{}}
+	return &Detector{suspects: map[Suspect][]Crash{}, quarantined: map[Suspect]time.Time{}}
 }
 
-// RecordCrash records a crash. It returns the parts that are quarantined because of it.
-func (d *Detector) RecordCrash(now time.Time, crash Crash) (quarantined []Part) {
-	for _, part := range crash.Parts {
-		if d.sound.has(now, part) {
+// RecordCrash records a crash. It returns the suspects that are quarantined because of it.
+func (d *Detector) RecordCrash(now time.Time, crash Crash) (quarantined []Suspect) {
+	for _, suspect := range crash.Suspects {
+		if d.sound.has(now, suspect) {
 			continue
 		}
-		crashes := slices.DeleteFunc(d.suspects[part], func(c Crash) bool { return now.Sub(c.At) > crashTTL })
+		crashes := slices.DeleteFunc(d.suspects[suspect], func(c Crash) bool { return now.Sub(c.At) > crashTTL })
 		if !slices.ContainsFunc(crashes, crash.same) {
 			crashes = append(crashes, crash)
 		}
 		if countDistinct(crashes, Crash.engine) < minEngines || countDistinct(crashes, Crash.request) < minRequests {
-			d.makeRoom(now, part)
-			d.suspects[part] = crashes[max(0, len(crashes)-maxCrashesPerPart):]
+			d.makeRoom(now, suspect)
+			d.suspects[suspect] = crashes[max(0, len(crashes)-maxCrashesPerSuspect):]
 			continue
 		}
-		delete(d.suspects, part)
-		if !d.Quarantined(now, part) {
-			quarantined = append(quarantined, part)
+		delete(d.suspects, suspect)
+		if !d.Quarantined(now, suspect) {
+			quarantined = append(quarantined, suspect)
 		}
-		d.quarantined[part] = now.Add(Duration)
+		d.quarantined[suspect] = now.Add(Duration)
 	}
 	return quarantined
 }
 
 // makeRoom makes room for a suspect.
-func (d *Detector) makeRoom(now time.Time, part Part) {
-	if _, ok := d.suspects[part]; ok || len(d.suspects) < maxSuspects {
+func (d *Detector) makeRoom(now time.Time, suspect Suspect) {
+	if _, ok := d.suspects[suspect]; ok || len(d.suspects) < maxSuspects {
 		return
 	}
-	var oldest Part
+	var oldest Suspect
 	oldestAt := now
 	for suspect, crashes := range d.suspects {
 		if at := crashes[len(crashes)-1].At; !at.After(oldestAt) {
@@ -136,74 +131,76 @@
 	delete(d.suspects, oldest)
 }
 
-// RecordSound records that a response to a request with a part was completed. It reports
-// whether the part was quarantined until now.
-func (d *Detector) RecordSound(now time.Time, part Part) (released bool) {
-	d.sound.add(now, part)
-	delete(d.suspects, part)
-	released = d.Quarantined(now, part)
-	delete(d.quarantined, part)
+// RecordSound records that a response to a request with a suspect was completed. It reports
+// whether the suspect was quarantined until now.
+func (d *Detector) RecordSound(now time.Time, suspect Suspect) (released bool) {
+	d.sound.add(now, suspect)
+	delete(d.suspects, suspect)
+	released = d.Quarantined(now, suspect)
+	delete(d.quarantined, suspect)
 	return released
 }
 
-// Sound reports whether a part is known to be sound.
-func (d *Detector) Sound(now time.Time, part Part) bool { return d.sound.has(now, part) }
+// Sound reports whether a suspect is known to be sound.
+func (d *Detector) Sound(now time.Time, suspect Suspect) bool { return d.sound.has(now, suspect) }
 
-// Adopt quarantines a part that another Detector has quarantined, unless it is known to
+// Adopt quarantines a suspect that another Detector has quarantined, unless it is known to
 // be sound.
 func (d *Detector) Adopt(now time.Time, q Quarantine) {
-	if !d.sound.has(now, q.Part) && q.Until.After(d.quarantined[q.Part]) {
-		d.quarantined[q.Part] = q.Until
+	if !d.sound.has(now, q.Suspect) && q.Until.After(d.quarantined[q.Suspect]) {
+		d.quarantined[q.Suspect] = q.Until
 	}
 }
 
-// Quarantined reports whether a part is quarantined.
-func (d *Detector) Quarantined(now time.Time, part Part) bool { return d.quarantined[part].After(now) }
+// Quarantined reports whether a suspect is quarantined.
+func (d *Detector) Quarantined(now time.Time, suspect Suspect) bool {
+	return d.quarantined[suspect].After(now)
+}
 
-// List returns the quarantined parts, in order.
+// List returns the quarantined suspects, in order.
 func (d *Detector) List(now time.Time) []Quarantine {
 	var list []Quarantine
-	for part, until := range d.quarantined {
+	for suspect, until := range d.quarantined {
 		if !until.After(now) {
-			delete(d.quarantined, part)
+			delete(d.quarantined, suspect)
 			continue
 		}
-		list = append(list, Quarantine{part, until})
+		list = append(list, Quarantine{suspect, until})
 	}
-	slices.SortFunc(list, func(a, b Quarantine) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(list, func(a, b Quarantine) int { return cmp.Compare(a.Suspect, b.Suspect) })
 	return list
 }
 
-// soundParts holds the parts that are known to be sound, in two generations.
-type soundParts struct {
-	recent, previous map[Part]bool
+// soundSuspects holds the suspects that are known to be sound, in two generations.
+type soundSuspects struct {
+	recent, previous map[Suspect]bool
 	// since is the beginning of the recent generation.
 	since time.Time
 }
 
-func (s *soundParts) add(now time.Time, part Part) {
+func (s *soundSuspects) add(now time.Time, suspect Suspect) {
 	s.expire(now)
 	if len(s.recent) >= maxSound/2 {
 		s.rotate(now)
 	}
-	s.recent[part] = true
+	s.recent[suspect] = true
 }
 
-func (s *soundParts) has(now time.Time, part Part) bool {
+func (s *soundSuspects) has(now time.Time, suspect Suspect) bool {
 	s.expire(now)
-	return s.recent[part] || s.previous[part]
+	return s.recent[suspect] || s.previous[suspect]
 }
 
 // expire begins a new generation if the recent one is old.
-func (s *soundParts) expire(now time.Time) {
+func (s *soundSuspects) expire(now time.Time) {
 	switch age := now.Sub(s.since); {
 	case s.recent == nil || age > 2*soundTTL:
-		s.recent, s.previous, s.since = map[Part]bool{}, nil, now
+		s.recent, s.previous, s.since = map[Suspect]bool{}, nil, now
 	case age > soundTTL:
 		s.rotate(now)
 	}
 }
 
-func (s *soundParts) rotate(now time.Time) {
-	s.recent, s.previous, s.since = map[Part]bool{}, s.recent, now
+func (s *soundSuspects) rotate(now time.Time) {
+	s.recent, s.previous, s.since = map[Suspect]bool{}, s.recent, now
 }
--- a/quarantine/example_test.go
+++ b/quarantine/example_test.go
@@ -15,7 +15,7 @@
 	d.RecordSound(now, "system")
 	for i, engine := range []target.ID{"e1", "e2", "e3"} {
 		quarantined := d.RecordCrash(now, quarantine.Crash{
-			Target: engine, Start: 1, Request: fmt.Sprint(i), Parts: []quarantine.Part{"system", "document"}, At: now,
+			Target: engine, Start: 1, Request: fmt.Sprint(i), Suspects: []quarantine.Suspect{"system", "document"}, At: now,
 		})
 		fmt.Println(engine, quarantined)
 	}
--- a/quarantine/screen.go
+++ b/quarantine/screen.go
@@ -15,9 +15,9 @@
 const (
 	// maxCrashes limits the crashes that are kept for the next coordinator.
 	maxCrashes = 64
-	// maxSoundPerReport limits the sound parts in one report.
+	// maxSoundPerReport limits the sound suspects in one report.
 	maxSoundPerReport = 256
-	// soundReportInterval is how often a part is reported as sound. It leaves enough
+	// soundReportInterval is how often a suspect is reported as sound. It leaves enough
 	// reports within soundTTL that some may be lost.
 	soundReportInterval = 2 * time.Minute
 )
@@ -25,13 +25,13 @@
 // Evidence is what a host reports to the coordinator.
 type Evidence struct {
 	Crashes []Crash
-	// Sound lists parts of requests whose responses were completed.
-	Sound []Part
-	// Quarantined lists the parts that the host knows to be quarantined.
+	// Sound lists suspects of requests whose responses were completed.
+	Sound []Suspect
+	// Quarantined lists the suspects that the host knows to be quarantined.
 	Quarantined []Quarantine
 }
 
-// Screen holds the quarantined parts that a host knows, from the coordinator and by its
+// Screen holds the quarantined suspects that a host knows, from the coordinator and by its
 // own evidence, and the evidence for the coordinator. It is safe for concurrent use.
 type Screen struct {
 	clock clockwork.Clock
@@ -41,42 +41,42 @@
 
 	mu  sync.Mutex
 	own *Detector
-	// fleet holds the quarantined parts according to the coordinator.
+	// fleet holds the quarantined suspects according to the coordinator.
 	fleet []Quarantine
 	// crashes are the recent crashes, of which the first sent ones were reported to the
 	// coordinator with the given fence.
 	crashes []Crash
 	sent    int
 	fence   target.Fence
-	// unreported holds sound parts for the next report, and reportedAt when parts were
+	// unreported holds sound suspects for the next report, and reportedAt when suspects were
 	// reported.
-	unreported map[Part]bool
-	reportedAt map[Part]time.Time
+	unreported map[Suspect]bool
+	reportedAt map[Suspect]time.Time
 }
 
 // NewScreen returns a Screen without evidence.
 func NewScreen(clock clockwork.Clock, log *slog.Logger) *Screen {
 	return &Screen{
 		clock: clock, log: log, crashed: make(chan struct{}, 1), own: NewDetector(),
-		unreported: map[Part]bool{}, reportedAt: map[Part]time.Time{},
+		unreported: map[Suspect]bool{}, reportedAt: map[Suspect]time.Time{},
 	}
 }
 
 // Crashed returns a channel that receives a value after crashes were recorded.
 func (s *Screen) Crashed() <-chan struct{} { return s.crashed }
 
-// Quarantined returns the first of the parts that is quarantined, if any.
-func (s *Screen) Quarantined(parts []Part) (Part, bool) {
-	if len(parts) == 0 {
+// Quarantined returns the first of the suspects that is quarantined, if any.
+func (s *Screen) Quarantined(suspects []Suspect) (Suspect, bool) {
+	if len(suspects) == 0 {
 		return "", false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	for _, part := range parts {
-		inFleet := slices.ContainsFunc(s.fleet, func(q Quarantine) bool { return q.Part == part && q.Until.After(now) })
-		if inFleet || s.own.Quarantined(now, part) {
-			return part, true
+	for _, suspect := range suspects {
+		inFleet := slices.ContainsFunc(s.fleet, func(q Quarantine) bool { return q.Suspect == suspect && q.Until.After(now) })
+		if inFleet || s.own.Quarantined(now, suspect) {
+			return suspect, true
 		}
 	}
 	return "", false
@@ -85,7 +85,7 @@
 // RecordCrash records that an engine crashed as it began to respond to a request. Its At
 // is set.
 func (s *Screen) RecordCrash(crash Crash) {
-	if len(crash.Parts) == 0 {
+	if len(crash.Suspects) == 0 {
 		return
 	}
 	s.mu.Lock()
@@ -97,8 +97,8 @@
 		s.sent = max(0, s.sent-excess)
 	}
 	s.mu.Unlock()
-	for _, part := range quarantined {
-		s.log.Warn("quarantine: a part of prompts crashes engines; refusing requests with it", "part", part, "target", crash.Target, "request", crash.Request)
+	for _, suspect := range quarantined {
+		s.log.Warn("quarantine: targets crash under this suspect; refusing requests with it", "suspect", suspect, "target", crash.Target, "request", crash.Request)
 	}
 	select {
 	case s.crashed <- struct{}{}:
@@ -106,18 +106,18 @@
 	}
 }
 
-// RecordSound records that a response to a request with these parts was completed.
-func (s *Screen) RecordSound(parts []Part) {
-	if len(parts) == 0 {
+// RecordSound records that a response to a request with these suspects was completed.
+func (s *Screen) RecordSound(suspects []Suspect) {
+	if len(suspects) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	for _, part := range parts {
-		s.own.RecordSound(now, part)
-		if now.Sub(s.reportedAt[part]) >= soundReportInterval && len(s.unreported) < maxSound {
-			s.unreported[part] = true
+	for _, suspect := range suspects {
+		s.own.RecordSound(now, suspect)
+		if now.Sub(s.reportedAt[suspect]) >= soundReportInterval && len(s.unreported) < maxSound {
+			s.unreported[suspect] = true
 		}
 	}
 }
@@ -140,20 +140,20 @@
 	}
 	s.crashes, s.sent = slices.Delete(s.crashes, 0, expired), max(0, s.sent-expired)
 	for _, crash := range s.crashes[s.sent:] {
-		// The coordinator may not have been told yet that a part is sound.
-		crash.Parts = slices.DeleteFunc(slices.Clone(crash.Parts), func(part Part) bool { return s.own.Sound(now, part) })
-		if len(crash.Parts) > 0 {
+		// The coordinator may not have been told yet that a suspect is sound.
+		crash.Suspects = slices.DeleteFunc(slices.Clone(crash.Suspects), func(suspect Suspect) bool { return s.own.Sound(now, suspect) })
+		if len(crash.Suspects) > 0 {
 			e.Crashes = append(e.Crashes, crash)
 		}
 	}
 	s.sent = len(s.crashes)
-	for part := range s.unreported {
+	for suspect := range s.unreported {
 		if len(e.Sound) == maxSoundPerReport {
 			break
 		}
-		e.Sound = append(e.Sound, part)
-		delete(s.unreported, part)
-		s.reportedAt[part] = now
+		e.Sound = append(e.Sound, suspect)
+		delete(s.unreported, suspect)
+		s.reportedAt[suspect] = now
 	}
 	if len(s.reportedAt) > maxSound {
 		clear(s.reportedAt)
@@ -172,28 +172,28 @@
 // resend makes the next Take return all recent evidence.
 func (s *Screen) resend(now time.Time) {
 	s.sent = 0
-	for part, at := range s.reportedAt {
+	for suspect, at := range s.reportedAt {
 		if now.Sub(at) < soundTTL {
-			s.unreported[part] = true
+			s.unreported[suspect] = true
 		}
 	}
 	clear(s.reportedAt)
 }
 
-// Adopt applies the quarantined parts according to the coordinator with the given fence,
-// and parts of this host's crashes that the coordinator knows to be sound. If the list is
-// complete, and that coordinator has this host's evidence, parts that it lacks are
+// Adopt applies the quarantined suspects according to the coordinator with the given fence,
+// and suspects of this host's crashes that the coordinator knows to be sound. If the list is
+// complete, and that coordinator has this host's evidence, suspects that it lacks are
 // released.
-func (s *Screen) Adopt(fence target.Fence, list []Quarantine, complete bool, sound []Part) {
+func (s *Screen) Adopt(fence target.Fence, list []Quarantine, complete bool, sound []Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	for _, part := range sound {
-		s.own.RecordSound(now, part)
+	for _, suspect := range sound {
+		s.own.RecordSound(now, suspect)
 	}
 	for _, q := range list {
-		if s.own.sound.has(now, q.Part) {
-			s.unreported[q.Part] = true // the coordinator doesn't know it
+		if s.own.sound.has(now, q.Suspect) {
+			s.unreported[q.Suspect] = true // the coordinator doesn't know it
 		}
 	}
 	if complete && fence == s.fence {
@@ -201,7 +201,7 @@
 		return
 	}
 	for _, q := range list {
-		s.fleet = slices.DeleteFunc(s.fleet, func(known Quarantine) bool { return known.Part == q.Part })
+		s.fleet = slices.DeleteFunc(s.fleet, func(known Quarantine) bool { return known.Suspect == q.Suspect })
 		s.fleet = append(s.fleet, q)
 	}
 }
--- a/quarantine/screen_test.go
+++ b/quarantine/screen_test.go
@@ -23,15 +23,15 @@
 	for _, q := range e.Quarantined {
 		c.detector.Adopt(now, q)
 	}
-	for _, part := range e.Sound {
-		c.detector.RecordSound(now, part)
+	for _, suspect := range e.Sound {
+		c.detector.RecordSound(now, suspect)
 	}
-	var sound []Part
+	var sound []Suspect
 	for _, crash := range e.Crashes {
 		c.detector.RecordCrash(now, crash)
-		for _, part := range crash.Parts {
-			if c.detector.Sound(now, part) {
-				sound = append(sound, part)
+		for _, suspect := range crash.Suspects {
+			if c.detector.Sound(now, suspect) {
+				sound = append(sound, suspect)
 			}
 		}
 	}
@@ -47,18 +47,18 @@
 	return clock, screens
 }
 
-func quarantined(s *Screen, part Part) bool {
-	_, ok := s.Quarantined([]Part{part})
+func quarantined(s *Screen, suspect Suspect) bool {
+	_, ok := s.Quarantined([]Suspect{suspect})
 	return ok
 }
 
-// Each host sees one crash only. All must learn of the part, and keep it when the
+// Each host sees one crash only. All must learn of the suspect, and keep it when the
 // coordinator is replaced by one that knows nothing, at whichever point.
 func TestScreensShareEvidence(t *testing.T) {
 	clock, screens := newScreens(4)
 	first := coordinator{1, NewDetector()}
 	for i, s := range screens[:3] {
-		s.RecordSound([]Part{"y"})
+		s.RecordSound([]Suspect{"y"})
 		s.RecordCrash(crash(string(rune('a'+i)), string(rune('1'+i)), "y", "x"))
 		must.False(t, quarantined(s, "x"))
 		first.exchange(clock.Now(), s)
@@ -109,25 +109,25 @@
 	_, screens := newScreens(1)
 	s := screens[0]
 	s.RecordCrash(crash("a", "1", "x"))
-	s.RecordSound([]Part{"y"})
+	s.RecordSound([]Suspect{"y"})
 	e := s.Take(1)
 	must.SliceLen(t, 1, e.Crashes)
-	must.Eq(t, []Part{"y"}, e.Sound)
+	must.Eq(t, []Suspect{"y"}, e.Sound)
 	e = s.Take(1)
 	must.SliceEmpty(t, e.Crashes)
 	must.SliceEmpty(t, e.Sound)
 	s.Lost()
 	e = s.Take(1)
 	must.SliceLen(t, 1, e.Crashes)
-	must.Eq(t, []Part{"y"}, e.Sound)
+	must.Eq(t, []Suspect{"y"}, e.Sound)
 }
 
-// A host sees only crashes of requests with a part that other hosts serve. It must not
+// A host sees only crashes of requests with a suspect that other hosts serve. It must not
 // keep it from engines once the coordinator has told it.
 func TestSoundPartOfOtherHostsIsReleased(t *testing.T) {
 	clock, screens := newScreens(2)
 	c := coordinator{1, NewDetector()}
-	screens[0].RecordSound([]Part{"y"})
+	screens[0].RecordSound([]Suspect{"y"})
 	c.exchange(clock.Now(), screens[0])
 	for i := range 3 {
 		screens[1].RecordCrash(crash(string(rune('a'+i)), string(rune('1'+i)), "y"))
@@ -137,11 +137,11 @@
 	must.False(t, quarantined(screens[1], "y"))
 }
 
-// The coordinator has quarantined a part that a host knows to be sound.
+// The coordinator has quarantined a suspect that a host knows to be sound.
 func TestSoundPartIsReportedAgain(t *testing.T) {
 	clock, screens := newScreens(1)
 	s := screens[0]
-	s.RecordSound([]Part{"y"})
+	s.RecordSound([]Suspect{"y"})
 	c := coordinator{1, NewDetector()}
 	s.Take(c.fence) // lost
 	c.detector.Adopt(clock.Now(), Quarantine{"y", clock.Now().Add(Duration)})
@@ -152,12 +152,12 @@
 }
 
 // Engines crashed for other reasons while many requests began. A new coordinator hears of
-// the crashes before it hears that the parts are sound, and must not quarantine them.
+// the crashes before it hears that the suspects are sound, and must not quarantine them.
 func TestNextCoordinatorDoesNotSuspectSoundParts(t *testing.T) {
 	clock, screens := newScreens(4)
 	for i, s := range screens {
 		s.RecordCrash(crash(string(rune('a'+i)), string(rune('1'+i)), "y"))
-		s.RecordSound([]Part{"y"})
+		s.RecordSound([]Suspect{"y"})
 	}
 	c := coordinator{1, NewDetector()}
 	for _, s := range screens {
--- /dev/null
+++ b/quarantine/suspect.go
@@ -0,0 +1,29 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Suspect identifies what crashes may follow: a part of prompts, or a whole request that
+// comes again.
+type Suspect string
+
+// PartSuspect returns the suspect for a part of prompts that requests of several sessions
+// may share, such as a system prompt or a document.
+func PartSuspect(id string) Suspect { return Suspect("part:" + id) }
+
+// suspectBytes is the length of the hash in a request's suspect.
+const suspectBytes = 16
+
+// RequestSuspect returns the suspect for a request, which is the same when the caller with a
+// key sends it again, to any host.
+func RequestSuspect(host, uri, key string, body []byte) Suspect {
+	h := sha256.New()
+	for _, field := range [][]byte{[]byte(host), []byte(uri), []byte(key), body} {
+		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(field)))) // never fails
+		_, _ = h.Write(field)
+	}
+	return Suspect("request:" + hex.EncodeToString(h.Sum(nil)[:suspectBytes]))
+}
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -191,10 +191,10 @@
 	case interrupted:
 		d.recordPossibleRun(id)
 		if res.crashed() {
-			r.quarantine.RecordCrash(quarantine.Crash{Target: id, Start: t.Start, Request: string(f.req.ID), Parts: f.req.PromptParts})
+			r.quarantine.RecordCrash(quarantine.Crash{Target: id, Start: t.Start, Request: string(f.req.ID), Suspects: f.req.PromptParts})
 		}
 		r.log.Warn("relay: attempt interrupted", "request", f.req.ID, "target", id, "began", res.began, "events", res.events,
-			"after", d.lastEventID, "parts", f.req.PromptParts, "error", res.err)
+			"after", d.lastEventID, "parts", f.req.PromptParts, "suspect", f.requestSuspect, "error", res.err)
 		if !f.route.Repeatable() || ctx.Err() != nil || res.partial {
 			return noResponse(ctx, res.err)
 		}
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -35,7 +35,7 @@
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Path: r.URL.Path, Header: r.Header,
 	}
 	for part := range strings.FieldsSeq(r.Header.Get("Parts")) {
-		req.PromptParts = append(req.PromptParts, quarantine.Part(part))
+		req.PromptParts = append(req.PromptParts, quarantine.Suspect(part))
 	}
 	if text := r.Header.Get("Timeout"); text != "" {
 		timeout, err := time.ParseDuration(text)
@@ -141,11 +141,11 @@
 	runs          int
 	summaries     []relay.RequestSummary
 	keysConfirmed bool
-	// quarantined is the part that is kept from targets, and crashes and sound are what
+	// quarantined is the suspect that is kept from targets, and crashes and sound are what
 	// was recorded of others.
-	quarantined quarantine.Part
+	quarantined quarantine.Suspect
 	crashes     []quarantine.Crash
-	sound       []quarantine.Part
+	sound       []quarantine.Suspect
 	catalog     *catalog.Catalog
 	targets     []*httptest.Server
 }
@@ -159,10 +159,10 @@
 	env.summaries = append(env.summaries, summary)
 }
 
-func (env *testEnv) Quarantined(parts []quarantine.Part) (quarantine.Part, bool) {
+func (env *testEnv) Quarantined(suspects []quarantine.Suspect) (quarantine.Suspect, bool) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	return env.quarantined, env.quarantined != "" && slices.Contains(parts, env.quarantined)
+	return env.quarantined, env.quarantined != "" && slices.Contains(suspects, env.quarantined)
 }
 
 func (env *testEnv) RecordCrash(crash quarantine.Crash) {
@@ -171,10 +171,10 @@
 	env.crashes = append(env.crashes, crash)
 }
 
-func (env *testEnv) RecordSound(parts []quarantine.Part) {
+func (env *testEnv) RecordSound(suspects []quarantine.Suspect) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	env.sound = append(env.sound, parts...)
+	env.sound = append(env.sound, suspects...)
 }
 
 func newTestEnv(t *testing.T, delivery catalog.Delivery, liveness relay.Liveness, targets ...behaviour) *testEnv {
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -63,7 +63,7 @@
 			must.Eq(t, tc.crashes, len(env.crashes) > 0)
 			must.Eq(t, tc.sound, len(env.sound) > 0)
 			if tc.crashes {
-				must.Eq(t, quarantine.Crash{Target: "t0", Request: "id-1", Parts: []quarantine.Part{"y", "x"}}, env.crashes[0])
+				must.Eq(t, quarantine.Crash{Target: "t0", Request: "id-1", Suspects: []quarantine.Suspect{"y", "x"}}, env.crashes[0])
 			}
 		})
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -68,14 +68,14 @@
 	Probe(ctx context.Context, t roster.Target) Liveness
 }
 
-// Quarantine knows the parts of prompts that crash engines.
+// Quarantine knows what crashes targets.
 type Quarantine interface {
-	// Quarantined returns the first of the parts that crashes engines, if any.
-	Quarantined(parts []quarantine.Part) (quarantine.Part, bool)
+	// Quarantined returns the first of the suspects that crashes targets, if any.
+	Quarantined(suspects []quarantine.Suspect) (quarantine.Suspect, bool)
 	// RecordCrash records that a target broke off as it began to respond to a request.
 	RecordCrash(crash quarantine.Crash)
-	// RecordSound records that a response to a request with these parts was completed.
-	RecordSound(parts []quarantine.Part)
+	// RecordSound records that a response to a request with these suspects was completed.
+	RecordSound(suspects []quarantine.Suspect)
 }
 
 // Liveness is the result of a probe: Dead, Idle or Busy.
@@ -176,14 +176,14 @@
 	return func(o *options) { o.newBudget = newBudget }
 }
 
-// WithQuarantine sets the parts of prompts that are kept from targets.
+// WithQuarantine sets what is kept from targets.
 func WithQuarantine(q Quarantine) Option { return func(o *options) { o.quarantine = q } }
 
 type noQuarantine struct{}
 
-func (noQuarantine) Quarantined([]quarantine.Part) (quarantine.Part, bool) { return "", false }
-func (noQuarantine) RecordCrash(quarantine.Crash)                          {}
-func (noQuarantine) RecordSound([]quarantine.Part)                         {}
+func (noQuarantine) Quarantined([]quarantine.Suspect) (quarantine.Suspect, bool) { return "", false }
+func (noQuarantine) RecordCrash(quarantine.Crash)                                {}
+func (noQuarantine) RecordSound([]quarantine.Suspect)                            {}
 
 type noObserver struct{}
 
@@ -229,6 +229,8 @@
 	deadline    time.Time
 	refund      func()
 
+	// requestSuspect identifies the request when its caller sends it again.
+	requestSuspect quarantine.Suspect
 	// targets lists the targets that the request was sent to, in order, and
 	// avoid holds those of them that have failed the request.
 	targets         []target.ID
--- a/relay/request.go
+++ b/relay/request.go
@@ -39,7 +39,7 @@
 	Session string
 	// PromptParts lists the parts of the prompt that it may share with requests of other
 	// sessions, in order.
-	PromptParts []quarantine.Part
+	PromptParts []quarantine.Suspect
 	// LastEventID is the last event that the caller received of an interrupted
 	// stream.
 	LastEventID EventID
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -9,6 +9,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/outcome"
+	"hawthornway/quarantine"
 	"hawthornway/team"
 )
 
@@ -52,6 +53,7 @@
 	case err != nil:
 		return outcome.NotRun{Reason: outcome.ReasonCallerLeft, Detail: "the body was not sent whole"}
 	}
+	f.requestSuspect = quarantine.RequestSuspect(f.req.Host, f.req.URI, string(f.req.Key), f.req.Body)
 	return nil
 }
 
