--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,19 +47,27 @@
 	for i := range 3 {
 		e := platformtest.NewEngine(f.store, fmt.Sprintf("i-%d", i), platformtest.EngineSpec{
 			Service: platformtest.ModelService, Zone: fmt.Sprintf("zone-%d", i), Models: config.Models[2*i : 2*i+2],
-			Capacity: 3, LoadTime: 150 * time.Millisecond, Events: 10, Gap: 5 * time.Millisecond, CrashPart: crashPart, RestartTime: 200 * time.Millisecond,
+			Capacity: 3, LoadTime: 150 * time.Millisecond, Events: 10, Gap: 5 * time.Millisecond, CrashPart: crashPart, CrashBody: crashBody, RestartTime: 200 * time.Millisecond,
 		})
 		t.Cleanup(e.Close)
 		f.engines = append(f.engines, e)
 	}
-	f.plain = platformtest.NewEngine(f.store, "i-plain", platformtest.EngineSpec{Service: platformtest.PlainService, Zone: "zone-0"})
-	t.Cleanup(f.plain.Close)
+	f.plain = f.addPlain("i-plain")
 	for i := range hosts {
 		f.start(fmt.Sprintf("host-%d", i), true)
 	}
 	return f
 }
 
+// addPlain starts a target of the plain service.
+func (f *fleet) addPlain(id string) *platformtest.Engine {
+	e := platformtest.NewEngine(f.store, id, platformtest.EngineSpec{
+		Service: platformtest.PlainService, Zone: "zone-0", CrashBody: crashBody, RestartTime: 200 * time.Millisecond,
+	})
+	f.t.Cleanup(e.Close)
+	return e
+}
+
 func (f *fleet) start(name string, firstStart bool) *host {
 	f.t.Helper()
 	h := f.launch(name, firstStart)
@@ -125,6 +133,9 @@
 // crashPart is the part of prompts under which the engines crash.
 const crashPart = "dead"
 
+// crashBody is the body under which the targets crash.
+const crashBody = "crash"
+
 // call sends one request to a host. Model is empty for the plain service.
 func (f *fleet) call(h *host, key, model string) reply {
 	return f.send(h, platformtest.Call{Key: key, Model: model})
