quarantine: whole requests that crash their targets

What callers saw: for most of two stretches of 15 to 20 s, over a tenth of the orders and stock checks weren't served, since all targets of the service were gone; streams broke off.

Cause: a request that crashes each target comes again, under a new id and at any host. Crashes before the head of an answer counted for nothing, and the quarantine knew prompt parts only, so that every sending ended as many targets as it may be sent to. Class: a failure that follows the work, handled as the target's; the same as of prompt parts.

Ruled out: overload (targets ended 36 ms after they began, a few requests each). Failover of bystanders adds nothing: they don't end targets.

Change: a request is recognised by a hash of host, path, key and body. Connections that end before the head of an answer, without this host having given up, count against the request, not against its parts; three targets in all, over all hosts, quarantine it. A complete answer clears it; hosts keep what is sound themselves and report it only where others suspect it, since nearly each request is new.

In TestEvidenceOfCrashes, 'before the head' counted for nothing and now counts against the request only; the cases now want the exact suspects.

--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -18,8 +18,9 @@
 
 // The parameters of a Detector.
 const (
-	// A suspect is quarantined after the crashes of minEngines targets under minRequests
-	// requests. One request may be sent to several engines.
+	// A suspect is quarantined after the crashes of minEngines targets, and a part of prompts
+	// only if they were under minRequests requests: one request may be sent to several
+	// targets, and has several parts.
 	minEngines  = 3
 	minRequests = 2
 	// crashTTL is how long a crash counts.
@@ -81,7 +82,8 @@
 
 // Detector decides which suspects are quarantined. It is not safe for concurrent use.
 type Detector struct {
-	sound soundSuspects
+	// soundParts and soundRequests are kept apart, since nearly each request is new.
+	soundParts, soundRequests soundSuspects
 	// suspects holds the crashes under each suspect that isn't known to be sound.
 	suspects    map[Suspect][]Crash
 	quarantined map[Suspect]time.Time
@@ -92,17 +94,26 @@
 	return &Detector{suspects: map[Suspect][]Crash{}, quarantined: map[Suspect]time.Time{}}
 }
 
+// soundOf returns where a suspect is recorded as sound.
+func (d *Detector) soundOf(suspect Suspect) *soundSuspects {
+	if suspect.isRequest() {
+		return &d.soundRequests
+	}
+	return &d.soundParts
+}
+
 // RecordCrash records a crash. It returns the suspects that are quarantined because of it.
 func (d *Detector) RecordCrash(now time.Time, crash Crash) (quarantined []Suspect) {
 	for _, suspect := range crash.Suspects {
-		if d.sound.has(now, suspect) {
+		if d.soundOf(suspect).has(now, suspect) {
 			continue
 		}
 		crashes := slices.DeleteFunc(d.suspects[suspect], func(c Crash) bool { return now.Sub(c.At) > crashTTL })
 		if !slices.ContainsFunc(crashes, crash.same) {
 			crashes = append(crashes, crash)
 		}
-		if countDistinct(crashes, Crash.engine) < minEngines || countDistinct(crashes, Crash.request) < minRequests {
+		enough := countDistinct(crashes, Crash.engine) >= minEngines && (suspect.isRequest() || countDistinct(crashes, Crash.request) >= minRequests)
+		if !enough {
 			d.makeRoom(now, suspect)
 			d.suspects[suspect] = crashes[max(0, len(crashes)-maxCrashesPerSuspect):]
 			continue
@@ -134,7 +145,7 @@
 // RecordSound records that a response to a request with a suspect was completed. It reports
 // whether the suspect was quarantined until now.
 func (d *Detector) RecordSound(now time.Time, suspect Suspect) (released bool) {
-	d.sound.add(now, suspect)
+	d.soundOf(suspect).add(now, suspect)
 	delete(d.suspects, suspect)
 	released = d.Quarantined(now, suspect)
 	delete(d.quarantined, suspect)
@@ -142,12 +153,14 @@
 }
 
 // Sound reports whether a suspect is known to be sound.
-func (d *Detector) Sound(now time.Time, suspect Suspect) bool { return d.sound.has(now, suspect) }
+func (d *Detector) Sound(now time.Time, suspect Suspect) bool {
+	return d.soundOf(suspect).has(now, suspect)
+}
 
 // Adopt quarantines a suspect that another Detector has quarantined, unless it is known to
 // be sound.
 func (d *Detector) Adopt(now time.Time, q Quarantine) {
-	if !d.sound.has(now, q.Suspect) && q.Until.After(d.quarantined[q.Suspect]) {
+	if !d.soundOf(q.Suspect).has(now, q.Suspect) && q.Until.After(d.quarantined[q.Suspect]) {
 		d.quarantined[q.Suspect] = q.Until
 	}
 }
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -128,6 +128,16 @@
 	}
 }
 
+// One request that ends three targets is kept from others, although it is the only one.
+func TestOneRequestThatCrashesThreeTargetsIsQuarantined(t *testing.T) {
+	d, request := NewDetector(), RequestSuspect("h", "/", "key", nil)
+	for i, c := range []Crash{crash("a", "r", request), crash("a", "r2", request), crash("b", "r", request), crash("c", "r", request)} {
+		c.At = start
+		quarantined := d.RecordCrash(start, c)
+		must.Eq(t, i == 3, len(quarantined) == 1)
+	}
+}
+
 // Callers choose the suspects. However many they send, the Detector's state is bounded, and
 // the latest suspects stay.
 func TestDetectorIsBounded(t *testing.T) {
@@ -135,6 +145,7 @@
 	for i := range 3 * maxSound {
 		now = now.Add(time.Millisecond)
 		d.RecordSound(now, Suspect(fmt.Sprint("s", i)))
+		d.RecordSound(now, RequestSuspect("h", "/", "key", fmt.Append(nil, i)))
 	}
 	for i := range 2 * maxSuspects {
 		now = now.Add(time.Millisecond)
@@ -142,7 +153,9 @@
 		c.At = now
 		d.RecordCrash(now, c)
 	}
-	must.LessEq(t, maxSound, len(d.sound.recent)+len(d.sound.previous))
+	for _, sound := range []soundSuspects{d.soundParts, d.soundRequests} {
+		must.LessEq(t, maxSound, len(sound.recent)+len(sound.previous))
+	}
 	must.LessEq(t, maxSuspects, len(d.suspects))
 	last := Suspect(fmt.Sprint(2*maxSuspects - 1))
 	must.SliceLen(t, 1, d.suspects[last])
--- a/quarantine/screen.go
+++ b/quarantine/screen.go
@@ -14,7 +14,7 @@
 // The limits of the evidence that a Screen keeps.
 const (
 	// maxCrashes limits the crashes that are kept for the next coordinator.
-	maxCrashes = 64
+	maxCrashes = 256
 	// maxSoundPerReport limits the sound suspects in one report.
 	maxSoundPerReport = 256
 	// soundReportInterval is how often a suspect is reported as sound. It leaves enough
@@ -116,7 +116,8 @@
 	now := s.clock.Now()
 	for _, suspect := range suspects {
 		s.own.RecordSound(now, suspect)
-		if now.Sub(s.reportedAt[suspect]) >= soundReportInterval && len(s.unreported) < maxSound {
+		// Nearly each request is new; a sound one is reported once others suspect it.
+		if !suspect.isRequest() && now.Sub(s.reportedAt[suspect]) >= soundReportInterval && len(s.unreported) < maxSound {
 			s.unreported[suspect] = true
 		}
 	}
@@ -192,7 +193,7 @@
 		s.own.RecordSound(now, suspect)
 	}
 	for _, q := range list {
-		if s.own.sound.has(now, q.Suspect) {
+		if s.own.Sound(now, q.Suspect) {
 			s.unreported[q.Suspect] = true // the coordinator doesn't know it
 		}
 	}
--- a/quarantine/screen_test.go
+++ b/quarantine/screen_test.go
@@ -167,3 +167,17 @@
 		}
 	}
 }
+
+// Nearly each request is new, so that hosts don't report those that are sound. A request that
+// others suspect is released by any host that has had a complete response to it.
+func TestSoundRequestsAreReportedOnceSuspected(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := NewScreen(clock, slog.New(slog.DiscardHandler))
+	request, part := RequestSuspect("h", "/a", "key", nil), PartSuspect("p")
+	s.RecordSound([]Suspect{request, part})
+	must.Eq(t, []Suspect{part}, s.Take(1).Sound)
+	s.RecordCrash(Crash{Target: "a", Request: "r", Suspects: []Suspect{request}})
+	must.SliceEmpty(t, s.Take(1).Crashes) // beside another one that crashed the target
+	s.Adopt(1, []Quarantine{{Suspect: request, Until: clock.Now().Add(time.Minute)}}, true, nil)
+	must.Eq(t, []Suspect{request}, s.Take(1).Sound)
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 )
 
 // Suspect identifies what crashes may follow: a part of prompts, or a whole request that
@@ -14,6 +15,11 @@
 // may share, such as a system prompt or a document.
 func PartSuspect(id string) Suspect { return Suspect("part:" + id) }
 
+const requestPrefix = "request:"
+
+// isRequest reports whether a suspect is a whole request.
+func (s Suspect) isRequest() bool { return strings.HasPrefix(string(s), requestPrefix) }
+
 // suspectBytes is the length of the hash in a request's suspect.
 const suspectBytes = 16
 
@@ -25,5 +31,5 @@
 		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(field)))) // never fails
 		_, _ = h.Write(field)
 	}
-	return Suspect("request:" + hex.EncodeToString(h.Sum(nil)[:suspectBytes]))
+	return Suspect(requestPrefix + hex.EncodeToString(h.Sum(nil)[:suspectBytes]))
 }
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"hawthornway/catalog"
@@ -171,7 +172,7 @@
 	switch res := result.(type) {
 	case completed:
 		if res.answered {
-			r.quarantine.RecordSound(f.req.PromptParts)
+			r.quarantine.RecordSound(f.suspects())
 		}
 		return outcome.Served{}
 	case refused:
@@ -190,8 +191,8 @@
 		return nil
 	case interrupted:
 		d.recordPossibleRun(id)
-		if res.crashed() {
-			r.quarantine.RecordCrash(quarantine.Crash{Target: id, Start: t.Start, Request: string(f.req.ID), Suspects: f.req.PromptParts})
+		if suspects := f.suspectsOf(res); len(suspects) > 0 {
+			r.quarantine.RecordCrash(quarantine.Crash{Target: id, Start: t.Start, Request: string(f.req.ID), Suspects: suspects})
 		}
 		r.log.Warn("relay: attempt interrupted", "request", f.req.ID, "target", id, "began", res.began, "events", res.events,
 			"after", d.lastEventID, "parts", f.req.PromptParts, "suspect", f.requestSuspect, "error", res.err)
@@ -299,16 +300,40 @@
 	events int
 	// silent is set if this host gave up on the target because of its silence.
 	silent bool
+	// unanswered is set if the connection ended before the target began to respond.
+	unanswered bool
 }
 
 // maxEventsAtBeginning is the number of events up to which a target is at the beginning
 // of a response. Several events may arrive together before the end of the connection.
 const maxEventsAtBeginning = 4
 
-// crashed reports whether the target may have crashed because of the request, as it began
-// to respond.
-func (r interrupted) crashed() bool {
-	return r.began && r.events <= maxEventsAtBeginning && !r.abandoned && !r.silent
+// suspects returns what identifies the request, or parts of it, when it is sent again.
+func (f *inflight) suspects() []quarantine.Suspect {
+	return append([]quarantine.Suspect{f.requestSuspect}, f.req.PromptParts...)
+}
+
+// suspectsOf returns what may have crashed the target of an interrupted attempt. Before it
+// has begun to respond, all requests look the same that wait there, so that many would be
+// suspected for the parts that they share. A whole request is only suspected again if it
+// comes again.
+func (f *inflight) suspectsOf(r interrupted) []quarantine.Suspect {
+	switch {
+	case r.abandoned || r.silent || r.events > maxEventsAtBeginning:
+		return nil
+	case r.began:
+		return f.suspects()
+	case r.unanswered:
+		return []quarantine.Suspect{f.requestSuspect}
+	default:
+		return nil
+	}
+}
+
+// connectionEnded reports whether an error means that the other side closed or reset the
+// connection.
+func connectionEnded(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // serverError means that the target responded with a 5xx status.
@@ -391,7 +416,7 @@
 		if errors.Is(err, exchange.ErrNotSent) {
 			return notSent{err: err, abandoned: ctx.Err() != nil}
 		}
-		return interrupted{err: err, abandoned: w.abandoned(ctx)}
+		return interrupted{err: err, abandoned: w.abandoned(ctx), silent: w.silent(ctx), unanswered: connectionEnded(err)}
 	}
 	defer resp.Close()
 	w.recordActivity()
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -16,7 +16,8 @@
 func withParts(r *http.Request) { r.Header.Set("Parts", "y x") }
 
 // Only a target that breaks off at the beginning of a response may have crashed because
-// of the request. Only a response whose end is marked shows that it didn't.
+// of the request, or before that, because of the request as a whole: requests that wait there
+// share their parts. Only a response whose end is marked shows that it didn't.
 func TestEvidenceOfCrashes(t *testing.T) {
 	head := func(end func()) behaviour {
 		return func(w http.ResponseWriter, _ *http.Request) {
@@ -35,35 +36,57 @@
 			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nSeal: s\r\nId: " + r.Header.Get("Id") + "\r\n\r\n" + body))
 		}
 	}
+	hijacked := func(bytes string) behaviour {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer conn.Close()
+			_, _ = conn.Write([]byte(bytes)) // the host may have left
+		}
+	}
 	stream := catalog.Stream{MaxGap: 100 * time.Millisecond}
 	cases := []struct {
-		name           string
-		delivery       catalog.Delivery
-		target         behaviour
-		crashes, sound bool
+		name     string
+		delivery catalog.Delivery
+		target   behaviour
+		// suspects are those of the crash: none, the request, or its parts too.
+		suspects int
+		sound    bool
 	}{
-		{"after the head", stream, head(abort), true, false},
-		{"after an event", stream, events(1, abort), true, false},
-		{"far into the stream", stream, events(20, abort), false, false},
-		{"within a body", catalog.AtMostOnce{}, head(abort), true, false},
-		{"before the head", stream, cut, false, false},
-		{"refused", stream, refuse, false, false},
-		{"complete stream", stream, events(3, nil), false, true},
-		{"complete body", catalog.AtMostOnce{}, signed(200, "body"), false, true},
-		{"failure of the request", catalog.AtMostOnce{}, signed(400, "body"), false, false},
-		{"stream that ends with its connection", stream, untilClosed("id: 1\ndata: a\n\n"), false, false},
-		{"stream that ends with its connection within an event", stream, untilClosed("id: 1\ndata: a\n\nid: 2\nda"), true, false},
-		{"body that ends with its connection", catalog.AtMostOnce{}, untilClosed("body"), false, false},
+		{"after the head", stream, head(abort), 3, false},
+		{"after an event", stream, events(1, abort), 3, false},
+		{"far into the stream", stream, events(20, abort), 0, false},
+		{"within a body", catalog.AtMostOnce{}, head(abort), 3, false},
+		{"before the head", stream, cut, 1, false},
+		{"before the head of a body", catalog.AtMostOnce{}, cut, 1, false},
+		{"without a signature", catalog.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) }, 0, false},
+		{"no HTTP", catalog.AtMostOnce{}, hijacked("garbage\r\n\r\n"), 0, false},
+		{"refused", stream, refuse, 0, false},
+		{"complete stream", stream, events(3, nil), 0, true},
+		{"complete body", catalog.AtMostOnce{}, signed(200, "body"), 0, true},
+		{"failure of the request", catalog.AtMostOnce{}, signed(400, "body"), 0, false},
+		{"stream that ends with its connection", stream, untilClosed("id: 1\ndata: a\n\n"), 0, false},
+		{"stream that ends with its connection within an event", stream, untilClosed("id: 1\ndata: a\n\nid: 2\nda"), 3, false},
+		{"body that ends with its connection", catalog.AtMostOnce{}, untilClosed("body"), 0, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			env := newTestEnv(t, tc.delivery, relay.Busy{}, tc.target)
 			env.call(withParts)
 			env.server.Close() // waits for the handler
-			must.Eq(t, tc.crashes, len(env.crashes) > 0)
-			must.Eq(t, tc.sound, len(env.sound) > 0)
-			if tc.crashes {
-				must.Eq(t, quarantine.Crash{Target: "t0", Request: "id-1", Suspects: []quarantine.Suspect{"y", "x"}}, env.crashes[0])
+			request := quarantine.RequestSuspect("a.example", "/x/1?q=%2F", "secret", []byte("body"))
+			all := []quarantine.Suspect{request, "y", "x"}
+			if tc.suspects == 0 {
+				must.SliceEmpty(t, env.crashes)
+			} else {
+				must.Eq(t, quarantine.Crash{Target: "t0", Request: "id-1", Suspects: all[:tc.suspects]}, env.crashes[0])
+			}
+			if tc.sound {
+				must.Eq(t, all, env.sound)
+			} else {
+				must.SliceEmpty(t, env.sound)
 			}
 		})
 	}
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -130,12 +130,17 @@
 	return nil
 }
 
-// quarantined returns the refusal of a request with a part that crashes targets.
+// quarantined returns the refusal of a request that crashes targets.
 func (r *Relay) quarantined(f *inflight) *outcome.NotRun {
-	if _, quarantined := r.quarantine.Quarantined(f.req.PromptParts); !quarantined {
+	suspect, quarantined := r.quarantine.Quarantined(f.suspects())
+	switch {
+	case !quarantined:
 		return nil
+	case suspect == f.requestSuspect:
+		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, Detail: "the request crashes its targets"}
+	default:
+		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, Detail: "a part of the prompt crashes engines"}
 	}
-	return &outcome.NotRun{Reason: outcome.ReasonQuarantined, Detail: "a part of the prompt crashes engines"}
 }
 
 // charge takes the request's tokens from its team's limit.
