coordinator: leave a domain that is cut off when watching the store through it

Cause: the coordinator, which the store had turned away, watched it through a host whose zone was cut at 33.5 s. Such a host shows that only after the whole wait of the watch and another 0.4 s; the next one asked was of the same zone, and the next try to read the store directly waited for both.

Change: watches through other hosts wait 0.5 s at most and the next host is asked 0.2 s after that; it is of a domain that hasn't been asked yet, if there is one.

Tried and withdrawn: two hosts at once, which doubles the calls that TestStoreProxyKeepsToHostThatAnswers bounds. Cost: two watches a second instead of one while the store is read through others.

--- a/coordinator/store_proxy.go
+++ b/coordinator/store_proxy.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -23,10 +24,14 @@
 	// peerSilenceMargin is how much longer than the interval of its reports a host may be
 	// silent until it counts as out of reach.
 	peerSilenceMargin = 300 * time.Millisecond
-	// proxyTimeout is the time, beyond the wait of a watch, after which another host is
-	// tried as well, and maxProxyTime the longest time for all of them.
+	// proxyTimeout is the time after which another host is tried as well, and maxProxyTime
+	// the longest time for all of them.
 	proxyTimeout = 400 * time.Millisecond
 	maxProxyTime = 3 * time.Second
+	// A host that is cut off only shows that after the wait of a watch, which is therefore
+	// at most maxProxyWait, and proxyWatchTimeout in place of proxyTimeout.
+	maxProxyWait      = 500 * time.Millisecond
+	proxyWatchTimeout = 200 * time.Millisecond
 )
 
 // errFewHostsReached means that the coordinator has lost most hosts, which are better
@@ -60,7 +65,7 @@
 
 // KeepAlive renews a lease. It fails with platform.ErrLeaseEnded if the lease has ended.
 func (p *StoreProxy) KeepAlive(ctx context.Context, lease platform.Lease) error {
-	result, err := callThrough[wireRenewed](ctx, p, kindRenew, wireRenew{Lease: lease.Number, Era: lease.Era}, 0)
+	result, err := callThrough[wireRenewed](ctx, p, kindRenew, wireRenew{Lease: lease.Number, Era: lease.Era}, proxyTimeout)
 	if err != nil {
 		return err
 	}
@@ -72,7 +77,7 @@
 
 // Range returns all entries under a prefix, as platform.Metadata does.
 func (p *StoreProxy) Range(ctx context.Context, prefix string) ([]keyvalue.Entry, keyvalue.Revision, error) {
-	result, err := callThrough[wireStoreEvents](ctx, p, kindStoreRead, wireStoreRead{Prefix: prefix}, 0)
+	result, err := callThrough[wireStoreEvents](ctx, p, kindStoreRead, wireStoreRead{Prefix: prefix}, proxyTimeout)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -83,10 +88,11 @@
 	return entries, result.At, nil
 }
 
-// Watch waits for changes, as platform.Metadata does.
+// Watch waits for changes, as platform.Metadata does, for at most maxProxyWait.
 func (p *StoreProxy) Watch(ctx context.Context, prefix string, after keyvalue.Revision, wait time.Duration) ([]keyvalue.Event, keyvalue.Revision, error) {
+	wait = min(wait, maxProxyWait)
 	request := wireStoreRead{Prefix: prefix, Watch: true, After: after, Wait: wait.Milliseconds()}
-	result, err := callThrough[wireStoreEvents](ctx, p, kindStoreRead, request, wait)
+	result, err := callThrough[wireStoreEvents](ctx, p, kindStoreRead, request, wait+proxyWatchTimeout)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -104,9 +110,9 @@
 }
 
 // callThrough asks other hosts, one after another, until one has called the store. A host
-// that hasn't answered in time may still do so while the next one is asked, since a large
-// answer takes long over a slow link.
-func callThrough[T any](ctx context.Context, p *StoreProxy, kind peer.Kind, request any, wait time.Duration) (T, error) {
+// that hasn't answered within a timeout may still do so while the next one is asked, since a
+// large answer takes long over a slow link.
+func callThrough[T any](ctx context.Context, p *StoreProxy, kind peer.Kind, request any, timeout time.Duration) (T, error) {
 	type result struct {
 		host   fleet.HostID
 		answer T
@@ -119,15 +125,16 @@
 	if len(peers) == 0 || 2*(len(peers)+1) <= hosts {
 		return none, errFewHostsReached
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+maxProxyTime)
+	ctx, cancel := context.WithTimeout(ctx, timeout+maxProxyTime)
 	defer cancel()
-	attempts := min(proxyAttempts, len(peers))
+	asked := p.choose(peers)
+	attempts := len(asked)
 	results := make(chan result, attempts)
 	started, pending := 0, 0
 	var err error
 	for {
 		if started < attempts {
-			r := result{host: p.choose(peers, started)}
+			r := result{host: asked[started]}
 			started, pending = started+1, pending+1
 			go func() {
 				r.err = p.mesh.Call(ctx, r.host, kind, request, &r.answer)
@@ -136,7 +143,7 @@
 		}
 		var next <-chan time.Time
 		if started < attempts {
-			next = p.clock.After(wait + proxyTimeout)
+			next = p.clock.After(timeout)
 		}
 		select {
 		case r := <-results:
@@ -154,18 +161,31 @@
 	}
 }
 
-// choose returns the host to ask after a number of others.
-func (p *StoreProxy) choose(peers []peer.Peer, asked int) fleet.HostID {
-	answered := p.answered.Load()
-	known := answered != nil && slices.ContainsFunc(peers, func(other peer.Peer) bool { return other.Host == *answered })
-	if known && asked == 0 {
-		return *answered
-	}
-	host := peers[int(p.next.Add(1))%len(peers)].Host
-	if known && host == *answered && len(peers) > 1 {
-		host = peers[int(p.next.Add(1))%len(peers)].Host // it has been asked
-	}
-	return host
+// choose returns the hosts to ask, in order: the one that answered last, then others by turns,
+// each of a domain that isn't asked before if there is one.
+func (p *StoreProxy) choose(peers []peer.Peer) []fleet.HostID {
+	first := int(p.next.Add(1)) % len(peers)
+	rest := slices.Concat(peers[first:], peers[:first])
+	if answered := p.answered.Load(); answered != nil {
+		slices.SortStableFunc(rest, func(a, b peer.Peer) int { return cmp.Compare(rank(a.Host != *answered), rank(b.Host != *answered)) })
+	}
+	var hosts []fleet.HostID
+	domains := map[fleet.DomainID]bool{}
+	for len(hosts) < proxyAttempts && len(rest) > 0 {
+		i := max(0, slices.IndexFunc(rest, func(other peer.Peer) bool { return !domains[other.Domain] }))
+		hosts = append(hosts, rest[i].Host)
+		domains[rest[i].Domain] = true
+		rest = slices.Delete(rest, i, i+1)
+	}
+	return hosts
+}
+
+// rank orders false before true.
+func rank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 func (p *StoreProxy) handleRenew(ctx context.Context, _ fleet.Member, body []byte) (any, error) {
--- a/coordinator/store_proxy_test.go
+++ b/coordinator/store_proxy_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"hawthornway/fleet"
@@ -175,3 +177,58 @@
 		time.Sleep(3 * maxProxyTime) // ends the other calls
 	})
 }
+
+// Guards against changes that the coordinator learns late: it reads the store through a host
+// whose domain is then cut off, and asks others of that domain next.
+func TestStoreProxyLeavesDomainThatIsCutOff(t *testing.T) {
+	const (
+		wait = time.Second
+		// maxDelay leaves hosts time to read a configuration within the users' two seconds.
+		maxDelay = time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.NewNetwork(1)
+		hosts := func() int { return 10 }
+		proxy := NewStoreProxy(network.Join(fleet.Member{Host: "coordinator", Domain: "d0", Incarnation: 1}), nil, clockwork.NewRealClock(), hosts)
+		stores := map[fleet.DomainID][]*changedStore{}
+		for i := range 9 {
+			domain := fleet.DomainID(rune('1' + i/3))
+			s := &changedStore{}
+			stores[domain] = append(stores[domain], s)
+			NewStoreProxy(network.Join(fleet.Member{Host: fleet.HostID(rune('a' + i)), Domain: domain, Incarnation: 1}), s, clockwork.NewRealClock(), hosts)
+		}
+		_, _, err := proxy.Watch(t.Context(), "", 1, wait)
+		must.NoError(t, err)
+		for domain, members := range stores {
+			answered := slices.ContainsFunc(members, func(s *changedStore) bool { return s.answers.Load() > 0 })
+			for _, s := range members {
+				s.cut.Store(answered)
+			}
+			if !answered {
+				continue
+			}
+			start := time.Now()
+			_, _, err = proxy.Watch(t.Context(), "", 1, wait)
+			test.NoError(t, err)
+			test.LessEq(t, maxDelay, time.Since(start), test.Sprint(domain))
+			break
+		}
+		time.Sleep(3 * maxProxyTime) // ends the other calls
+	})
+}
+
+// changedStore is a store with a change, from which its host may be cut off.
+type changedStore struct {
+	platform.Metadata
+	cut     atomic.Bool
+	answers atomic.Int32
+}
+
+func (s *changedStore) Watch(context.Context, string, keyvalue.Revision, time.Duration) ([]keyvalue.Event, keyvalue.Revision, error) {
+	if s.cut.Load() {
+		time.Sleep(2 * maxProxyTime)
+		return nil, 0, keyvalue.ErrUnknown
+	}
+	s.answers.Add(1)
+	return []keyvalue.Event{{}}, 2, nil
+}
