coordinator: hold back models whose loads end engines

What callers would see: a model whose load ends the engine, or never ends well, was ordered on the next engine by the next plan, and so on through the fleet, each with all that it held; its requests waited for their deadlines.

Change: an engine that is lost with a load accepted, unless it is draining, or that doesn't hold the model after the load, counts against the model there. The planner prefers engines on which it hasn't failed; after three it is held back for a minute, then one engine may try, and each failure doubles the time up to an hour. A load that succeeds ends it. If loads of other models fail too and none succeeds, it is the weight store, and nothing is held. The held models travel with the quarantine, so that hosts refuse their requests at once, as load-fails, with the time left, unless an engine holds the model.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -114,6 +114,8 @@
 	// set until hosts were sent its changes.
 	detector          *quarantine.Detector
 	quarantineChanged bool
+	// failedLoads decides which models are held back because their loads fail.
+	failedLoads *placement.FailedLoads
 	// lines gives out the places in the lines of targets with a limit, and sentLimits is the
 	// digest of the limits that hosts were last sent.
 	lines      *pace.Schedule
@@ -162,6 +164,7 @@
 	c.changedForecasts = map[model.Name]bool{}
 	c.version = 0
 	c.newestConfig, c.newestHost = 0, ""
+	c.failedLoads = placement.NewFailedLoads()
 	c.lines, c.sentLimits = pace.NewSchedule(c.clock.Now(), nil), 0
 	c.detector, c.quarantineChanged = quarantine.NewDetector(), false
 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -35,6 +35,9 @@
 type fakeEngines struct {
 	mu      sync.Mutex
 	engines map[target.ID]*fakeEngine
+	// broken is a model whose load ends the engine, and ended is called then.
+	broken model.Name
+	ended  func(t roster.Target)
 }
 
 type fakeEngine struct {
@@ -108,10 +111,37 @@
 		})
 		return platform.Accepted{}, errResponseLost
 	}
+	if !order.Unload && order.Adapter == "" && order.Model == e.broken && order.Expected == s.sequence && !s.busy {
+		s.orders = append(s.orders, order)
+		time.AfterFunc(crashTime, func() { e.end(t) })
+		return platform.Accepted{}, nil
+	}
 	freed := order.Unload && order.Adapter != "" && (s.adapterUse == 0 || s.leaving[order.Adapter])
 	return platform.Accepted{AlreadyDone: freed}, e.accept(s, order)
 }
 
+// crashTime is the time after which an engine ends that loads a broken model, and restartTime
+// the time until it is back without its models.
+const (
+	crashTime   = 200 * time.Millisecond
+	restartTime = 2 * time.Second
+)
+
+// end ends an engine, which starts again later.
+func (e *fakeEngines) end(t roster.Target) {
+	e.mu.Lock()
+	s := e.engines[t.ID]
+	s.dark = true
+	e.mu.Unlock()
+	e.ended(t)
+	time.AfterFunc(restartTime, func() {
+		e.mu.Lock()
+		s.dark, s.busy, s.sequence, s.models, s.reports = false, false, 0, nil, nil
+		s.recordReport()
+		e.mu.Unlock()
+	})
+}
+
 func (e *fakeEngines) accept(s *fakeEngine, order platform.Order) error {
 	if order.Expected != s.sequence || (s.busy && order.Adapter == "") {
 		return platform.ErrEngineBusy
@@ -337,6 +367,11 @@
 	return time.Since(start)
 }
 
+// requestLoad repeats a load request once.
+func (f *fixture) requestLoad(name model.Name) {
+	f.client.RequestLoad("p", name, "", coordinator.Waiting{Total: 1, OnTime: 1}, 0)
+}
+
 func oneEngine() map[target.ID][]model.Name {
 	return map[target.ID][]model.Name{"e1": {"m0", "m1", "m2"}}
 }
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -43,6 +43,8 @@
 	// end.
 	job    *placement.Job
 	freeAt time.Time
+	// loadAccepted is set while the load of the job in progress is accepted and not ended.
+	loadAccepted bool
 	// failedReports counts consecutive reports that could not be read.
 	failedReports int
 	// version is the version of the last view that included the engine, or zero.
@@ -238,18 +240,26 @@
 			continue
 		}
 		if ok {
-			e.cancel() // the engine has restarted and lost its models
+			c.loseEngine(e) // it has restarted and lost its models
 		}
 		c.engines[t.ID] = c.newEngine(ctx, workers, t)
 	}
 	for id, e := range c.engines {
 		if !seen[id] {
-			e.cancel()
+			c.loseEngine(e)
 			delete(c.engines, id)
 		}
 	}
 }
 
+// loseEngine stops the worker of an engine that is gone. It may have ended because of a load.
+func (c *Coordinator) loseEngine(e *engine) {
+	e.cancel()
+	if e.job != nil && e.loadAccepted && !e.target.Draining {
+		c.recordFailedLoad(e.job.Load, e.target.ID)
+	}
+}
+
 func (c *Coordinator) newEngine(ctx context.Context, workers *sync.WaitGroup, t roster.Target) *engine {
 	ctx, cancel := context.WithCancel(ctx)
 	e := &engine{
--- a/coordinator/plan_state.go
+++ b/coordinator/plan_state.go
@@ -33,6 +33,8 @@
 	s := placement.State{
 		Now:               now,
 		Models:            pool.Engines.Models,
+		Held:              c.heldModels(now),
+		FailedOn:          c.failedLoads.FailedOn(),
 		Rates:             map[model.Name]float64{},
 		PromptRates:       map[model.Name]float64{},
 		RecentAdapters:    map[model.Name]int{},
@@ -53,6 +55,9 @@
 		if key.pool != pool.Name {
 			continue
 		}
+		if s.Held[key.model] {
+			continue
+		}
 		request := placement.LoadRequest{Model: key.model, Priority: pending.priority, Since: pending.since}
 		for _, h := range pending.byHost {
 			request.Waiting += h.waiting
--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"hawthornway/fleet"
+	"hawthornway/model"
 	"hawthornway/quarantine"
+	"hawthornway/target"
 )
 
 // recordEvidence records a host's evidence of what crashes targets. It returns the suspects
@@ -70,3 +72,37 @@
 	}
 	c.screen.Adopt(view.Fence, list, view.Answer, view.Sound)
 }
+
+// recordFailedLoad records that an engine ended while it loaded a model, or didn't have it
+// after the load. The model is held back once that has happened on several engines.
+func (c *Coordinator) recordFailedLoad(name model.Name, engine target.ID) {
+	now := c.clock.Now()
+	hold := c.failedLoads.RecordFailure(now, name, engine)
+	c.log.Warn("coordinator: load failed", "engine", engine, "model", name, "held-for", hold)
+	if hold > 0 {
+		c.detector.Hold(now, quarantine.ModelSuspect(name), hold)
+		c.quarantineChanged = true
+		c.wake()
+	}
+}
+
+// recordLoaded records that an engine has loaded a model.
+func (c *Coordinator) recordLoaded(name model.Name) {
+	now := c.clock.Now()
+	c.failedLoads.RecordLoaded(now, name)
+	if c.detector.Release(now, quarantine.ModelSuspect(name)) {
+		c.log.Info("coordinator: model is no longer held back, since an engine has loaded it", "model", name)
+		c.quarantineChanged = true
+	}
+}
+
+// heldModels returns the models that must not be loaded now.
+func (c *Coordinator) heldModels(now time.Time) map[model.Name]bool {
+	held := map[model.Name]bool{}
+	for _, q := range c.detector.List(now) {
+		if name, ok := q.Suspect.Model(); ok {
+			held[name] = true
+		}
+	}
+	return held
+}
--- a/coordinator/worker.go
+++ b/coordinator/worker.go
@@ -187,7 +187,10 @@
 		r := &resident{lastUsed: now, adapterLastUsed: map[model.Name]time.Time{}}
 		previous, ok := e.resident[m.Model]
 		if ok {
-			r.lastUsed, r.unloading, r.unloadAccepted, r.loadExpectedAt = previous.lastUsed, previous.unloading, previous.unloadAccepted, previous.loadExpectedAt
+			r.lastUsed, r.unloading, r.unloadAccepted = previous.lastUsed, previous.unloading, previous.unloadAccepted
+			if !previous.loadExpectedAt.IsZero() {
+				c.recordLoaded(m.Model)
+			}
 		} else if !e.reported {
 			r.lastUsed = time.Time{}
 		}
@@ -211,8 +214,13 @@
 	}
 	e.leavingAdapters, e.uncertainAdapters = stillLeaving, uncertain
 	for name, r := range e.resident {
-		if _, ok := current[name]; !ok && !r.unloading && !r.loadExpectedAt.IsZero() && now.Sub(r.loadExpectedAt) < 2*maxReportLag {
+		if _, ok := current[name]; ok || r.unloading || r.loadExpectedAt.IsZero() {
+			continue
+		}
+		if now.Sub(r.loadExpectedAt) < 2*maxReportLag {
 			current[name] = r // the report predates the end of the load
+		} else {
+			c.recordFailedLoad(name, w.target.ID)
 		}
 	}
 	for _, p := range report.Pending {
@@ -267,9 +275,16 @@
 func (w *worker) runJob(ctx context.Context, job placement.Job) {
 	c, e := w.coordinator, w.engine
 	start := c.clock.Now()
-	done := w.runSteps(ctx, job)
+	result := w.runSteps(ctx, job)
+	done := result == loadDone
 	c.mu.Lock()
-	e.job = nil
+	e.job, e.loadAccepted = nil, false
+	if result == loadFailed {
+		c.recordFailedLoad(job.Load, w.target.ID)
+	}
+	if done && job.Source == placement.SourceWeightStore {
+		c.recordLoaded(job.Load)
+	}
 	if job.Source == placement.SourceWeightStore {
 		c.publish(e)
 	}
@@ -279,16 +294,28 @@
 	c.wake()
 }
 
-// runSteps unloads a job's models one after another and then loads its model. It reports
-// whether the model has been loaded.
-func (w *worker) runSteps(ctx context.Context, job placement.Job) bool {
+// loadResult is how a job ended.
+type loadResult int
+
+const (
+	// loadNotOrdered means that the engine has not accepted the order.
+	loadNotOrdered loadResult = iota
+	loadDone
+	// loadFailed means that the engine carried out the order and doesn't hold the model.
+	loadFailed
+	// loadCancelled means that the worker was stopped meanwhile.
+	loadCancelled
+)
+
+// runSteps unloads a job's models one after another and then loads its model.
+func (w *worker) runSteps(ctx context.Context, job placement.Job) loadResult {
 	defer w.finishUnloads(job.Evict)
 	for _, name := range job.Evict {
 		w.markUnloading(name)
 		if !w.sendOrder(ctx, platform.Order{Unload: true, Model: name}, unloadTimeout, w.waitLoadingAdapters, w.alwaysFits) {
 			w.waitLoadingAdapters(ctx, maxReportLag)
 			w.poll(ctx)
-			return false
+			return loadNotOrdered
 		}
 	}
 	expected := w.expectedLoadTime(job)
@@ -298,19 +325,23 @@
 	if !w.sendOrder(ctx, platform.Order{Model: job.Load}, unloadTimeout, w.waitLoadingAdapters, func() bool { return w.modelFits(job.Load) }) {
 		w.waitLoadingAdapters(ctx, maxReportLag)
 		w.poll(ctx)
-		return false
+		return loadNotOrdered
 	}
 	if job.Source != placement.SourceWeightStore {
 		// The engine isn't polled, since loads from memory or disk take the time that the
 		// operator configured.
 		w.waitLoadingAdapters(ctx, expected+localLoadMargin)
-		return ctx.Err() == nil && w.addResident(job.Load)
+		if ctx.Err() != nil {
+			return loadCancelled
+		}
+		w.addResident(job.Load)
+		return loadDone
 	}
 	return w.awaitLoad(ctx, job.Load, expected)
 }
 
 // addResident records a loaded model before a report includes it.
-func (w *worker) addResident(name model.Name) bool {
+func (w *worker) addResident(name model.Name) {
 	c, e := w.coordinator, w.engine
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -319,7 +350,6 @@
 		e.resident[name] = &resident{lastUsed: now, loadExpectedAt: now, adapterLastUsed: map[model.Name]time.Time{}}
 		c.publish(e)
 	}
-	return true
 }
 
 // alwaysFits is the condition for orders that need no memory.
@@ -379,23 +409,25 @@
 	return placement.LoadTime(pool.Engines.Models[job.Load], job.Source)
 }
 
-// awaitLoad waits until a load from the weight store has ended, and reports whether
-// the model can run.
-func (w *worker) awaitLoad(ctx context.Context, name model.Name, expected time.Duration) bool {
+// awaitLoad waits until a load from the weight store has ended.
+func (w *worker) awaitLoad(ctx context.Context, name model.Name, expected time.Duration) loadResult {
 	c := w.coordinator
 	start := c.clock.Now()
 	w.waitLoadingAdapters(ctx, expected)
 	for ctx.Err() == nil && c.clock.Since(start) < max(loadTimeoutFactor*expected, unloadTimeout) {
 		report, current := w.poll(ctx)
 		if current && report.Holdings.Has(name, "") {
-			return true
+			return loadDone
 		}
 		if current && !report.Busy {
-			return false
+			return loadFailed
 		}
 		w.waitLoadingAdapters(ctx, overduePollInterval)
 	}
-	return false
+	if ctx.Err() != nil {
+		return loadCancelled
+	}
+	return loadFailed
 }
 
 // sendOrder sends an order once canFit reports that the engine can take it, and
@@ -474,6 +506,9 @@
 		e.sequence = order.Expected + 1
 		e.ownOrder = e.ownOrder || order.Adapter == ""
 	}
+	if !order.Unload && order.Adapter == "" {
+		e.loadAccepted = true
+	}
 	if pool, ok := w.pool(); ok && order.Adapter == "" && !accepted.AlreadyDone {
 		e.inMemory = e.inMemory.Use(order.Model, pool.Engines.Models, pool.Engines.HostMemory)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,7 @@
 	coordinator       *coordinator.Coordinator
 	coordinatorClient *coordinator.Client
 	balancer          *balance.Balancer
+	screen            *quarantine.Screen
 	placer            *placer
 	store             platform.Metadata
 	follower          *platform.Follower
@@ -172,8 +173,8 @@
 	)
 	g.balancer = balance.New(s.Domain, g.clock)
 	usage := newUsageTracker()
-	screen := quarantine.NewScreen(g.clock, g.log)
-	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(screen), coordinator.WithLeaving(g.roster.Leaving))
+	g.screen = quarantine.NewScreen(g.clock, g.log)
+	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving))
 	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
 	g.placer = &placer{gateway: g, usage: usage, pacer: pacer}
 	g.targetClient = exchange.New(exchange.WithClock(g.clock))
@@ -197,7 +198,7 @@
 		relay.WithLogger(g.log),
 		relay.WithDraining(g.draining.Load),
 		relay.WithRetryBudget(g.newRetryBudget),
-		relay.WithQuarantine(screen),
+		relay.WithQuarantine(g.screen),
 	)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -40,6 +40,12 @@
 }
 
 func newFleet(t *testing.T, config platformtest.Config, hosts int) *fleet {
+	t.Helper()
+	return newFleetWithBrokenModel(t, config, hosts, "")
+}
+
+// newFleetWithBrokenModel returns a fleet whose engines crash when they load a model.
+func newFleetWithBrokenModel(t *testing.T, config platformtest.Config, hosts int, crashLoad string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: platformtest.NewStore()}
 	t.Cleanup(f.store.Close)
@@ -47,7 +53,7 @@
 	for i := range 3 {
 		e := platformtest.NewEngine(f.store, fmt.Sprintf("i-%d", i), platformtest.EngineSpec{
 			Service: platformtest.ModelService, Zone: fmt.Sprintf("zone-%d", i), Models: config.Models[2*i : 2*i+2],
-			Capacity: 3, LoadTime: 150 * time.Millisecond, Events: 10, Gap: 5 * time.Millisecond, CrashPart: crashPart, CrashBody: crashBody, RestartTime: 200 * time.Millisecond,
+			Capacity: 3, LoadTime: 150 * time.Millisecond, Events: 10, Gap: 5 * time.Millisecond, CrashPart: crashPart, CrashBody: crashBody, CrashLoad: crashLoad, RestartTime: 200 * time.Millisecond,
 		})
 		t.Cleanup(e.Close)
 		f.engines = append(f.engines, e)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -12,6 +12,7 @@
 	"hawthornway/model"
 	"hawthornway/outcome"
 	"hawthornway/pace"
+	"hawthornway/quarantine"
 	"hawthornway/relay"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -189,6 +190,9 @@
 		return &outcome.NotRun{Reason: outcome.ReasonDeadline, Detail: "the request's time is too short to begin"}
 	case request.Model == "":
 		return nil
+	case g.screen.Rest(quarantine.ModelSuspect(request.Model)) > 0:
+		rest := g.screen.Rest(quarantine.ModelSuspect(request.Model))
+		return &outcome.NotRun{Reason: outcome.ReasonLoadFails, RetryAfter: rest, Detail: "loads of the model fail on each engine"}
 	case g.coordinatorClient.Isolated():
 		return &outcome.NotRun{Reason: outcome.ReasonCutOff, RetryAfter: isolatedRetryAfter, Detail: "the model is not loaded and the coordinator is not reached"}
 	default:
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -58,6 +58,7 @@
 	ReasonLedgerMissing      Reason = "ledger-missing"
 	ReasonKeyReused          Reason = "key-reused"
 	ReasonQuarantined        Reason = "quarantined"
+	ReasonLoadFails          Reason = "load-fails"
 )
 
 // Header returns "served".
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -20,6 +20,10 @@
 	Models  map[model.Name]catalog.Model
 	// LoadRequests lists the models that requests wait for.
 	LoadRequests []LoadRequest
+	// Held are models that must not be loaded now.
+	Held map[model.Name]bool
+	// FailedOn holds the engines on which loads of models failed. Others come first.
+	FailedOn map[model.Name]map[target.ID]bool
 	// Rates holds the recent requests per second of each model.
 	Rates map[model.Name]float64
 	// PromptRates holds the recent prompt tokens per second of each model.
@@ -381,15 +385,19 @@
 // longer than maxInUseWait.
 func (p *planner) place(name model.Name, reason Reason, late time.Duration, allowed func(*Engine) bool) {
 	m, ok := p.Models[name]
-	if !ok || p.idle == 0 {
+	if !ok || p.idle == 0 || p.Held[name] {
 		return
 	}
+	failedOn := p.FailedOn[name]
+	if !slices.ContainsFunc(p.engines, func(e Engine) bool { return !failedOn[e.ID] }) {
+		failedOn = nil
+	}
 	var best *Engine
 	var bestJob Job
 	bestCost, bestBlocked := 0.0, false
 	for i := range p.engines {
 		e := &p.engines[i]
-		if !allowed(e) || e.holds(name) || e.Limited && !p.allLimited {
+		if !allowed(e) || e.holds(name) || e.Limited && !p.allLimited || failedOn[e.ID] {
 			continue
 		}
 		if best != nil && p.minCost(e, m) >= bestCost {
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -152,6 +152,18 @@
 	return released
 }
 
+// Hold quarantines a suspect for some time, whatever is known of it.
+func (d *Detector) Hold(now time.Time, suspect Suspect, duration time.Duration) {
+	d.quarantined[suspect] = now.Add(duration)
+}
+
+// Release ends a suspect's quarantine. It reports whether there was one.
+func (d *Detector) Release(now time.Time, suspect Suspect) (released bool) {
+	released = d.Quarantined(now, suspect)
+	delete(d.quarantined, suspect)
+	return released
+}
+
 // Sound reports whether a suspect is known to be sound.
 func (d *Detector) Sound(now time.Time, suspect Suspect) bool {
 	return d.soundOf(suspect).has(now, suspect)
--- a/quarantine/screen.go
+++ b/quarantine/screen.go
@@ -82,6 +82,17 @@
 	return "", false
 }
 
+// Rest returns the time until the fleet's quarantine of a suspect ends, or zero.
+func (s *Screen) Rest(suspect Suspect) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.fleet, func(q Quarantine) bool { return q.Suspect == suspect })
+	if i < 0 {
+		return 0
+	}
+	return max(0, s.fleet[i].Until.Sub(s.clock.Now()))
+}
+
 // RecordCrash records that an engine crashed as it began to respond to a request. Its At
 // is set.
 func (s *Screen) RecordCrash(crash Crash) {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -5,17 +5,31 @@
 	"encoding/binary"
 	"encoding/hex"
 	"strings"
+
+	"hawthornway/model"
 )
 
-// Suspect identifies what crashes may follow: a part of prompts, or a whole request that
-// comes again.
+// Suspect identifies what crashes may follow: a part of prompts, a whole request that comes
+// again, or the load of a model.
 type Suspect string
 
 // PartSuspect returns the suspect for a part of prompts that requests of several sessions
 // may share, such as a system prompt or a document.
 func PartSuspect(id string) Suspect { return Suspect("part:" + id) }
 
-const requestPrefix = "request:"
+// ModelSuspect returns the suspect for a model whose loads fail or end engines.
+func ModelSuspect(name model.Name) Suspect { return Suspect(modelPrefix + string(name)) }
+
+// Model returns the model of a ModelSuspect, and false for other suspects.
+func (s Suspect) Model() (model.Name, bool) {
+	name, ok := strings.CutPrefix(string(s), modelPrefix)
+	return model.Name(name), ok
+}
+
+const (
+	modelPrefix   = "model:"
+	requestPrefix = "request:"
+)
 
 // isRequest reports whether a suspect is a whole request.
 func (s Suspect) isRequest() bool { return strings.HasPrefix(string(s), requestPrefix) }
