soak: engines state limits, and requests crash them

Planned runs check that an engine gets no more than the limit that it states allows, over all hosts; the other runs that a request which crashes engines ends no more of them than each host may let it while out of contact. The stand-in crashes under a beginning of bodies, so that each such request is another one.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -110,6 +110,26 @@
 	return result
 }
 
+// crashingInterval is the interval at which a request is sent that crashes engines.
+const crashingInterval = 150 * time.Millisecond
+
+// sendCrashing sends a request that crashes engines to hosts, one after another. Its results
+// don't count.
+func (c *callers) sendCrashing(hosts []*host, key, body string) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for i, h := range hosts {
+		request := platformtest.Call{ID: fmt.Sprintf("%s-%d", body, i), Key: key, Timeout: time.Second, Model: fmt.Sprintf("m%d", i%modelCount), Body: body}
+		req, err := request.NewRequest(h.callerProxy.address())
+		if err != nil {
+			panic(err) // a loopback address always makes a valid request
+		}
+		if resp, err := client.Do(req); err == nil {
+			_ = resp.Body.Close() // the answer doesn't matter
+		}
+		time.Sleep(crashingInterval)
+	}
+}
+
 // waitServed waits until every host has served a request of each kind. It returns
 // false after the timeout.
 func (c *callers) waitServed(ctx context.Context, timeout time.Duration) bool {
--- a/soak/check.go
+++ b/soak/check.go
@@ -26,6 +26,8 @@
 			report("engine %s ran a request %v after it said that it leaves", e.ID, e.LastRun().Sub(drainStart).Round(time.Millisecond))
 		}
 	}
+	s.checkLimits(report)
+	s.checkCrashes(engines, report)
 	s.callers.mu.Lock()
 	defer s.callers.mu.Unlock()
 	for _, result := range s.callers.calls {
@@ -95,3 +97,49 @@
 		}
 	}
 }
+
+// The platform's limit for requests to an engine that states a limit, in any window of
+// limitWindow that begins limitDelay after the first statement, over all hosts.
+const (
+	limitWindow = 4 * time.Second
+	limitDelay  = 3 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// checkLimits checks that engines got no more requests than the limits allow that they
+// stated. Failures of processes and networks excuse hosts.
+func (s *soak) checkLimits(report func(string, ...any)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.PlannedOnly {
+		return
+	}
+	for _, l := range s.limits {
+		allowed := int(limitFactor*l.rate*limitWindow.Seconds()) + limitSlack
+		times, first := l.engine.Arrivals(), 0
+		for last, at := range times {
+			for at.Sub(times[first]) > limitWindow || times[first].Before(l.from.Add(limitDelay)) && first < last {
+				first++
+			}
+			inside := !times[first].Before(l.from.Add(limitDelay)) && at.Before(l.to)
+			if n := last - first + 1; inside && n > allowed {
+				report("engine %s stated a limit of %g a second and got %d requests in %v; allowed %d", l.engine.ID, l.rate, n, limitWindow, allowed)
+				break
+			}
+		}
+	}
+}
+
+// checkCrashes checks that a request which crashes engines ends no more of them than each
+// host may let it while it has no contact to others.
+func (s *soak) checkCrashes(engines []*platformtest.Engine, report func(string, ...any)) {
+	const crashesPerHost = 3
+	crashes := 0
+	for _, e := range engines {
+		crashes += e.Crashes()
+	}
+	if allowed := s.crashingRequests * crashesPerHost * s.Hosts; crashes > allowed {
+		report("%d requests crashed %d engines; allowed %d", s.crashingRequests, crashes, allowed)
+	}
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
 
 	"hawthornway/platform"
+	"hawthornway/platform/platformtest"
 )
 
 // The ranges from which pauses between faults and durations of faults are drawn.
@@ -49,6 +51,17 @@
 		s.recordFault("configuration %d", s.configVersion)
 		return nil
 	}, 0},
+	{"engine states a limit", func(s *soak) func() {
+		e := s.engines[s.random.IntN(len(s.engines))]
+		rate := limitRates[s.random.IntN(len(limitRates))]
+		s.recordFault("engine %s states a limit of %g a second", e.ID, rate)
+		e.StateLimit(fmt.Sprint(rate))
+		from := time.Now()
+		return func() {
+			e.StateLimit("")
+			s.recordLimit(statedLimit{e, rate, from, time.Now()})
+		}
+	}, limitDuration},
 	{"engine drains", func(s *soak) func() {
 		if len(s.engines) < engineCount {
 			return nil
@@ -63,6 +76,25 @@
 	}, 0},
 }
 
+// limitRates are the limits that engines state, in requests per second, and limitDuration is
+// for how long they do.
+var limitRates = []float64{0.5, 1, 3, 10}
+
+const limitDuration = 8 * time.Second
+
+// statedLimit is a limit that an engine stated for some time.
+type statedLimit struct {
+	engine   *platformtest.Engine
+	rate     float64
+	from, to time.Time
+}
+
+func (s *soak) recordLimit(l statedLimit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = append(s.limits, l)
+}
+
 // restart starts a stopped host.
 func (s *soak) restart(h *host) {
 	if err := h.start(false); err != nil {
@@ -168,6 +200,16 @@
 		e.TurnAway("0.8")
 		return func() { e.TurnAway("") }
 	}, 0},
+	{"request crashes engines", func(s *soak) func() {
+		s.crashingRequests++
+		body := fmt.Sprintf("%s %d", crashBody, s.crashingRequests)
+		s.recordFault("request that crashes engines")
+		var hosts []*host
+		for range crashingSends {
+			hosts = append(hosts, s.randomHost())
+		}
+		return func() { s.callers.sendCrashing(hosts, s.currentKey(), body) }
+	}, 0},
 	{"coordinator loses the store", func(s *soak) func() {
 		h := s.coordinator()
 		s.recordFault("path of the coordinator, %s, to the store: %v", h, modeSilent)
@@ -187,6 +229,9 @@
 	}, withdrawalTimeout + time.Second},
 }
 
+// crashingSends is how often a request is sent that crashes engines.
+const crashingSends = 12
+
 // coordinatorFaultDuration is longer than the lease of a coordinator plus the
 // delay until the next coordinator sends orders.
 const coordinatorFaultDuration = 4 * time.Second
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,6 +54,8 @@
 	eventCount      = 20 // events of each streamed response
 	// recoveryTimeout is the platform's limit for the time to recover.
 	recoveryTimeout = 12 * time.Second
+	// crashBody is the beginning of the bodies under which engines crash.
+	crashBody = "crash"
 	// settleDelay lets requests in progress end before the checks.
 	settleDelay = 500 * time.Millisecond
 	// startTimeout limits the time until all hosts serve for the first time.
@@ -71,8 +73,12 @@
 	// times at which engines began to drain. Both are indexed by engine ID.
 	engineProxies map[string]*proxy
 	drainStarts   map[string]time.Time
-	hosts         []*host
-	callers       *callers
+	// limits are the times in which engines stated limits, and crashingRequests counts the
+	// requests that crash engines, each sent several times.
+	limits           []statedLimit
+	crashingRequests int
+	hosts            []*host
+	callers          *callers
 
 	mu             sync.Mutex
 	startedAt      time.Time
@@ -143,6 +149,7 @@
 	spec := platformtest.EngineSpec{
 		Service: platformtest.ModelService, Zone: fmt.Sprintf("zone-%d", n%3), Capacity: 3,
 		LoadTime: 200 * time.Millisecond, Events: eventCount, Gap: 10 * time.Millisecond,
+		CrashBody: crashBody, RestartTime: 300 * time.Millisecond,
 	}
 	for i := range modelsPerEngine {
 		spec.Models = append(spec.Models, fmt.Sprintf("m%d", (n*modelsPerEngine+i)%modelCount))
