coordinator: hold back adapters whose loads end engines

As with models: an adapter whose load an engine accepted, and that no report has shown when the engine is lost, counts against the adapter there.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -35,7 +35,7 @@
 type fakeEngines struct {
 	mu      sync.Mutex
 	engines map[target.ID]*fakeEngine
-	// broken is a model whose load ends the engine, and ended is called then.
+	// broken is a model or adapter whose load ends the engine, and ended is called then.
 	broken model.Name
 	ended  func(t roster.Target)
 }
@@ -111,7 +111,11 @@
 		})
 		return platform.Accepted{}, errResponseLost
 	}
-	if !order.Unload && order.Adapter == "" && order.Model == e.broken && order.Expected == s.sequence && !s.busy {
+	loads := order.Model
+	if order.Adapter != "" {
+		loads = order.Adapter
+	}
+	if !order.Unload && loads == e.broken && order.Expected == s.sequence && !s.busy {
 		s.orders = append(s.orders, order)
 		time.AfterFunc(crashTime, func() { e.end(t) })
 		return platform.Accepted{}, nil
@@ -137,6 +141,7 @@
 	time.AfterFunc(restartTime, func() {
 		e.mu.Lock()
 		s.dark, s.busy, s.sequence, s.models, s.reports = false, false, 0, nil, nil
+		clear(s.adapters)
 		s.recordReport()
 		e.mu.Unlock()
 	})
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -66,7 +66,10 @@
 	uncertainAdapters map[adapterJob]bool
 	// pendingAdapters holds the adapter loads that are queued or in progress.
 	pendingAdapters map[adapterJob]bool
-	cancel          context.CancelFunc
+	// unconfirmedAdapters holds the adapters whose load the engine has accepted and that no
+	// report has shown yet.
+	unconfirmedAdapters map[adapterJob]bool
+	cancel              context.CancelFunc
 }
 
 // resident is a model that an engine holds.
@@ -88,6 +91,9 @@
 	adapter model.Name
 }
 
+// fullName returns the name of the adapter among those of all models.
+func (j adapterJob) fullName() model.Name { return model.FullName(j.model, j.adapter) }
+
 // maxFailedReports is the number of consecutive failed reports after which an engine
 // gets no more loads.
 const maxFailedReports = 2
@@ -255,25 +261,32 @@
 // loseEngine stops the worker of an engine that is gone. It may have ended because of a load.
 func (c *Coordinator) loseEngine(e *engine) {
 	e.cancel()
-	if e.job != nil && e.loadAccepted && !e.target.Draining {
+	if e.target.Draining {
+		return
+	}
+	if e.job != nil && e.loadAccepted {
 		c.recordFailedLoad(e.job.Load, e.target.ID)
 	}
+	for job := range e.unconfirmedAdapters {
+		c.recordFailedLoad(job.fullName(), e.target.ID)
+	}
 }
 
 func (c *Coordinator) newEngine(ctx context.Context, workers *sync.WaitGroup, t roster.Target) *engine {
 	ctx, cancel := context.WithCancel(ctx)
 	e := &engine{
-		target:            t,
-		start:             t.Start,
-		sequence:          t.Sequence,
-		resident:          map[model.Name]*resident{},
-		doubted:           make(chan struct{}, 1),
-		jobs:              make(chan placement.Job, 1),
-		adapterJobs:       make(chan adapterJob, 64),
-		leavingAdapters:   map[adapterJob]bool{},
-		pendingAdapters:   map[adapterJob]bool{},
-		uncertainAdapters: map[adapterJob]bool{},
-		cancel:            cancel,
+		target:              t,
+		start:               t.Start,
+		sequence:            t.Sequence,
+		resident:            map[model.Name]*resident{},
+		doubted:             make(chan struct{}, 1),
+		jobs:                make(chan placement.Job, 1),
+		adapterJobs:         make(chan adapterJob, 64),
+		leavingAdapters:     map[adapterJob]bool{},
+		pendingAdapters:     map[adapterJob]bool{},
+		uncertainAdapters:   map[adapterJob]bool{},
+		unconfirmedAdapters: map[adapterJob]bool{},
+		cancel:              cancel,
 	}
 	w := &worker{coordinator: c, engine: e, target: t, fence: c.fence}
 	workers.Go(func() { w.run(ctx) })
@@ -306,11 +319,12 @@
 
 // queueAdapterLoads queues loads of the adapters that requests wait for.
 func (c *Coordinator) queueAdapterLoads(pool catalog.Pool) {
+	held := c.heldModels(c.clock.Now())
 	for key := range c.loadRequests {
-		if key.pool != pool.Name || key.adapter == "" {
+		job := adapterJob{key.model, key.adapter}
+		if key.pool != pool.Name || key.adapter == "" || held[job.fullName()] {
 			continue
 		}
-		job := adapterJob{key.model, key.adapter}
 		if e := c.adapterEngine(pool, job); e != nil && !e.pendingAdapters[job] {
 			select {
 			case e.adapterJobs <- job:
--- a/coordinator/failedload_test.go
+++ b/coordinator/failedload_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"hawthornway/coordinator"
 	"hawthornway/model"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -16,29 +17,18 @@
 func TestModelWhoseLoadEndsEnginesIsHeldBack(t *testing.T) {
 	loaded := map[target.ID][]model.Name{"e1": {"m0", "m1"}, "e2": {"m2"}, "e3": {"m3"}, "e4": {"m1"}, "e5": {"m0"}, "e6": {"m2"}}
 	runFixture(t, loaded, func(f *fixture) {
-		ended := 0
-		f.engines.mu.Lock()
-		f.engines.broken = "m4"
-		f.engines.ended = func(t roster.Target) {
-			ended++
-			f.roster.Drop(t.ID)
-			time.AfterFunc(restartTime, func() {
-				t.Start++
-				f.roster.Put(t)
-			})
-		}
-		f.engines.mu.Unlock()
+		ended := f.breakLoad("m4")
 		for range 100 { // ten seconds
 			f.requestLoad("m4")
 			time.Sleep(100 * time.Millisecond)
 		}
-		must.Eq(t, 3, ended)
+		must.Eq(t, 3, *ended)
 		must.LessEq(t, 3*time.Second, f.requestUntilLoaded("e1", "m3", "", 3*time.Second))
 		for range 600 { // beyond the first time of holding it back
 			f.requestLoad("m4")
 			time.Sleep(100 * time.Millisecond)
 		}
-		must.Eq(t, 4, ended)
+		must.Eq(t, 4, *ended)
 		f.engines.mu.Lock()
 		f.engines.broken = ""
 		f.engines.mu.Unlock()
@@ -47,6 +37,45 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		must.True(t, f.loadedAnywhere("m4"))
-		must.Eq(t, 4, ended)
+		must.Eq(t, 4, *ended)
+	})
+}
+
+// breakLoad makes the load of a model or adapter end engines. It returns their number.
+func (f *fixture) breakLoad(name model.Name) (ended *int) {
+	ended = new(int)
+	f.engines.mu.Lock()
+	defer f.engines.mu.Unlock()
+	f.engines.broken = name
+	f.engines.ended = func(t roster.Target) {
+		*ended++
+		f.roster.Drop(t.ID)
+		time.AfterFunc(restartTime, func() {
+			t.Start++
+			f.roster.Put(t)
+		})
+	}
+	return ended
+}
+
+// The same of an adapter, beside one that is sound.
+func TestAdapterWhoseLoadEndsEnginesIsHeldBack(t *testing.T) {
+	loaded := map[target.ID][]model.Name{"e1": {"m0"}, "e2": {"m0"}, "e3": {"m0"}, "e4": {"m0"}, "e5": {"m0"}, "e6": {"m0"}}
+	runFixture(t, loaded, func(f *fixture) {
+		ended := f.breakLoad("broken")
+		for range 300 { // thirty seconds
+			f.client.RequestLoad("p", "m0", "broken", coordinator.Waiting{Total: 1, OnTime: 1}, 0)
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.Eq(t, 3, *ended)
+		f.client.RequestLoad("p", "m0", "sound", coordinator.Waiting{Total: 1, OnTime: 1}, 0)
+		time.Sleep(time.Second)
+		holders := 0
+		for id := range loaded {
+			if f.holds(id, "m0", "sound") {
+				holders++
+			}
+		}
+		must.Positive(t, holders)
 	})
 }
--- a/coordinator/worker.go
+++ b/coordinator/worker.go
@@ -209,6 +209,10 @@
 				}
 			}
 			uncertain[job] = e.uncertainAdapters[job] || !known
+			if e.unconfirmedAdapters[job] {
+				delete(e.unconfirmedAdapters, job)
+				c.recordLoaded(job.fullName())
+			}
 		}
 		current[m.Model] = r
 	}
@@ -499,6 +503,9 @@
 	if r, ok := e.resident[order.Model]; ok && order.Unload && order.Adapter == "" {
 		r.unloadAccepted = true
 	}
+	if unloadedAdapter {
+		delete(e.unconfirmedAdapters, adapter)
+	}
 	if unloadedAdapter && (!accepted.AlreadyDone || uncertain) {
 		e.leavingAdapters[adapter] = true
 	}
@@ -554,6 +561,7 @@
 	defer c.mu.Unlock()
 	if r, ok := e.resident[job.model]; ok {
 		r.adapterLastUsed[job.adapter] = c.clock.Now()
+		e.unconfirmedAdapters[job] = true
 		c.publish(e)
 	}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -190,9 +190,8 @@
 		return &outcome.NotRun{Reason: outcome.ReasonDeadline, Detail: "the request's time is too short to begin"}
 	case request.Model == "":
 		return nil
-	case g.screen.Rest(quarantine.ModelSuspect(request.Model)) > 0:
-		rest := g.screen.Rest(quarantine.ModelSuspect(request.Model))
-		return &outcome.NotRun{Reason: outcome.ReasonLoadFails, RetryAfter: rest, Detail: "loads of the model fail on each engine"}
+	case g.heldFor(request) > 0:
+		return &outcome.NotRun{Reason: outcome.ReasonLoadFails, RetryAfter: g.heldFor(request), Detail: "loads of the model fail on each engine"}
 	case g.coordinatorClient.Isolated():
 		return &outcome.NotRun{Reason: outcome.ReasonCutOff, RetryAfter: isolatedRetryAfter, Detail: "the model is not loaded and the coordinator is not reached"}
 	default:
@@ -200,6 +199,16 @@
 	}
 }
 
+// heldFor returns the time until the request's model and adapter may be loaded again, if
+// their loads fail.
+func (g *gateway) heldFor(request relay.PlacementRequest) time.Duration {
+	rest := g.screen.Rest(quarantine.ModelSuspect(request.Model))
+	if request.Adapter != "" {
+		rest = max(rest, g.screen.Rest(quarantine.ModelSuspect(model.FullName(request.Model, request.Adapter))))
+	}
+	return rest
+}
+
 // refuseIfPaused returns a refusal if a request can't be served because of targets that ask
 // for a pause. It reports whether the request waits until a pause ends.
 func refuseIfPaused(now time.Time, request relay.PlacementRequest, ready []roster.Target, paused []roster.PausedTarget, holds func(roster.Target) bool) (refusal *outcome.NotRun, wait bool) {
--- a/model/model.go
+++ b/model/model.go
@@ -4,6 +4,9 @@
 // Name is the name of a model or an adapter, as used in requests.
 type Name string
 
+// FullName returns the name of a model's adapter among those of all models.
+func FullName(name, adapter Name) Name { return name + "/" + adapter }
+
 // Version identifies one set of weights of a model or an adapter.
 type Version string
 
