quarantine: callers whose every request crashes its targets

What callers would see: with each request of its own, one key could end two or three targets of a service, as often as it likes; a request is recognised only when it comes again.

Change: all requests with a key on a route are a suspect too. It is kept from the route's targets for 30 s after six of them ended under three of its requests and none was answered completely; the refusal says when to come back. Other callers and other routes go on.

TestEvidenceOfCrashes wants the caller among the suspects.

--- a/gateway/crash_request_test.go
+++ b/gateway/crash_request_test.go
@@ -65,3 +65,41 @@
 		})
 	}
 }
+
+// Guards against a caller whose every request is new and crashes the targets that run it:
+// after some crashes the caller is refused for a while, and others go on.
+func TestCallerWhoseRequestsCrashTargetsIsHeldBack(t *testing.T) {
+	const (
+		requests = 16
+		interval = 250 * time.Millisecond
+		// maxCrashes is six crashes, and those of requests that are on their way at each host.
+		maxCrashes = 6 + 2*3
+	)
+	t.Parallel()
+	two := config(1)
+	two.Keys = append(two.Keys, "other")
+	f := newFleet(t, two, 3)
+	targets := []*platformtest.Engine{f.plain, f.addPlain("i-plain-0"), f.addPlain("i-plain-1")}
+	for i := range 3 {
+		must.Eq(t, http.StatusOK, f.call(f.hosts[i], "other", "").status)
+	}
+	served := 0
+	for i := range requests {
+		f.send(f.hosts[i%3], platformtest.Call{Key: "secret", Body: fmt.Sprint(crashBody, i), Timeout: 2 * time.Second})
+		time.Sleep(interval)
+		if f.call(f.hosts[(i+1)%3], "other", "").status == http.StatusOK {
+			served++
+		}
+	}
+	crashes := 0
+	for _, e := range targets {
+		crashes += e.Crashes()
+	}
+	t.Logf("%d targets crashed; %d of %d other requests served", crashes, served, requests)
+	must.LessEq(t, maxCrashes, crashes)
+	must.GreaterEq(t, requests*6/10, served)
+	last := f.send(f.hosts[0], platformtest.Call{Key: "secret", Body: "sound"})
+	must.Eq(t, http.StatusServiceUnavailable, last.status)
+	must.NotEq(t, "", last.header.Get("Retry-After"))
+	must.Eq(t, http.StatusOK, f.call(f.hosts[0], "secret", "m0").status) // another route
+}
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -18,14 +18,9 @@
 
 // The parameters of a Detector.
 const (
-	// A suspect is quarantined after the crashes of minEngines targets, and a part of prompts
-	// only if they were under minRequests requests: one request may be sent to several
-	// targets, and has several parts.
-	minEngines  = 3
-	minRequests = 2
 	// crashTTL is how long a crash counts.
 	crashTTL = 5 * time.Minute
-	// Duration is how long a suspect is quarantined. After that it takes as many crashes as
+	// Duration is how long parts and requests are quarantined. After that it takes as many crashes as
 	// before to quarantine it again.
 	Duration = 10 * time.Minute
 	// soundTTL is for how long a suspect is at least known to be sound after a complete
@@ -112,8 +107,8 @@
 		if !slices.ContainsFunc(crashes, crash.same) {
 			crashes = append(crashes, crash)
 		}
-		enough := countDistinct(crashes, Crash.engine) >= minEngines && (suspect.isRequest() || countDistinct(crashes, Crash.request) >= minRequests)
-		if !enough {
+		t := suspect.threshold()
+		if countDistinct(crashes, Crash.engine) < t.targets || countDistinct(crashes, Crash.request) < t.requests {
 			d.makeRoom(now, suspect)
 			d.suspects[suspect] = crashes[max(0, len(crashes)-maxCrashesPerSuspect):]
 			continue
@@ -122,7 +117,7 @@
 		if !d.Quarantined(now, suspect) {
 			quarantined = append(quarantined, suspect)
 		}
-		d.quarantined[suspect] = now.Add(Duration)
+		d.quarantined[suspect] = now.Add(t.duration)
 	}
 	return quarantined
 }
--- a/quarantine/screen.go
+++ b/quarantine/screen.go
@@ -81,11 +81,12 @@
 	return "", false
 }
 
-// Rest returns the time until the fleet's quarantine of a suspect ends, or zero.
+// Rest returns the time until the quarantine of a suspect ends, or zero.
 func (s *Screen) Rest(suspect Suspect) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(0, s.fleet[suspect].Sub(s.clock.Now()))
+	now := s.clock.Now()
+	return max(0, s.fleet[suspect].Sub(now), s.own.quarantined[suspect].Sub(now))
 }
 
 // RecordCrash records that an engine crashed as it began to respond to a request. Its At
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -5,12 +5,13 @@
 	"encoding/binary"
 	"encoding/hex"
 	"strings"
+	"time"
 
 	"hawthornway/model"
 )
 
 // Suspect identifies what crashes may follow: a part of prompts, a whole request that comes
-// again, or the load of a model.
+// again, all requests of a caller on a route, or the load of a model.
 type Suspect string
 
 // PartSuspect returns the suspect for a part of prompts that requests of several sessions
@@ -29,11 +30,44 @@
 const (
 	modelPrefix   = "model:"
 	requestPrefix = "request:"
+	callerPrefix  = "caller:"
 )
 
 // isRequest reports whether a suspect is a whole request.
 func (s Suspect) isRequest() bool { return strings.HasPrefix(string(s), requestPrefix) }
 
+// CallerSuspect returns the suspect for all requests with a key on a route, for a caller whose
+// every request is new and crashes its target.
+func CallerSuspect(route, key string) Suspect {
+	h := sha256.New()
+	_, _ = h.Write([]byte(key)) // never fails
+	return Suspect(callerPrefix + route + ":" + hex.EncodeToString(h.Sum(nil)[:suspectBytes]))
+}
+
+// threshold is when and for how long a suspect is quarantined: after the crashes of a number
+// of targets under a number of requests. One request may be sent to several targets.
+type threshold struct {
+	targets, requests int
+	duration          time.Duration
+}
+
+// threshold returns the threshold of a suspect. Parts need two requests, since one has several
+// parts. Callers have many requests beside those of others, so that they need more crashes,
+// and are kept from targets for a short time.
+func (s Suspect) threshold() threshold {
+	switch {
+	case s.isRequest():
+		return threshold{targets: 3, requests: 1, duration: Duration}
+	case strings.HasPrefix(string(s), callerPrefix):
+		return threshold{targets: 6, requests: 3, duration: callerDuration}
+	default:
+		return threshold{targets: 3, requests: 2, duration: Duration}
+	}
+}
+
+// callerDuration is how long a caller is kept from the targets of a route.
+const callerDuration = 30 * time.Second
+
 // suspectBytes is the length of the hash in a request's suspect.
 const suspectBytes = 16
 
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -308,9 +308,16 @@
 // of a response. Several events may arrive together before the end of the connection.
 const maxEventsAtBeginning = 4
 
-// suspects returns what identifies the request, or parts of it, when it is sent again.
-func (f *inflight) suspects() []quarantine.Suspect {
-	return append([]quarantine.Suspect{f.requestSuspect}, f.req.PromptParts...)
+// suspects returns what identifies the request, its caller, or parts of it, when they come
+// again.
+func (f *inflight) suspects() []quarantine.Suspect { return append(f.whole(), f.req.PromptParts...) }
+
+// whole returns the suspects for the request as a whole.
+func (f *inflight) whole() []quarantine.Suspect {
+	if f.callerSuspect == "" {
+		return []quarantine.Suspect{f.requestSuspect}
+	}
+	return []quarantine.Suspect{f.requestSuspect, f.callerSuspect}
 }
 
 // suspectsOf returns what may have crashed the target of an interrupted attempt. Before it
@@ -324,7 +331,7 @@
 	case r.began:
 		return f.suspects()
 	case r.unanswered:
-		return []quarantine.Suspect{f.requestSuspect}
+		return f.whole()
 	default:
 		return nil
 	}
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -165,6 +165,8 @@
 	return env.quarantined, env.quarantined != "" && slices.Contains(suspects, env.quarantined)
 }
 
+func (env *testEnv) Rest(quarantine.Suspect) time.Duration { return 0 }
+
 func (env *testEnv) RecordCrash(crash quarantine.Crash) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -51,16 +51,17 @@
 		name     string
 		delivery catalog.Delivery
 		target   behaviour
-		// suspects are those of the crash: none, the request, or its parts too.
+		// suspects is the number of those of the crash: none, the request and its caller, or
+		// its parts too.
 		suspects int
 		sound    bool
 	}{
-		{"after the head", stream, head(abort), 3, false},
-		{"after an event", stream, events(1, abort), 3, false},
+		{"after the head", stream, head(abort), 4, false},
+		{"after an event", stream, events(1, abort), 4, false},
 		{"far into the stream", stream, events(20, abort), 0, false},
-		{"within a body", catalog.AtMostOnce{}, head(abort), 3, false},
-		{"before the head", stream, cut, 1, false},
-		{"before the head of a body", catalog.AtMostOnce{}, cut, 1, false},
+		{"within a body", catalog.AtMostOnce{}, head(abort), 4, false},
+		{"before the head", stream, cut, 2, false},
+		{"before the head of a body", catalog.AtMostOnce{}, cut, 2, false},
 		{"without a signature", catalog.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) }, 0, false},
 		{"no HTTP", catalog.AtMostOnce{}, hijacked("garbage\r\n\r\n"), 0, false},
 		{"refused", stream, refuse, 0, false},
@@ -68,7 +69,7 @@
 		{"complete body", catalog.AtMostOnce{}, signed(200, "body"), 0, true},
 		{"failure of the request", catalog.AtMostOnce{}, signed(400, "body"), 0, false},
 		{"stream that ends with its connection", stream, untilClosed("id: 1\ndata: a\n\n"), 0, false},
-		{"stream that ends with its connection within an event", stream, untilClosed("id: 1\ndata: a\n\nid: 2\nda"), 3, false},
+		{"stream that ends with its connection within an event", stream, untilClosed("id: 1\ndata: a\n\nid: 2\nda"), 4, false},
 		{"body that ends with its connection", catalog.AtMostOnce{}, untilClosed("body"), 0, false},
 	}
 	for _, tc := range cases {
@@ -77,7 +78,7 @@
 			env.call(withParts)
 			env.server.Close() // waits for the handler
 			request := quarantine.RequestSuspect("a.example", "/x/1?q=%2F", "secret", []byte("body"))
-			all := []quarantine.Suspect{request, "y", "x"}
+			all := []quarantine.Suspect{request, quarantine.CallerSuspect("route", "secret"), "y", "x"}
 			if tc.suspects == 0 {
 				must.SliceEmpty(t, env.crashes)
 			} else {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -72,6 +72,8 @@
 type Quarantine interface {
 	// Quarantined returns the first of the suspects that crashes targets, if any.
 	Quarantined(suspects []quarantine.Suspect) (quarantine.Suspect, bool)
+	// Rest returns the time until a suspect's quarantine ends, or zero.
+	Rest(suspect quarantine.Suspect) time.Duration
 	// RecordCrash records that a target broke off as it began to respond to a request.
 	RecordCrash(crash quarantine.Crash)
 	// RecordSound records that a response to a request with these suspects was completed.
@@ -182,6 +184,7 @@
 type noQuarantine struct{}
 
 func (noQuarantine) Quarantined([]quarantine.Suspect) (quarantine.Suspect, bool) { return "", false }
+func (noQuarantine) Rest(quarantine.Suspect) time.Duration                       { return 0 }
 func (noQuarantine) RecordCrash(quarantine.Crash)                                {}
 func (noQuarantine) RecordSound([]quarantine.Suspect)                            {}
 
@@ -231,6 +234,8 @@
 
 	// requestSuspect identifies the request when its caller sends it again.
 	requestSuspect quarantine.Suspect
+	// callerSuspect identifies the caller on the route. It is empty without a key.
+	callerSuspect quarantine.Suspect
 	// targets lists the targets that the request was sent to, in order, and
 	// avoid holds those of them that have failed the request.
 	targets         []target.ID
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -122,6 +122,7 @@
 		return outcome.NotRun{Reason: outcome.ReasonConfiguration, Detail: "the settings of the team can't be used"}
 	}
 	f.team = owner
+	f.callerSuspect = quarantine.CallerSuspect(string(f.route.Name), string(f.req.Key))
 	if owner.Priority != nil {
 		f.priority = *owner.Priority
 	}
@@ -142,6 +143,8 @@
 	switch {
 	case !quarantined:
 		return nil
+	case suspect == f.callerSuspect:
+		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, RetryAfter: r.quarantine.Rest(suspect), Detail: "the caller's requests on this route crash their targets"}
 	case suspect == f.requestSuspect:
 		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, Detail: "the request crashes its targets"}
 	default:
