--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -121,3 +121,23 @@
 	must.Eq(t, map[target.ID]int{"a": 1}, b.Running())
 	must.False(t, b.BackingOff("b"))
 }
+
+// A target that states no load whatever it runs, or one beyond all bounds, must not get all
+// requests, or leave the others without any.
+func TestTargetsThatStateFalseLoads(t *testing.T) {
+	for _, stated := range []int{0, -1000, 1 << 40} {
+		b := balance.New("d", clockwork.NewFakeClock())
+		counts := map[target.ID]int{}
+		for i := range 120 {
+			chosen, ok := b.Choose(targets(4), fmt.Sprint("session", i))
+			must.True(t, ok)
+			b.RequestStarted(chosen.ID)
+			b.ReportLoad("t0", stated)
+			counts[chosen.ID]++
+		}
+		must.LessEq(t, 34, counts["t0"], must.Sprint(stated))
+		for _, other := range []target.ID{"t1", "t2", "t3"} {
+			must.GreaterEq(t, 26, counts[other], must.Sprint(stated))
+		}
+	}
+}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -35,9 +35,10 @@
 type fakeEngines struct {
 	mu      sync.Mutex
 	engines map[target.ID]*fakeEngine
-	// broken is a model or adapter whose load ends the engine, and ended is called then.
-	broken model.Name
-	ended  func(t roster.Target)
+	// broken is a model or adapter whose load ends the engine, and ended is called then. The
+	// load of hanging never ends.
+	broken, hanging model.Name
+	ended           func(t roster.Target)
 }
 
 type fakeEngine struct {
@@ -195,6 +196,9 @@
 			s.overloaded++
 		}
 		s.busy = true
+		if order.Model == e.hanging {
+			break
+		}
 		took := diskLoadTime
 		switch {
 		case slices.Contains(s.inMemory, order.Model):
--- a/coordinator/failedload_test.go
+++ b/coordinator/failedload_test.go
@@ -79,3 +79,27 @@
 		must.Positive(t, holders)
 	})
 }
+
+// The load of a model that never ends keeps an engine from further loads. It must not keep one
+// after the other.
+func TestModelWhoseLoadNeverEndsIsHeldBack(t *testing.T) {
+	loaded := map[target.ID][]model.Name{"e1": {"m0"}, "e2": {"m1"}, "e3": {"m2"}, "e4": {"m3"}, "e5": {"m0"}, "e6": {"m1"}}
+	runFixture(t, loaded, func(f *fixture) {
+		f.engines.mu.Lock()
+		f.engines.hanging = "m4"
+		f.engines.mu.Unlock()
+		for range 500 { // fifty seconds, within which it is held back
+			f.requestLoad("m4")
+			time.Sleep(100 * time.Millisecond)
+		}
+		busy := 0
+		f.engines.mu.Lock()
+		for _, s := range f.engines.engines {
+			if s.busy {
+				busy++
+			}
+		}
+		f.engines.mu.Unlock()
+		must.Eq(t, 3, busy)
+	})
+}
