keyvalue: eras of the product's own key-value service

The eras of the users' store move to keyvalue, one copy for both stores. The client records the era that any answer states, and the stand-in can return from an older copy of itself: revisions are given out again and leases end.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -6,7 +6,6 @@
 	"hawthornway/keyvalue"
 	"hawthornway/model"
 	"hawthornway/peer"
-	"hawthornway/platform"
 	"hawthornway/quarantine"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -60,7 +59,7 @@
 // wireRenew asks another host to renew a lease in the store.
 type wireRenew struct {
 	Lease int64        `cbor:"lease"`
-	Era   platform.Era `cbor:"era,omitempty"`
+	Era   keyvalue.Era `cbor:"era,omitempty"`
 }
 
 type wireRenewed struct {
--- a/election/election.go
+++ b/election/election.go
@@ -80,7 +80,7 @@
 	Address     string            `json:"address"`
 	// Era is the store's era in which the entry was written. It is missing in entries of
 	// older builds.
-	Era *platform.Era `json:"era,omitempty"`
+	Era *keyvalue.Era `json:"era,omitempty"`
 	// OrdersFrom is the time up to which the host may have to wait with the first order of
 	// the term, by the boot clock of its machine.
 	OrdersFrom boottime.Instant `json:"orders-from,omitempty"`
@@ -89,7 +89,7 @@
 // leftover reports whether the entry is from before the store's return from an older
 // copy of itself. The term that it names has ended.
 func (w wireLeader) leftover(revision keyvalue.Revision) bool {
-	return w.Era != nil && *w.Era < platform.EraOf(revision)
+	return w.Era != nil && *w.Era < keyvalue.EraOf(revision)
 }
 
 // Election is the participation of one host in the election.
@@ -120,7 +120,7 @@
 	entryOrdersFrom boottime.Instant
 	// era is the highest era of the store that was seen, and eraSince when it was first
 	// seen after another one.
-	era        platform.Era
+	era        keyvalue.Era
 	eraKnown   bool
 	eraSince   boottime.Instant
 	leader     Leader
@@ -202,10 +202,10 @@
 	if entry.Revision != 0 && entry.Revision < e.observed.Revision {
 		return
 	}
-	newEra := platform.EraOf(entry.Revision) != platform.EraOf(e.observed.Revision)
+	newEra := keyvalue.EraOf(entry.Revision) != keyvalue.EraOf(e.observed.Revision)
 	e.observed = entry
 	if entry.Revision != 0 {
-		e.observeEra(platform.EraOf(entry.Revision))
+		e.observeEra(keyvalue.EraOf(entry.Revision))
 	}
 	if e.term != nil && entry.Revision > keyvalue.Revision(e.term.fence) {
 		e.log.Warn("election: term ended because of a newer entry in the store", "fence", e.term.fence, "entry", entry.Revision)
@@ -232,7 +232,7 @@
 }
 
 // observeEra records the store's era. The caller holds the lock.
-func (e *Election) observeEra(era platform.Era) {
+func (e *Election) observeEra(era keyvalue.Era) {
 	if e.eraKnown && era > e.era {
 		e.eraSince = e.bootClock.Now()
 	}
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -46,7 +46,7 @@
 	mu sync.Mutex
 	// era rises when the store returns from a copy of itself, and revision is the number
 	// of the last change within the present history.
-	era           platform.Era
+	era           keyvalue.Era
 	revision      keyvalue.Revision
 	entry         *keyvalue.Entry
 	entryLease    platform.Lease
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -439,7 +439,7 @@
 	if !g.storeIsNewest() {
 		return
 	}
-	era := platform.EraOf(g.follower.ReadRevision())
+	era := keyvalue.EraOf(g.follower.ReadRevision())
 	g.newest.trustEra(era)
 	g.freshness.confirm(at)
 	if termAge, leads := g.coordinator.TermAge(); leads && termAge >= coordinator.ReportTime {
@@ -475,7 +475,7 @@
 		return false
 	}
 	termAge, leads := g.coordinator.TermAge()
-	era := platform.EraOf(g.follower.ReadRevision())
+	era := keyvalue.EraOf(g.follower.ReadRevision())
 	return storeReading{
 		version:    current.Version,
 		newest:     g.newest.get(),
@@ -581,7 +581,7 @@
 		return
 	}
 	if at != 0 && current.Version == version {
-		g.newest.trustEra(platform.EraOf(read))
+		g.newest.trustEra(keyvalue.EraOf(read))
 		g.freshness.confirm(at)
 	}
 }
--- a/gateway/newest.go
+++ b/gateway/newest.go
@@ -7,6 +7,7 @@
 	"hawthornway/boottime"
 	"hawthornway/catalog"
 	"hawthornway/coordinator"
+	"hawthornway/keyvalue"
 	"hawthornway/platform"
 )
 
@@ -56,12 +57,12 @@
 }
 
 // trustEra records that the configuration was confirmed in an era of the store.
-func (n *newestConfig) trustEra(era platform.Era) { raise(&n.era, int64(era)) }
+func (n *newestConfig) trustEra(era keyvalue.Era) { raise(&n.era, int64(era)) }
 
 // restoredSince reports whether the store has returned from an older copy since its
 // configuration was last confirmed. A process that has just started can't know that, and
 // takes any return for a recent one.
-func (n *newestConfig) restoredSince(era platform.Era) bool { return int64(era) > n.era.Load() }
+func (n *newestConfig) restoredSince(era keyvalue.Era) bool { return int64(era) > n.era.Load() }
 
 // record lets the coordinator's confirmation be written to the store, unless the store has
 // one of its era. One for each era is enough: within an era, the store doesn't go back.
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"hawthornway/jsonhttp"
@@ -18,6 +19,24 @@
 	jsonClient *jsonhttp.Client
 	timeout    time.Duration
 	watchWait  time.Duration
+	era        atomic.Uint64
+}
+
+// Era returns the newest era that an answer of the service has stated.
+func (c *client) Era() Era { return Era(c.era.Load()) }
+
+// do sends a request, and records the era that the answer states.
+func (c *client) do(ctx context.Context, req jsonhttp.Request) (jsonhttp.Response, error) {
+	resp, err := c.jsonClient.Do(ctx, req)
+	if err != nil {
+		return resp, err
+	}
+	if answered, ok := ParseEra(resp.Header); ok {
+		for newest := c.era.Load(); uint64(answered) > newest && !c.era.CompareAndSwap(newest, uint64(answered)); {
+			newest = c.era.Load()
+		}
+	}
+	return resp, nil
 }
 
 // NewClient returns a new Store that calls the key-value service at address,
@@ -131,7 +150,7 @@
 
 func (c *client) write(ctx context.Context, method, key string, expected Revision, value []byte) ([]byte, error) {
 	query := url.Values{"key": {key}, "expected": {formatRevision(expected)}}
-	resp, err := c.jsonClient.Do(ctx, jsonhttp.Request{
+	resp, err := c.do(ctx, jsonhttp.Request{
 		Method:  method,
 		Path:    "/v1/kv",
 		Query:   query,
@@ -167,16 +186,17 @@
 }
 
 func (c *client) read(ctx context.Context, path string, query url.Values, timeout time.Duration, response any) error {
-	err := c.jsonClient.Get(ctx, path, query, timeout, response)
-	var status *jsonhttp.StatusError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &status):
-		return statusError(status.Status, ErrUnavailable)
-	default:
+	resp, err := c.do(ctx, jsonhttp.Request{Method: http.MethodGet, Path: path, Query: query, Timeout: timeout})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if resp.Status != http.StatusOK {
+		return statusError(resp.Status, ErrUnavailable)
+	}
+	if err := json.Unmarshal(resp.Body, response); err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
+	return nil
 }
 
 // statusError returns the error for a status, and nil for 200. It wraps fallback if
--- a/keyvalue/store.go
+++ b/keyvalue/store.go
@@ -50,6 +50,8 @@
 	// prefix. It waits for at least one change, and returns none if the service
 	// ends the wait. The returned revision is the one to continue from.
 	Watch(ctx context.Context, prefix string, after Revision) ([]Event, Revision, error)
+	// Era returns the newest era that an answer of the service has stated.
+	Era() Era
 }
 
 // The errors of the service.
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -373,6 +373,9 @@
 // killed or cut off from the platform.
 type pausableStore struct{ host *testHost }
 
+// Era implements keyvalue.Store.
+func (pausableStore) Era() keyvalue.Era { return 0 }
+
 func (s pausableStore) check() error {
 	s.host.waitResumed()
 	s.host.mu.Lock()
--- a/member/cluster_test.go
+++ b/member/cluster_test.go
@@ -459,6 +459,9 @@
 	return &hostStore{store: store, gate: gate, cut: make(chan struct{})}
 }
 
+// Era implements keyvalue.Store.
+func (s *hostStore) Era() keyvalue.Era { return s.store.Era() }
+
 // setReachable cuts the host's connection to the service or restores it.
 func (s *hostStore) setReachable(reachable bool) {
 	s.mu.Lock()
--- a/standin/kvstore/handler.go
+++ b/standin/kvstore/handler.go
@@ -56,7 +56,10 @@
 	mux.HandleFunc("DELETE /v1/lease/{id}", s.serveRevoke)
 	mux.HandleFunc("PUT /faults", s.serveFaults)
 	mux.HandleFunc("GET /counts", s.serveCounts)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(keyvalue.HeaderEra, strconv.FormatUint(uint64(s.Era()), 10))
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
--- a/standin/kvstore/store.go
+++ b/standin/kvstore/store.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -26,6 +27,7 @@
 	reads     *rate.Limiter
 
 	mu        sync.Mutex
+	era       keyvalue.Era
 	revision  keyvalue.Revision
 	records   map[string]record
 	leases    map[LeaseID]*lease
@@ -79,6 +81,40 @@
 	}
 }
 
+// Era returns the number of times that the store has returned from a copy.
+func (s *Store) Era() keyvalue.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// Copy is a copy of the store's contents at some time.
+type Copy struct {
+	revision keyvalue.Revision
+	records  map[string]record
+}
+
+// Copy returns a copy of the store's contents.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, maps.Clone(s.records)}
+}
+
+// Restore replaces the contents by an older copy, as after the loss of the store. Leases end,
+// and revisions are given out again.
+func (s *Store) Restore(older Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.records = older.revision, maps.Clone(older.records)
+	for id, l := range s.leases {
+		l.timer.Stop()
+		delete(s.leases, id)
+	}
+	s.wakeAll()
+}
+
 // Counts returns the number of calls received so far.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
