claim: calls don't run again after the key-value service returns from an older copy

What callers would get: claims that the service acknowledged after the copy are gone when it returns, so that a repeat with the same Idempotency-Key ran the call once more at another host.

Change: hosts remember their claims of two minutes and write them again, claim nothing new for five seconds after a new era, and don't use a claim that was won while the era changed.

Not covered: a host that is killed, or frozen for longer than the pause.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -34,6 +34,7 @@
 	// runningRecord is the claim's record as it is stored while the call runs.
 	runningRecord record
 	revision      keyvalue.Revision
+	era           keyvalue.Era
 }
 
 // Finish implements Claim.
@@ -52,6 +53,12 @@
 }
 
 func (c *claim) end(ctx context.Context, ended record) error {
+	c.claims.remember(c.key, ended)
+	if c.claims.store.Era() != c.era {
+		// The revision may stand for another record.
+		c.claims.writeLater(c.key, ended)
+		return errNotSettled
+	}
 	_, err := c.claims.store.Swap(ctx, c.key, c.revision, ended.encode())
 	if err != nil {
 		c.claims.writeLater(c.key, ended)
@@ -84,14 +91,16 @@
 // Run implements Claims.
 func (c *claims) Run(ctx context.Context) error {
 	for delay := minRetryDelay; ; {
-		if c.writePending(ctx) == 0 {
+		c.observeEra()
+		if c.writePending(ctx)+c.confirm(ctx) == 0 {
 			delay = minRetryDelay
 			select {
 			case <-ctx.Done():
 				return nil
 			case <-c.wake:
-				continue
+			case <-c.clock.After(eraCheckInterval):
 			}
+			continue
 		}
 		if !c.waitFor(ctx, delay) {
 			return nil
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -30,6 +31,17 @@
 	writeEndTimeout = 5 * time.Second
 	// maxOutageWait is how long a call waits for a failing key-value service.
 	maxOutageWait = 3 * time.Second
+	// eraCheckInterval is how often a host looks whether the service has returned from an
+	// older copy, and settleTime how long no new call is claimed after it has. All hosts
+	// write the claims again meanwhile that they remember.
+	eraCheckInterval = 250 * time.Millisecond
+	settleTime       = 5 * time.Second
+	// memoryTime is how long a host remembers a claim after its last write, which is longer
+	// than a copy is old. MaxRemembered limits their number, and maxRememberedBody the bodies
+	// of their responses.
+	memoryTime        = 2 * time.Minute
+	maxRemembered     = 5000
+	maxRememberedBody = 1 << 10
 )
 
 // Request is a call with an idempotency key to a route that is not idempotent.
@@ -99,7 +111,10 @@
 		newToken: uuid.NewString,
 		log:      slog.Default(),
 		pending:  make(map[string]pendingEnd),
-		wake:     make(chan struct{}, 1),
+
+		remembered:  make(map[string]rememberedClaim),
+		unconfirmed: make(map[string]bool),
+		wake:        make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -120,6 +135,19 @@
 	mu      sync.Mutex
 	pending map[string]pendingEnd
 	wake    chan struct{}
+	// era is the service's era, and settledAt when new calls may be claimed in it.
+	era       keyvalue.Era
+	settledAt time.Time
+	// remembered holds the last record of this host's recent claims by key. Those that may be
+	// missing in the service are unconfirmed.
+	remembered  map[string]rememberedClaim
+	unconfirmed map[string]bool
+}
+
+// rememberedClaim is a claim of this host, as it last wrote it.
+type rememberedClaim struct {
+	record record
+	at     time.Time
 }
 
 // pendingEnd is the end of a call that has not been written yet.
@@ -171,13 +199,21 @@
 	if err != nil {
 		return nil, 0, false, trace.Wrap(err)
 	}
+	era, settled := c.observeEra()
 	if found.Token == own.Token && found.State == stateRunning {
 		return c.newRun(key, own, revision), 0, true, nil
 	}
 	if !found.isClaimable() && !c.ignoreConflicts {
 		return found.decideRepeat(own.Digest), revision, false, nil
 	}
+	if !settled {
+		return nil, 0, false, errNotSettled
+	}
 	newRevision, err := c.store.Swap(ctx, key, revision, own.encode())
+	if now, _ := c.observeEra(); err == nil && now != era && !c.ignoreConflicts {
+		// Another host may have claimed the call in the former era.
+		return nil, 0, true, errNotSettled
+	}
 	var conflict *keyvalue.ConflictError
 	switch {
 	case err == nil, c.ignoreConflicts:
@@ -188,6 +224,10 @@
 	return nil, 0, true, trace.Wrap(err)
 }
 
+// errNotSettled means that claims may be missing, since the service has returned from an older
+// copy.
+var errNotSettled = fmt.Errorf("%w: the service has returned from an older copy, and claims may be missing", keyvalue.ErrUnavailable)
+
 // waitForChange waits for a change of the claim, or for a delay if the last attempt
 // to claim or the watch failed. It returns false if the context has ended.
 func (c *claims) waitForChange(ctx context.Context, key string, after keyvalue.Revision, delay time.Duration, lastErr error) bool {
@@ -231,5 +271,6 @@
 }
 
 func (c *claims) newRun(key string, own record, revision keyvalue.Revision) Decision {
-	return Run{Claim: &claim{claims: c, key: key, runningRecord: own, revision: revision}}
+	c.remember(key, own)
+	return Run{Claim: &claim{claims: c, key: key, runningRecord: own, revision: revision, era: c.store.Era()}}
 }
--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -229,3 +229,76 @@
 	}
 	t.Fatal("none of 20 seeds runs a call twice")
 }
+
+// Guards against a second run of a call whose claim is lost, since the service has returned
+// from an older copy: hosts write the claims again that they remember, and claim no new call
+// until all had time to.
+func TestClaimsOutlastTheReturnOfAnOlderStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t, 1, 3, false)
+		defer cluster.stop()
+		older := cluster.store.Copy()
+		begin := func(host int, key string, timeout time.Duration) (Decision, string) {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			d, err := cluster.hosts[host].claims.Begin(ctx, testRequest(key, 1))
+			must.NoError(t, err)
+			_, result := describeDecision(d)
+			return d, result
+		}
+		done, _ := begin(0, "done", time.Second)
+		must.NoError(t, done.(Run).Claim.Finish(t.Context(), Response{Status: 201, Body: []byte("x")}))
+		running, _ := begin(0, "running", time.Second)
+		abandoned, _ := begin(0, "abandoned", time.Second)
+		must.NoError(t, abandoned.(Run).Claim.Abandon(t.Context()))
+		cluster.store.Restore(older)
+		for _, key := range []string{"done", "running", "abandoned"} {
+			_, result := begin(1, key, 20*time.Millisecond)
+			must.Eq(t, "not-run", result, must.Sprint(key))
+		}
+		time.Sleep(settleTime)
+		_, result := begin(1, "done", time.Second)
+		must.Eq(t, "replay", result)
+		_, result = begin(2, "running", time.Second)
+		must.Eq(t, "unknown", result)
+		_, result = begin(2, "abandoned", time.Second)
+		must.Eq(t, "run", result)
+		must.Error(t, running.(Run).Claim.Finish(t.Context(), Response{Status: 200, Body: []byte("y")})) // written by Run
+		time.Sleep(time.Second)
+		_, result = begin(1, "running", time.Second)
+		must.Eq(t, "replay", result)
+	})
+}
+
+// Calls with keys and their repeats while the service returns from older copies, fails and
+// loses answers. Hosts that are killed or frozen then lose what only they remember, and are
+// left out.
+func TestKeyedCallsRunAtMostOnceOverReturnsOfTheStore(t *testing.T) {
+	returns := 0
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount)/4; seed++ {
+		var cluster *testCluster
+		synctest.Test(t, func(t *testing.T) {
+			cluster = newTestCluster(t, seed, 4, false)
+			defer cluster.stop()
+			for i := range 30 {
+				key := fmt.Sprintf("k%d", i)
+				for range 2 + cluster.randomInt(4) {
+					host, target := cluster.hosts[cluster.randomInt(len(cluster.hosts))], cluster.randomInt(targetKinds)
+					after := time.Duration(cluster.randomInt(12000)) * time.Millisecond
+					time.AfterFunc(after, func() { cluster.send(host, key, 1, target) })
+				}
+				time.Sleep(time.Duration(cluster.randomInt(2000)) * time.Millisecond)
+				switch cluster.randomInt(8) {
+				case 0:
+					returns++
+					cluster.restoreOlder(time.Duration(cluster.randomInt(8000)) * time.Millisecond)
+				case 1:
+					cluster.store.SetFaults(kvstore.Faults{LoseResponses: 3, Seed: uint64(cluster.randomInt(1000))})
+				}
+			}
+			time.Sleep(2 * time.Minute)
+		})
+		must.LessEq(t, 1, cluster.maxRuns(), must.Sprintf("replay: go test ./claim -run %s -seed %d -seeds 4", t.Name(), seed))
+	}
+	must.Positive(t, returns)
+}
--- a/claim/cluster_test.go
+++ b/claim/cluster_test.go
@@ -39,6 +39,19 @@
 	outcome string
 }
 
+// restoreOlder lets the store return from a copy that is some time old by then, after it was
+// away for a moment.
+func (c *testCluster) restoreOlder(age time.Duration) {
+	older := c.store.Copy()
+	time.AfterFunc(age, func() {
+		c.store.SetFaults(kvstore.Faults{Outage: true})
+		time.AfterFunc(300*time.Millisecond, func() {
+			c.store.Restore(older)
+			c.store.SetFaults(kvstore.Faults{})
+		})
+	})
+}
+
 // testHost is one host. It wraps the store for its claims, so that it can be frozen
 // and killed.
 type testHost struct {
