gateway: a target with a limit that has failed a request is still a candidate

What callers would get: if the only targets have limits and have failed the request once, it waited until its deadline without being sent again. Found by reading the change; TestCandidates has the case, which had no candidates before.

--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -129,7 +129,7 @@
 // candidates are the targets that can run a request. Failed ones have failed it before, and
 // limited ones take a limited number of requests only.
 type candidates struct {
-	eligible, failed, limited []roster.Target
+	eligible, failed, limited, limitedFailed []roster.Target
 }
 
 // candidates returns the targets that can run a request.
@@ -137,21 +137,40 @@
 	g := p.gateway
 	var c candidates
 	for _, t := range ready {
-		_, limited := g.limits.Rate(pace.KeyOf(t))
-		switch {
-		case request.Model != "" && (!g.coordinatorClient.Holdings(t).Has(request.Model, request.Adapter) || p.usage.recentlyNotLoaded(t.ID, request, g.clock.Now())):
-		case limited && !request.Avoid[t.ID] && !g.balancer.BackingOff(t.ID):
-			c.limited = append(c.limited, t)
-		case limited:
-		case request.Avoid[t.ID]:
-			c.failed = append(c.failed, t)
-		default:
-			c.eligible = append(c.eligible, t)
+		if request.Model != "" && (!g.coordinatorClient.Holdings(t).Has(request.Model, request.Adapter) || p.usage.recentlyNotLoaded(t.ID, request, g.clock.Now())) {
+			continue
 		}
+		_, limited := g.limits.Rate(pace.KeyOf(t))
+		c.add(t, limited, request.Avoid[t.ID], g.balancer.BackingOff(t.ID))
 	}
+	c.addLastResort()
 	return c
 }
 
+// addLastResort makes targets with a limit that have failed the request candidates if there
+// are no others. The request would otherwise wait in vain.
+func (c *candidates) addLastResort() {
+	if len(c.eligible) == 0 && len(c.failed) == 0 && len(c.limited) == 0 {
+		c.limited = c.limitedFailed
+	}
+}
+
+// add adds a target to those that it belongs to. The balancer skips those without a limit that
+// are backing off.
+func (c *candidates) add(t roster.Target, limited, failed, backingOff bool) {
+	switch {
+	case limited && backingOff:
+	case limited && failed:
+		c.limitedFailed = append(c.limitedFailed, t)
+	case limited:
+		c.limited = append(c.limited, t)
+	case failed:
+		c.failed = append(c.failed, t)
+	default:
+		c.eligible = append(c.eligible, t)
+	}
+}
+
 // choose returns a target without a limit that can run the request now. Targets that have
 // failed the request are chosen only if there are no others or, for plain services, if all
 // others are backing off.
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -73,3 +73,32 @@
 		}
 	}
 }
+
+// A target with a limit that has failed a request is still better than none: the request would
+// wait until its deadline without being sent.
+func TestCandidates(t *testing.T) {
+	type kind struct{ limited, failed, backingOff bool }
+	cases := []struct {
+		name                      string
+		targets                   []kind
+		eligible, failed, limited int
+	}{
+		{"none", nil, 0, 0, 0},
+		{"sound ones", []kind{{}, {}}, 2, 0, 0},
+		{"one has failed", []kind{{}, {failed: true}}, 1, 1, 0},
+		{"one is backing off, which the balancer knows", []kind{{backingOff: true}}, 1, 0, 0},
+		{"one has a limit", []kind{{}, {limited: true}}, 1, 0, 1},
+		{"one with a limit has failed", []kind{{limited: true}, {limited: true, failed: true}}, 0, 0, 1},
+		{"all with a limit have failed", []kind{{limited: true, failed: true}, {limited: true, failed: true}}, 0, 0, 2},
+		{"one with a limit and one without have failed", []kind{{limited: true, failed: true}, {failed: true}}, 0, 1, 0},
+		{"one with a limit is backing off", []kind{{limited: true, backingOff: true}}, 0, 0, 0},
+	}
+	for _, tc := range cases {
+		var c candidates
+		for _, k := range tc.targets {
+			c.add(roster.Target{}, k.limited, k.failed, k.backingOff)
+		}
+		c.addLastResort()
+		must.Eq(t, []int{tc.eligible, tc.failed, tc.limited}, []int{len(c.eligible), len(c.failed), len(c.limited)}, must.Sprint(tc.name))
+	}
+}
