placement: loads pause while all of them fail

While the weight store fails, each plan ordered the same loads again, and requests waited for their deadlines. A model whose loads failed on three engines now pauses for five seconds, without being blamed, and its requests are refused with that time.

--- a/placement/failedloads.go
+++ b/placement/failedloads.go
@@ -16,6 +16,8 @@
 	// fails too, it is held back for twice as long, up to maxHold.
 	minHold = time.Minute
 	maxHold = time.Hour
+	// storePause is for how long a model is held back while all loads fail.
+	storePause = 5 * time.Second
 	// failureTTL is how long failures count.
 	failureTTL = 2 * maxHold
 )
@@ -57,12 +59,16 @@
 	if m.holds > 0 {
 		allowed = 1
 	}
-	if len(m.engines) < allowed || now.Before(m.heldUntil) || f.allFail(name, m.since) {
+	if len(m.engines) < allowed || now.Before(m.heldUntil) {
 		return 0
 	}
-	hold := m.nextHold
-	m.holds++
-	m.heldUntil, m.nextHold = now.Add(hold), min(2*hold, maxHold)
+	hold := storePause
+	if !f.allFail(name, m.since) {
+		hold = m.nextHold
+		m.holds++
+		m.nextHold = min(2*hold, maxHold)
+	}
+	m.heldUntil = now.Add(hold)
 	clear(m.engines)
 	return hold
 }
--- a/placement/failedloads_test.go
+++ b/placement/failedloads_test.go
@@ -43,7 +43,8 @@
 			fails(0, "m", "a", 0), fails(0, "m", "b", 0), fails(0, "m", "c", time.Minute), loaded(61*second, "m"), fails(70*second, "m", "d", 0),
 		}},
 		{"all models fail", []load{
-			fails(0, "m", "a", 0), fails(0, "n", "b", 0), fails(second, "m", "b", 0), fails(second, "n", "a", 0), fails(2*second, "m", "c", 0), fails(2*second, "n", "c", 0),
+			fails(0, "m", "a", 0), fails(0, "n", "b", 0), fails(second, "m", "b", 0), fails(second, "n", "a", 0), fails(2*second, "m", "c", 5*second), fails(2*second, "n", "c", 5*second),
+			fails(8*second, "m", "a", 0), fails(9*second, "m", "b", 0), fails(10*second, "m", "c", 5*second),
 		}},
 		{"two models fail, others don't", []load{
 			fails(0, "m", "a", 0), fails(0, "n", "b", 0), fails(second, "m", "b", 0), loaded(second, "o"), fails(2*second, "m", "c", time.Minute),
