--- a/pace/pacer.go
+++ b/pace/pacer.go
@@ -107,6 +107,9 @@
 		return Reservation{}, wait, false
 	}
 	grant := p.ask(ctx, statements, maxWait)
+	if grant.Refused && ctx.Err() != nil {
+		return Reservation{}, grant.Wait, false
+	}
 	if grant.Refused {
 		p.recordFull(statements, now.Add(grant.Wait))
 		return Reservation{}, grant.Wait, false
@@ -214,6 +217,10 @@
 			p.own, p.retryAt = nil, time.Time{}
 			return grant
 		}
+		if ctx.Err() != nil {
+			// The caller has left, which says nothing about the scheduler.
+			return Grant{Refused: true, Wait: retryDelay}
+		}
 		if p.own == nil {
 			p.log.Warn("pace: places in the lines of targets can't be had; keeping to this host's part of their limits", "hosts", p.hosts(), "error", err)
 			// At random, so that not all hosts send at the same time.
