--- a/claim/claim.go
+++ b/claim/claim.go
@@ -34,7 +34,8 @@
 	// runningRecord is the claim's record as it is stored while the call runs.
 	runningRecord record
 	revision      keyvalue.Revision
-	era           keyvalue.Era
+	// era is that of the revision.
+	era keyvalue.Era
 }
 
 // Finish implements Claim.
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -9,7 +9,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -32,8 +31,8 @@
 	// maxOutageWait is how long a call waits for a failing key-value service.
 	maxOutageWait = 3 * time.Second
 	// eraCheckInterval is how often a host looks whether the service has returned from an
-	// older copy, and settleTime how long no new call is claimed after it has. All hosts
-	// write the claims again meanwhile that they remember.
+	// older copy, and settleTime how long no new call is claimed after it has, while all
+	// hosts write the claims again that they remember.
 	eraCheckInterval = 250 * time.Millisecond
 	settleTime       = 5 * time.Second
 	// memoryTime is how long a host remembers a claim after its last write, which is longer
@@ -201,7 +200,7 @@
 	}
 	era, settled := c.observeEra()
 	if found.Token == own.Token && found.State == stateRunning {
-		return c.newRun(key, own, revision), 0, true, nil
+		return c.newRun(key, own, revision, era), 0, true, nil
 	}
 	if !found.isClaimable() && !c.ignoreConflicts {
 		return found.decideRepeat(own.Digest), revision, false, nil
@@ -217,7 +216,7 @@
 	var conflict *keyvalue.ConflictError
 	switch {
 	case err == nil, c.ignoreConflicts:
-		return c.newRun(key, own, newRevision), 0, true, nil
+		return c.newRun(key, own, newRevision, era), 0, true, nil
 	case errors.As(err, &conflict), errors.Is(err, keyvalue.ErrUnavailable):
 		return nil, 0, false, trace.Wrap(err)
 	}
@@ -226,7 +225,7 @@
 
 // errNotSettled means that claims may be missing, since the service has returned from an older
 // copy.
-var errNotSettled = fmt.Errorf("%w: the service has returned from an older copy, and claims may be missing", keyvalue.ErrUnavailable)
+var errNotSettled = errors.New("the key-value service has returned from an older copy, and claims may be missing")
 
 // waitForChange waits for a change of the claim, or for a delay if the last attempt
 // to claim or the watch failed. It returns false if the context has ended.
@@ -270,7 +269,7 @@
 	return found, entry.Revision, trace.Wrap(err)
 }
 
-func (c *claims) newRun(key string, own record, revision keyvalue.Revision) Decision {
+func (c *claims) newRun(key string, own record, revision keyvalue.Revision, era keyvalue.Era) Decision {
 	c.remember(key, own)
-	return Run{Claim: &claim{claims: c, key: key, runningRecord: own, revision: revision, era: c.store.Era()}}
+	return Run{Claim: &claim{claims: c, key: key, runningRecord: own, revision: revision, era: era}}
 }
--- a/claim/era.go
+++ b/claim/era.go
@@ -19,7 +19,7 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	if era > c.era {
-		c.log.Warn("claim: the key-value service has returned from an older copy; writing claims again", "era", era, "claims", len(c.remembered))
+		c.log.Warn("claim: the key-value service is in a later era; writing claims again and claiming no new calls for a while", "era", era, "claims", len(c.remembered))
 		c.era, c.settledAt = era, now.Add(settleTime)
 		c.forget(now)
 		for key := range c.remembered {
--- a/keyvalue/era.go
+++ b/keyvalue/era.go
@@ -13,9 +13,10 @@
 // store that never returns from a copy.
 const HeaderEra = "Store-Era"
 
-// Outside of the packages that speak to stores, a revision is a position: the era in its upper
-// bits and the store's own number in the lower ones. Positions, and the fences taken from
-// them, rise over all eras.
+// A position is a revision with its era: the era is in the upper bits and the store's own
+// number in the lower ones. Positions, and the fences taken from them, rise over all eras. The
+// revisions that package platform returns are positions; those of this package's client are
+// not.
 const (
 	numberBits = 40
 	maxNumber  = 1<<numberBits - 1
--- a/pace/pacer.go
+++ b/pace/pacer.go
@@ -107,11 +107,7 @@
 		return Reservation{}, wait, false
 	}
 	grant := p.ask(ctx, statements, maxWait)
-	if grant.Refused && ctx.Err() != nil {
-		return Reservation{}, grant.Wait, false
-	}
 	if grant.Refused {
-		p.recordFull(statements, now.Add(grant.Wait))
 		return Reservation{}, grant.Wait, false
 	}
 	return Reservation{Key: grant.Key, At: p.clock.Now().Add(grant.Wait)}, 0, true
@@ -187,9 +183,9 @@
 	return soonest, true
 }
 
+// recordFull records when the scheduler expects the next place in the lines. The caller holds
+// the lock.
 func (p *Pacer) recordFull(statements []Statement, next time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	now := p.clock.Now()
 	for key, f := range p.full {
 		if f.next.Before(now) {
@@ -215,6 +211,9 @@
 		defer p.mu.Unlock()
 		if err == nil {
 			p.own, p.retryAt = nil, time.Time{}
+			if grant.Refused {
+				p.recordFull(statements, p.clock.Now().Add(grant.Wait))
+			}
 			return grant
 		}
 		if ctx.Err() != nil {
--- a/pace/pacer_test.go
+++ b/pace/pacer_test.go
@@ -214,6 +214,22 @@
 	must.True(t, ok, must.Sprint(wait))
 }
 
+// A host that has refused by its own part of the limit, which is small, asks the scheduler
+// again once that is back.
+func TestSchedulerIsAskedAgainOnceItIsBack(t *testing.T) {
+	s := newSimulation(1, 9, 1)
+	h, targets := s.hosts[0], []pace.Key{s.key}
+	s.hosts[1].pacer.Reserve(context.Background(), targets, time.Minute) // begins the line
+	h.cutSince = s.clock.Now()
+	_, wait, ok := h.pacer.Reserve(context.Background(), targets, 0)
+	must.False(t, ok)
+	must.Greater(t, 3*time.Second, wait)
+	h.cutSince = time.Time{}
+	s.clock.Advance(3 * time.Second)
+	_, wait, ok = h.pacer.Reserve(context.Background(), targets, 0)
+	must.True(t, ok, must.Sprint(wait))
+}
+
 // A host that knows neither the coordinator nor the size of the fleet sends nothing.
 func TestHostThatKnowsNoFleetReservesNothing(t *testing.T) {
 	s := newSimulation(1, 1, 100)
