coordinator: an engine that outlived an adapter's load is no evidence against it

Callers saw: an adapter could be held back although it never broke anything. Cause: an accepted load stayed unconfirmed if the adapter's model was unloaded before a report showed it, so that the end of the engine, however much later, counted against the adapter. Found by reading the change anew; shown by TestAdapterThatNoReportShowedIsNotHeldBackLater, which failed before (not loaded within three seconds). A report of the same start of the engine that no longer has the load as pending now ends the doubt. A report of a new start doesn't, since the load may have ended the former one.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -38,7 +38,9 @@
 	// broken is a model or adapter whose load ends the engine, and ended is called then. The
 	// load of hanging never ends.
 	broken, hanging model.Name
-	ended           func(t roster.Target)
+	// fleeting is an adapter whose model is unloaded as soon as it is loaded.
+	fleeting model.Name
+	ended    func(t roster.Target)
 }
 
 type fakeEngine struct {
@@ -187,6 +189,9 @@
 		if count > 8 {
 			s.overloaded++
 		}
+		if order.Adapter == e.fleeting {
+			return e.accept(s, platform.Order{Unload: true, Model: order.Model, Expected: s.sequence})
+		}
 	case order.Unload:
 		s.useWeights(order.Model)
 		s.models = slices.DeleteFunc(s.models, func(n model.Name) bool { return n == order.Model })
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"hawthornway/model"
 	"hawthornway/pace"
 	"hawthornway/placement"
+	"hawthornway/platform"
 	"hawthornway/roster"
 	"hawthornway/target"
 )
@@ -258,6 +260,14 @@
 	}
 }
 
+// outlived forgets the accepted adapter loads that a report of the same engine no longer has
+// as pending: an engine that ends later doesn't end because of them.
+func (e *engine) outlived(pending []platform.Pending) {
+	maps.DeleteFunc(e.unconfirmedAdapters, func(job adapterJob, _ bool) bool {
+		return !slices.ContainsFunc(pending, func(p platform.Pending) bool { return adapterJob{p.Model, p.Adapter} == job })
+	})
+}
+
 // loseEngine stops the worker of an engine that is gone. It may have ended because of a load.
 func (c *Coordinator) loseEngine(e *engine) {
 	e.cancel()
@@ -361,13 +371,16 @@
 	return best
 }
 
+// limitedCost is more than any number of adapters and requests adds to the cost of an engine.
+const limitedCost = 1_000_000
+
 // adapterCost ranks engines for another adapter: those without a limit come first, then
 // those with free adapter slots, then those with fewer requests.
 func (c *Coordinator) adapterCost(pool catalog.Pool, e *engine) int {
 	excess := max(0, e.adapterCount()+len(e.pendingAdapters)-pool.Engines.AdapterSlots+1)
 	cost := excess*1000 + e.work
 	if c.limited(e) {
-		cost += 1_000_000
+		cost += limitedCost
 	}
 	return cost
 }
--- a/coordinator/failedload_test.go
+++ b/coordinator/failedload_test.go
@@ -8,6 +8,7 @@
 
 	"hawthornway/coordinator"
 	"hawthornway/model"
+	"hawthornway/platform"
 	"hawthornway/roster"
 	"hawthornway/target"
 )
@@ -103,3 +104,34 @@
 		must.Eq(t, 3, busy)
 	})
 }
+
+// An adapter is gone with its model before a report has shown it, and its engine ends much
+// later. Its load isn't what ended the engine.
+func TestAdapterThatNoReportShowedIsNotHeldBackLater(t *testing.T) {
+	engines := []target.ID{"e1", "e2", "e3"}
+	loaded := map[target.ID][]model.Name{"e1": {"m0"}, "e2": {"m0"}, "e3": {"m0"}, "e4": {"m0"}}
+	runFixture(t, loaded, func(f *fixture) {
+		last, _ := f.roster.Get("e4")
+		f.roster.Drop(last.ID)
+		f.engines.mu.Lock()
+		f.engines.fleeting = "sound"
+		f.engines.mu.Unlock()
+		for range 50 { // five seconds
+			f.client.RequestLoad("p", "m0", "sound", coordinator.Waiting{Total: 1, OnTime: 1}, 0)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		f.engines.mu.Lock()
+		f.engines.fleeting = ""
+		for _, id := range engines {
+			must.SliceContainsFunc(t, f.engines.engines[id].orders, model.Name("sound"), func(o platform.Order, name model.Name) bool { return o.Adapter == name })
+		}
+		f.engines.mu.Unlock()
+		for _, id := range engines {
+			f.roster.Drop(id)
+		}
+		f.roster.Put(last)
+		time.Sleep(2 * time.Second)
+		must.Less(t, 3*time.Second, f.requestUntilLoaded(last.ID, "m0", "sound", 3*time.Second))
+	})
+}
--- a/coordinator/worker.go
+++ b/coordinator/worker.go
@@ -210,13 +210,15 @@
 			}
 			uncertain[job] = e.uncertainAdapters[job] || !known
 			if e.unconfirmedAdapters[job] {
-				delete(e.unconfirmedAdapters, job)
 				c.recordLoaded(job.fullName())
 			}
 		}
 		current[m.Model] = r
 	}
 	e.leavingAdapters, e.uncertainAdapters = stillLeaving, uncertain
+	if report.Start == e.target.Start {
+		e.outlived(report.Pending)
+	}
 	for name, r := range e.resident {
 		if _, ok := current[name]; ok || r.unloading || r.loadExpectedAt.IsZero() {
 			continue
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -210,7 +210,7 @@
 	case request.Model == "":
 		return nil
 	case g.heldFor(request) > 0:
-		return &outcome.NotRun{Reason: outcome.ReasonLoadFails, RetryAfter: g.heldFor(request), Detail: "loads of the model fail on each engine"}
+		return &outcome.NotRun{Reason: outcome.ReasonLoadFails, RetryAfter: g.heldFor(request), Detail: "loads of the model have failed on several engines"}
 	case g.coordinatorClient.Isolated():
 		return &outcome.NotRun{Reason: outcome.ReasonCutOff, RetryAfter: isolatedRetryAfter, Detail: "the model is not loaded and the coordinator is not reached"}
 	default:
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -20,8 +20,8 @@
 const (
 	// crashTTL is how long a crash counts.
 	crashTTL = 5 * time.Minute
-	// Duration is how long parts and requests are quarantined. After that it takes as many crashes as
-	// before to quarantine it again.
+	// Duration is how long parts and requests are quarantined. After that it takes as many
+	// crashes as before to quarantine one again.
 	Duration = 10 * time.Minute
 	// soundTTL is for how long a suspect is at least known to be sound after a complete
 	// response.
@@ -69,7 +69,7 @@
 	return len(keys)
 }
 
-// Quarantine is a suspect that crashes engines.
+// Quarantine is a suspect that crashes targets.
 type Quarantine struct {
 	Suspect Suspect
 	Until   time.Time
@@ -77,8 +77,9 @@
 
 // Detector decides which suspects are quarantined. It is not safe for concurrent use.
 type Detector struct {
-	// soundParts and soundRequests are kept apart, since nearly each request is new.
-	soundParts, soundRequests soundSuspects
+	// soundShared holds the suspects that requests share. They are kept apart from
+	// soundRequests, since nearly each request is new.
+	soundShared, soundRequests soundSuspects
 	// suspects holds the crashes under each suspect that isn't known to be sound.
 	suspects    map[Suspect][]Crash
 	quarantined map[Suspect]time.Time
@@ -94,7 +95,7 @@
 	if suspect.isRequest() {
 		return &d.soundRequests
 	}
-	return &d.soundParts
+	return &d.soundShared
 }
 
 // RecordCrash records a crash. It returns the suspects that are quarantined because of it.
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -51,17 +51,22 @@
 	duration          time.Duration
 }
 
-// threshold returns the threshold of a suspect. Parts need two requests, since one has several
-// parts. Callers have many requests beside those of others, so that they need more crashes,
-// and are kept from targets for a short time.
+// Parts need two requests, since one has several parts. Callers have many requests beside
+// those of others, so that they need more crashes, and are kept from targets for a short time.
+var (
+	requestThreshold = threshold{targets: 3, requests: 1, duration: Duration}
+	partThreshold    = threshold{targets: 3, requests: 2, duration: Duration}
+	callerThreshold  = threshold{targets: 6, requests: 3, duration: callerDuration}
+)
+
 func (s Suspect) threshold() threshold {
 	switch {
 	case s.isRequest():
-		return threshold{targets: 3, requests: 1, duration: Duration}
+		return requestThreshold
 	case strings.HasPrefix(string(s), callerPrefix):
-		return threshold{targets: 6, requests: 3, duration: callerDuration}
+		return callerThreshold
 	default:
-		return threshold{targets: 3, requests: 2, duration: Duration}
+		return partThreshold
 	}
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -97,7 +97,7 @@
 	Leaving bool
 	// Pause is how long the target wants no requests from this host, or zero.
 	Pause time.Duration
-	// Limit is the number of requests that the target takes from all hosts together, or nil
+	// Limit is the number of requests a second that the target takes from all hosts, or nil
 	// if it states none.
 	Limit *pace.Rate
 }
@@ -171,7 +171,7 @@
 // Paused means that the target wants no requests from this host for some time.
 type Paused struct{ For time.Duration }
 
-// Limited means that the target takes a number of requests from all hosts together.
+// Limited means that the target takes a number of requests a second from all hosts together.
 type Limited struct{ Rate pace.Rate }
 
 // Unlimited means that the target states no limit.
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -144,11 +144,11 @@
 	case !quarantined:
 		return nil
 	case suspect == f.callerSuspect:
-		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, RetryAfter: r.quarantine.Rest(suspect), Detail: "the caller's requests on this route crash their targets"}
+		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, RetryAfter: r.quarantine.Rest(suspect), Detail: "the caller's requests on this route have crashed several targets"}
 	case suspect == f.requestSuspect:
-		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, Detail: "the request crashes its targets"}
+		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, Detail: "the request has crashed several targets"}
 	default:
-		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, Detail: "a part of the prompt crashes engines"}
+		return &outcome.NotRun{Reason: outcome.ReasonQuarantined, Detail: "a part of the prompt has crashed several engines"}
 	}
 }
 
