Log the software versions of targets and what a request takes up

The incident of streams across versions could not be told apart: no line named the version of a target, nor which stream a request takes up. Registrations' versions are now read, passed on between hosts and part of the digests, and 'gateway: request ended' has target-versions, resumes and after. Nothing is decided by them yet.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -236,13 +236,15 @@
 	Revision int64          `cbor:"9,keyasint"`
 	// Models are the models that the engine registered. A wireEngine of the
 	// same target takes precedence.
-	Models []wireResident `cbor:"10,keyasint"`
+	Models  []wireResident `cbor:"10,keyasint"`
+	Release target.Version `cbor:"11,keyasint,omitempty"`
 }
 
 func newWireTarget(t roster.Target) wireTarget {
 	return wireTarget{
 		ID: t.ID, Start: t.Start, Pool: t.Pool, Address: t.Address, Domain: t.Domain,
 		Slots: t.Slots, Draining: t.Draining, Revision: t.Revision, Models: newWireResidents(t.Holdings),
+		Release: t.Version,
 	}
 }
 
@@ -250,6 +252,7 @@
 	return roster.Target{
 		ID: w.ID, Start: w.Start, Pool: w.Pool, Address: w.Address, Domain: w.Domain,
 		Slots: w.Slots, Draining: w.Draining, Revision: w.Revision, Holdings: roster.Holdings{Models: residents(w.Models)},
+		Version: w.Release,
 	}
 }
 
@@ -257,7 +260,7 @@
 // revisions, versions and models.
 func (w wireTarget) sameRegistration(other wireTarget) bool {
 	return w.ID == other.ID && w.Start == other.Start && w.Pool == other.Pool && w.Address == other.Address &&
-		w.Domain == other.Domain && w.Slots == other.Slots && w.Draining == other.Draining
+		w.Domain == other.Domain && w.Slots == other.Slots && w.Draining == other.Draining && w.Release == other.Release
 }
 
 // wireForecast is when a model that only the weight store has is expected to be loaded.
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -33,6 +33,12 @@
 	if summary.Resumed > 0 {
 		attributes = append(attributes, "resumed", summary.Resumed)
 	}
+	if summary.LastEventID > 0 {
+		attributes = append(attributes, "resumes", summary.Resumes, "after", summary.LastEventID)
+	}
+	if summary.Resumed > 0 || summary.LastEventID > 0 {
+		attributes = append(attributes, "target-versions", summary.Versions)
+	}
 	switch result := summary.Outcome.(type) {
 	case outcome.NotRun:
 		attributes = append(attributes, "reason", result.Reason, "detail", result.Detail, "retry-after", result.RetryAfter)
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -54,6 +54,7 @@
 			return d.placementRefused(*refusal)
 		}
 		f.targets = append(f.targets, placement.Target.ID)
+		f.versions = append(f.versions, placement.Target.Version)
 		if f.firstSent.IsZero() {
 			f.firstSent = r.clock.Now()
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -111,13 +111,18 @@
 	Version catalog.Version
 	Outcome outcome.Outcome
 	Status  int
-	// Targets lists the targets that the request was sent to, in order.
-	Targets []target.ID
+	// Targets lists the targets that the request was sent to, in order, and Versions the
+	// versions of their software.
+	Targets  []target.ID
+	Versions []target.Version
 	// Queued is the time from receipt to the first send, FirstByte to the first
 	// byte of the response, and Total to the end.
 	Queued, FirstByte, Total time.Duration
 	// Resumed counts how often a stream was continued at another target.
 	Resumed int
+	// Resumes is the request whose stream this one continues, after the event LastEventID.
+	Resumes     RequestID
+	LastEventID EventID
 }
 
 // Option sets an option of a Relay.
@@ -236,9 +241,10 @@
 	requestSuspect quarantine.Suspect
 	// callerSuspect identifies the caller on the route. It is empty without a key.
 	callerSuspect quarantine.Suspect
-	// targets lists the targets that the request was sent to, in order, and
-	// avoid holds those of them that have failed the request.
+	// targets lists the targets that the request was sent to, in order, versions those of
+	// their software, and avoid holds those targets that have failed the request.
 	targets         []target.ID
+	versions        []target.Version
 	avoid           map[target.ID]bool
 	firstSent       time.Time
 	firstByte       time.Time
@@ -283,6 +289,10 @@
 		Targets: f.targets,
 		Total:   now.Sub(f.received),
 		Resumed: f.resumed,
+
+		Versions:    f.versions,
+		Resumes:     f.req.Resumes,
+		LastEventID: f.req.LastEventID,
 	}
 	if f.catalog != nil {
 		summary.Version = f.catalog.Version
--- a/relay/request.go
+++ b/relay/request.go
@@ -41,8 +41,10 @@
 	// sessions, in order.
 	PromptParts []quarantine.Suspect
 	// LastEventID is the last event that the caller received of an interrupted
+	// stream, and Resumes the request that brought its first event. Both are zero for a new
 	// stream.
 	LastEventID EventID
+	Resumes     RequestID
 
 	Method string
 	URI    string
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -31,6 +31,7 @@
 	Pool    target.Pool
 	Address string
 	Domain  fleet.DomainID
+	Version target.Version
 	// Slots is the number of requests that the target can run at the same time.
 	Slots    int
 	Draining bool
@@ -43,7 +44,7 @@
 // Digest returns a hash of the parts of a registration that matter for routing: all but
 // its revision, its sequence, and the weights in memory or on disk.
 func (t Target) Digest() uint64 {
-	text := fmt.Appendf(nil, "%q %d %q %q %q %d %t", t.ID, t.Start, t.Pool, t.Address, t.Domain, t.Slots, t.Draining)
+	text := fmt.Appendf(nil, "%q %d %q %q %q %q %d %t", t.ID, t.Start, t.Pool, t.Address, t.Domain, t.Version, t.Slots, t.Draining)
 	return xxhash.Sum64(t.Holdings.appendModels(text))
 }
 
--- a/target/target.go
+++ b/target/target.go
@@ -18,6 +18,10 @@
 // route.
 type Pool string
 
+// Version is the version of a target's software. Versions have no order. It is empty if it
+// is unknown.
+type Version string
+
 // Fence is a fencing token, which orders decisions about one target. A target that
 // checks fences rejects orders with a lower fence than the highest it has seen.
 type Fence uint64
