lineage: streams go on only at the build that began them

Callers saw streams joined from two software versions of a service (ORDER): the first part from the old one, the rest from the new one, with nothing in the answer to show it. Cause: hosts chose the target of a resumption by the model alone; neither the version of a registration nor Resumes was used, and nothing that a host knew of its streams outlasted it.

Ruled out: registrations that lag (the engines had been registered for long). Weighed for what has to outlast a loss of power of all hosts: questions between hosts, a rule over ids, engines' lists of prompts (docs/design/platform.md).

Change: package lineage remembers at which pool and version each stream began, and records it in the store while a pool has had several versions within a minute; placement takes that as a condition within a response and for a caller that takes its stream up. Streams also stay in their pool where a route leads to several. Load requests name the version that they need, so that a model that only another version's engines hold is loaded. Where the build is gone or unknown, the request is refused at once as not run.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -143,7 +143,7 @@
 	forecasts map[model.Name]time.Time
 	// targetVersions holds, for each target, the version of its last change.
 	targetVersions map[target.ID]uint64
-	requestedAt    map[loadRequestKey]time.Time
+	requestedAt    map[Need]time.Time
 	changed        chan struct{}
 	// leaderChanged triggers an immediate report to a new coordinator.
 	leaderChanged chan struct{}
@@ -201,7 +201,7 @@
 		engines:        map[target.ID]engineView{},
 		forecasts:      map[model.Name]time.Time{},
 		targetVersions: map[target.ID]uint64{},
-		requestedAt:    map[loadRequestKey]time.Time{},
+		requestedAt:    map[Need]time.Time{},
 		changed:        make(chan struct{}),
 		leaderChanged:  make(chan struct{}, 1),
 		leaving:        func() []roster.Target { return nil },
@@ -386,16 +386,15 @@
 }
 
 // RequestLoad tells the coordinator that requests wait for a model. It may be called at
-// any rate, since it sends at most one request per model in each loadRequestInterval.
-func (c *Client) RequestLoad(pool target.Pool, name, adapter model.Name, waiting Waiting, priority int) {
-	key := loadRequestKey{pool, name, adapter}
+// any rate, since it sends at most one request per need in each loadRequestInterval.
+func (c *Client) RequestLoad(need Need, waiting Waiting, priority int) {
 	c.mu.Lock()
 	now := c.clock.Now()
-	if now.Sub(c.requestedAt[key]) < loadRequestInterval {
+	if now.Sub(c.requestedAt[need]) < loadRequestInterval {
 		c.mu.Unlock()
 		return
 	}
-	c.requestedAt[key] = now
+	c.requestedAt[need] = now
 	for old, at := range c.requestedAt {
 		if now.Sub(at) > loadRequestTTL {
 			delete(c.requestedAt, old)
@@ -403,13 +402,16 @@
 	}
 	leader := c.leader
 	c.mu.Unlock()
-	request := wireLoadRequest{Pool: pool, Model: name, Adapter: adapter, Waiting: waiting.Total, OnTime: waiting.OnTime, Priority: priority}
+	request := wireLoadRequest{
+		Pool: need.Pool, Model: need.Model, Adapter: need.Adapter, Release: need.Version,
+		Waiting: waiting.Total, OnTime: waiting.OnTime, Priority: priority,
+	}
 	if leader.Host == c.mesh.Self().Host {
 		c.local.recordLoadRequest(leader.Host, request)
 		return
 	}
 	if err := c.mesh.Notify(leader.Host, kindLoadRequest, request); err != nil {
-		c.log.Debug("coordinator: load request not sent; it will be repeated", "model", name, "error", err)
+		c.log.Debug("coordinator: load request not sent; it will be repeated", "model", need.Model, "error", err)
 	}
 }
 
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -210,17 +210,18 @@
 }
 
 // MinLoadDelay returns the time until a model that no engine holds is loaded at the
-// earliest. While an engine loads it from the weight store, that is the rest of the load.
+// earliest. While one of the given engines loads it from the weight store, that is the rest of the load.
 // While it waits for the weight store, it is what the coordinator expects. Otherwise it is
 // the time until the coordinator may give orders plus diskLoadTime, the duration of a load
 // from an engine's disk. It is zero if none of these applies.
-func (c *Client) MinLoadDelay(name model.Name, diskLoadTime time.Duration) time.Duration {
+func (c *Client) MinLoadDelay(name model.Name, engines []roster.Target, diskLoadTime time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	soonest := time.Duration(0)
-	for _, view := range c.engines {
-		if rest := view.readyAt.Sub(now); view.loading == name && (soonest == 0 || rest < soonest) {
+	for _, t := range engines {
+		view, ok := c.engines[t.ID]
+		if rest := view.readyAt.Sub(now); ok && view.loading == name && (soonest == 0 || rest < soonest) {
 			soonest = rest
 		}
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -99,7 +99,7 @@
 	// version is the version of the last broadcast view.
 	version      uint64
 	engines      map[target.ID]*engine
-	loadRequests map[loadRequestKey]*loadRequest
+	loadRequests map[Need]*loadRequest
 	rates        map[model.Name]*rate
 	hosts        map[fleet.HostID]hostReport
 	// neighboursSentAt is when each host was last sent its neighbours.
@@ -153,7 +153,7 @@
 
 func (c *Coordinator) reset() {
 	c.engines = map[target.ID]*engine{}
-	c.loadRequests = map[loadRequestKey]*loadRequest{}
+	c.loadRequests = map[Need]*loadRequest{}
 	c.rates = map[model.Name]*rate{}
 	c.hosts = map[fleet.HostID]hostReport{}
 	c.neighboursSentAt = map[fleet.HostID]time.Time{}
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -15,11 +15,19 @@
 	"hawthornway/target"
 )
 
-// loadRequestKey identifies a model, or an adapter of it, that requests wait for.
-type loadRequestKey struct {
-	pool    target.Pool
-	model   model.Name
-	adapter model.Name
+// Need is a model, or an adapter of it, that requests wait for.
+type Need struct {
+	Pool    target.Pool
+	Model   model.Name
+	Adapter model.Name
+	// Version is the version of the engines that can serve the requests, or empty if any
+	// engine can.
+	Version target.Version
+}
+
+// servedBy reports whether an engine can serve the requests once it holds the model.
+func (n Need) servedBy(t roster.Target) bool {
+	return t.Pool == n.Pool && (n.Version == "" || n.Version == t.Version)
 }
 
 // loadRequest combines the load requests of all hosts for one model or adapter.
@@ -188,7 +196,7 @@
 	if !c.leading {
 		return
 	}
-	key := loadRequestKey{request.Pool, request.Model, request.Adapter}
+	key := Need{request.Pool, request.Model, request.Adapter, request.Release}
 	entry, ok := c.loadRequests[key]
 	if !ok {
 		entry = &loadRequest{since: c.clock.Now(), byHost: map[fleet.HostID]hostLoadRequest{}, priority: request.Priority}
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -180,6 +180,7 @@
 	state := placement.Engine{
 		ID:       e.target.ID,
 		Domain:   e.target.Domain,
+		Version:  e.target.Version,
 		Memory:   pool.Engines.Memory - adapterMemory(pool),
 		InMemory: e.inMemory,
 		OnDisk:   e.onDisk,
@@ -331,11 +332,11 @@
 func (c *Coordinator) queueAdapterLoads(pool catalog.Pool) {
 	held := c.heldModels(c.clock.Now())
 	for key := range c.loadRequests {
-		job := adapterJob{key.model, key.adapter}
-		if key.pool != pool.Name || key.adapter == "" || held[job.fullName()] {
+		job := adapterJob{key.Model, key.Adapter}
+		if key.Pool != pool.Name || key.Adapter == "" || held[job.fullName()] {
 			continue
 		}
-		if e := c.adapterEngine(pool, job); e != nil && !e.pendingAdapters[job] {
+		if e := c.adapterEngine(pool, key); e != nil && !e.pendingAdapters[job] {
 			select {
 			case e.adapterJobs <- job:
 				e.pendingAdapters[job] = true
@@ -347,10 +348,11 @@
 
 // adapterEngine returns the engine that should load an adapter, or nil if no engine
 // can load it or one already has it.
-func (c *Coordinator) adapterEngine(pool catalog.Pool, job adapterJob) *engine {
+func (c *Coordinator) adapterEngine(pool catalog.Pool, need Need) *engine {
+	job := adapterJob{need.Model, need.Adapter}
 	var best *engine
 	for _, e := range c.engines {
-		if e.target.Pool != pool.Name || !e.usable() || !e.has(job.model, "") {
+		if !need.servedBy(e.target) || !e.usable() || !e.has(job.model, "") {
 			continue
 		}
 		if e.has(job.model, job.adapter) {
--- a/coordinator/forecast.go
+++ b/coordinator/forecast.go
@@ -30,7 +30,7 @@
 	for key, request := range c.loadRequests {
 		// Callers that are refused come back when the model is expected. Its load must
 		// not be dropped meanwhile because nobody waits for it.
-		if readyAt, ok := forecast[key.model]; ok && key.pool == pool.Name && request.keepUntil.IsZero() {
+		if readyAt, ok := forecast[key.Model]; ok && key.Pool == pool.Name && request.keepUntil.IsZero() {
 			request.keepUntil = readyAt.Add(loadRequestTTL)
 		}
 	}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -48,12 +48,14 @@
 
 // wireLoadRequest reports the requests at a host that wait for a model.
 type wireLoadRequest struct {
-	Pool     target.Pool `cbor:"pool"`
-	Model    model.Name  `cbor:"model"`
-	Adapter  model.Name  `cbor:"adapter"`
-	Waiting  int         `cbor:"waiting"`
-	OnTime   int         `cbor:"on-time"`
-	Priority int         `cbor:"priority"`
+	Pool    target.Pool `cbor:"pool"`
+	Model   model.Name  `cbor:"model"`
+	Adapter model.Name  `cbor:"adapter"`
+	// Release is the version of the engines that can serve the requests, or empty.
+	Release  target.Version `cbor:"release,omitempty"`
+	Waiting  int            `cbor:"waiting"`
+	OnTime   int            `cbor:"on-time"`
+	Priority int            `cbor:"priority"`
 }
 
 // wireRenew asks another host to renew a lease in the store.
--- a/coordinator/plan_state.go
+++ b/coordinator/plan_state.go
@@ -52,13 +52,13 @@
 		}
 	}
 	for key, pending := range c.loadRequests {
-		if key.pool != pool.Name {
+		if key.Pool != pool.Name {
 			continue
 		}
-		if s.Held[key.model] {
+		if s.Held[key.Model] {
 			continue
 		}
-		request := placement.LoadRequest{Model: key.model, Priority: pending.priority, Since: pending.since}
+		request := placement.LoadRequest{Model: key.Model, Version: key.Version, Priority: pending.priority, Since: pending.since}
 		for _, h := range pending.byHost {
 			request.Waiting += h.waiting
 			request.OnTime += h.onTime
--- a/coordinator/view.go
+++ b/coordinator/view.go
@@ -49,21 +49,21 @@
 func (c *Coordinator) logPendingRequests(pool catalog.Pool) {
 	now := c.clock.Now()
 	for key, request := range c.loadRequests {
-		if key.pool != pool.Name || now.Sub(request.since) < pendingLogInterval || now.Sub(request.loggedAt) < pendingLogInterval {
+		if key.Pool != pool.Name || now.Sub(request.since) < pendingLogInterval || now.Sub(request.loggedAt) < pendingLogInterval {
 			continue
 		}
 		request.loggedAt = now
 		holders := []any{}
 		for id, e := range c.engines {
-			r, holds := e.resident[key.model]
-			loads := e.job != nil && e.job.Load == key.model
+			r, holds := e.resident[key.Model]
+			loads := e.job != nil && e.job.Load == key.Model
 			if !holds && !loads {
 				continue
 			}
 			holders = append(holders, slog.Group(string(id), "usable", e.usable(), "loads", loads, "leaving", holds && r.unloading,
 				"start", e.start, "registered", e.target.Start, "failed", e.failedReports, "busy", e.busy))
 		}
-		c.log.Warn("coordinator: load request still pending", "model", key.model, "adapter", key.adapter, "since", now.Sub(request.since).Round(time.Millisecond),
+		c.log.Warn("coordinator: load request still pending", "model", key.Model, "adapter", key.Adapter, "since", now.Sub(request.since).Round(time.Millisecond),
 			"hosts", len(request.byHost), slog.Group("holders", holders...))
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"hawthornway/exchange"
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
+	"hawthornway/lineage"
 	"hawthornway/listener"
 	"hawthornway/metric"
 	"hawthornway/pace"
@@ -91,6 +92,7 @@
 	follower          *platform.Follower
 	targetClient      exchange.Client
 	relay             *relay.Relay
+	lineage           *lineage.Book
 	metrics           metric.Metrics
 
 	callerServer, readinessServer, peerServer *khttp.Server
@@ -184,6 +186,7 @@
 			return leads
 		}),
 		platform.WithRandom(rand.Float64))
+	g.lineage = lineage.NewBook(platform.NewStreamArchive(g.store, self, g.clock, g.log), g.roster, g.clock, g.log)
 	g.relay = relay.New(
 		relay.WithDialect(platform.Dialect{}),
 		relay.WithCatalog(g.catalog.Load),
@@ -199,6 +202,7 @@
 		relay.WithDraining(g.draining.Load),
 		relay.WithRetryBudget(g.newRetryBudget),
 		relay.WithQuarantine(g.screen),
+		relay.WithLineage(g.lineage),
 	)
 }
 
@@ -304,6 +308,7 @@
 	start("election", electionCtx, g.election.Run)
 	start("confirmation", electionCtx, g.recordConfirmed)
 	start("client", runCtx, g.coordinatorClient.Run)
+	start("lineage", runCtx, g.lineage.Run)
 	start("upkeep", runCtx, g.cleanup)
 	start("reload", runCtx, g.reload)
 	g.log.Info("gateway: started", "host", g.settings.Host, "domain", g.settings.Domain, "first-start", g.settings.FirstStart)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -61,7 +61,7 @@
 		if refusal := request.Refusal(); refusal != nil {
 			return relay.Placement{}, refusal
 		}
-		ready := g.roster.Ready(request.Pool)
+		ready := ofVersion(g.roster.Ready(request.Pool), request.Version)
 		c := p.candidates(ready, request)
 		t, ok := line.ask(ctx, c)
 		if !ok {
@@ -89,7 +89,7 @@
 			g.log.Info("gateway: waiting", "request", request.ID, "model", request.Model, "adapter", request.Adapter, "ready", len(ready), "limited", len(c.limited))
 		}
 		if request.Model != "" && line.place == nil {
-			g.coordinatorClient.RequestLoad(request.Pool, request.Model, request.Adapter, p.usage.countWaiting(request, g.clock.Now().Add(diskLoadTime)), request.Priority)
+			g.coordinatorClient.RequestLoad(needOf(request), p.usage.countWaiting(request, g.clock.Now().Add(diskLoadTime)), request.Priority)
 		}
 		timer := g.clock.NewTimer(line.recheckDelay(g.clock.Now()))
 		select {
@@ -104,6 +104,18 @@
 	}
 }
 
+// ofVersion returns the targets of a version, or all if it is empty.
+func ofVersion(targets []roster.Target, version target.Version) []roster.Target {
+	if version == "" {
+		return targets
+	}
+	other := func(t roster.Target) bool { return t.Version != version }
+	if !slices.ContainsFunc(targets, other) {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), other)
+}
+
 // diskLoadTime returns the time to load the request's model from an engine's
 // disk, or zero if it is unknown.
 func (g *gateway) diskLoadTime(request relay.PlacementRequest) time.Duration {
@@ -194,7 +206,7 @@
 func (p *placer) refuseIfUnplaceable(ready []roster.Target, request relay.PlacementRequest, diskLoadTime time.Duration) *outcome.NotRun {
 	g := p.gateway
 	now := g.clock.Now()
-	if paused := g.roster.Paused(request.Pool); len(paused) > 0 {
+	if paused := g.pausedFor(request); len(paused) > 0 {
 		holds := func(t roster.Target) bool {
 			return request.Model == "" || g.coordinatorClient.Holdings(t).Has(request.Model, request.Adapter)
 		}
@@ -203,6 +215,8 @@
 		}
 	}
 	switch {
+	case len(ready) == 0 && request.Version != "":
+		return &outcome.NotRun{Reason: outcome.ReasonVersion, RetryAfter: emptyPoolRetryAfter, Detail: "no target has the software version that began the stream"}
 	case len(ready) == 0:
 		return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: emptyPoolRetryAfter, Detail: "the pool has no target"}
 	case now.Add(minRunTime).After(request.Deadline):
@@ -214,8 +228,17 @@
 	case g.coordinatorClient.Isolated():
 		return &outcome.NotRun{Reason: outcome.ReasonCutOff, RetryAfter: isolatedRetryAfter, Detail: "the model is not loaded and the coordinator is not reached"}
 	default:
-		return refuseIfTooLate(now, request.Deadline, g.coordinatorClient.MinLoadDelay(request.Model, diskLoadTime))
+		return refuseIfTooLate(now, request.Deadline, g.coordinatorClient.MinLoadDelay(request.Model, ready, diskLoadTime))
+	}
+}
+
+// pausedFor returns the targets that could run the request and ask for a pause.
+func (g *gateway) pausedFor(request relay.PlacementRequest) []roster.PausedTarget {
+	paused := g.roster.Paused(request.Pool)
+	if request.Version == "" {
+		return paused
 	}
+	return slices.DeleteFunc(paused, func(t roster.PausedTarget) bool { return t.Version != request.Version })
 }
 
 // heldFor returns the time until the request's model and adapter may be loaded again, if
@@ -348,7 +371,7 @@
 	running map[targetModel]int
 	demand  map[poolModel]demand
 	// waiting holds the due times of the waiting requests.
-	waiting map[poolModel][]time.Time
+	waiting map[coordinator.Need][]time.Time
 	// notLoaded holds when a target last refused a model.
 	notLoaded map[targetModel]time.Time
 }
@@ -374,11 +397,16 @@
 	return poolModel{request.Pool, request.Model, request.Adapter}
 }
 
+// needOf returns what a waiting request needs.
+func needOf(request relay.PlacementRequest) coordinator.Need {
+	return coordinator.Need{Pool: request.Pool, Model: request.Model, Adapter: request.Adapter, Version: request.Version}
+}
+
 func newUsageTracker() *usageTracker {
 	return &usageTracker{
 		running:   map[targetModel]int{},
 		demand:    map[poolModel]demand{},
-		waiting:   map[poolModel][]time.Time{},
+		waiting:   map[coordinator.Need][]time.Time{},
 		notLoaded: map[targetModel]time.Time{},
 	}
 }
@@ -412,7 +440,7 @@
 }
 
 func (tracker *usageTracker) startWaiting(request relay.PlacementRequest) (done func()) {
-	key := poolModelOf(request)
+	key := needOf(request)
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	tracker.waiting[key] = append(tracker.waiting[key], request.Due)
@@ -432,8 +460,8 @@
 func (tracker *usageTracker) countWaiting(request relay.PlacementRequest, after time.Time) coordinator.Waiting {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	w := coordinator.Waiting{Total: len(tracker.waiting[poolModelOf(request)])}
-	for _, due := range tracker.waiting[poolModelOf(request)] {
+	w := coordinator.Waiting{Total: len(tracker.waiting[needOf(request)])}
+	for _, due := range tracker.waiting[needOf(request)] {
 		if due.After(after) {
 			w.OnTime++
 		}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -60,6 +60,7 @@
 	ReasonQuarantined        Reason = "quarantined"
 	ReasonLoadFails          Reason = "load-fails"
 	ReasonConfiguration      Reason = "configuration"
+	ReasonVersion            Reason = "version"
 )
 
 // Header returns "served".
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -46,8 +46,9 @@
 
 // Engine is the known state of one engine.
 type Engine struct {
-	ID     target.ID
-	Domain fleet.DomainID
+	ID      target.ID
+	Domain  fleet.DomainID
+	Version target.Version
 	// Memory is the memory for models, without the reserve for adapters.
 	Memory   model.Bytes
 	Resident []Resident
@@ -84,7 +85,10 @@
 
 // LoadRequest is a model with requests that wait for it.
 type LoadRequest struct {
-	Model   model.Name
+	Model model.Name
+	// Version is the version of the engines that can serve the requests, or empty if any
+	// engine can.
+	Version target.Version
 	Waiting int
 	// OnTime is the number of waiting requests that still meet their deadlines if the
 	// model is loaded now from an engine's disk.
@@ -306,10 +310,26 @@
 // loadRequested plans loads of the requested models that no engine holds.
 func (p *planner) loadRequested() {
 	for _, request := range p.requestsByUrgency() {
-		if !p.served(request.Model) {
-			p.place(request.Model, ReasonRequested, max(0, p.Now.Sub(request.Since)-maxInUseWait), anyEngine)
+		late := max(0, p.Now.Sub(request.Since)-maxInUseWait)
+		switch {
+		case request.Version != "":
+			p.loadAtVersion(request, late)
+		case !p.served(request.Model):
+			p.place(request.Model, ReasonRequested, late, anyEngine)
+		}
+	}
+}
+
+// loadAtVersion plans a load for requests that only engines of a version can serve, unless
+// one of them holds the model.
+func (p *planner) loadAtVersion(request LoadRequest, late time.Duration) {
+	ofVersion := func(e *Engine) bool { return e.Version == request.Version }
+	for i := range p.engines {
+		if e := &p.engines[i]; ofVersion(e) && e.holds(request.Model) {
+			return
 		}
 	}
+	p.place(request.Model, ReasonRequested, late, ofVersion)
 }
 
 // spread plans another engine for each model whose demand exceeds the given multiple of
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -397,3 +397,37 @@
 		})
 	}
 }
+
+// Guards against a stream that can't go on since its model is only loaded at another software
+// version than that which began it.
+func TestModelIsLoadedAtTheVersionThatRequestsNeed(t *testing.T) {
+	cases := []struct {
+		name   string
+		needed target.Version
+		// onV2 are the models on the engine of version v2, beside m0 on that of v1.
+		onV2 []model.Name
+		want []target.ID
+	}{
+		{"held at the other version", "v2", nil, []target.ID{"e1"}},
+		{"held at the needed version", "v1", nil, nil},
+		{"held at both", "v2", []model.Name{"m0"}, nil},
+		{"any version", "", nil, nil},
+		{"no engine of the version", "v3", nil, nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newState(1, 2)
+			s.Engines[0].Version, s.Engines[1].Version = "v1", "v2"
+			for _, name := range tc.onV2 {
+				s.Engines[1].Resident = append(s.Engines[1].Resident, placement.Resident{Model: name, Size: size})
+			}
+			s.LoadRequests = []placement.LoadRequest{{Model: "m0", Version: tc.needed, Waiting: 1, OnTime: 1, Since: now}}
+			var engines []target.ID
+			for _, job := range placement.Plan(s) {
+				must.Eq(t, "m0", job.Load)
+				engines = append(engines, job.Engine)
+			}
+			must.Eq(t, tc.want, engines)
+		})
+	}
+}
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -72,6 +72,7 @@
 		Pool:         f.pool,
 		Model:        f.req.Model,
 		Adapter:      f.req.Adapter,
+		Version:      f.version,
 		Session:      f.req.Session,
 		PromptTokens: f.req.promptTokens(),
 		Avoid:        f.avoid,
@@ -435,7 +436,7 @@
 		resp.Skip()
 		return refused{status: resp.Status, replaced: info.Replaced, notLoaded: info.NotLoaded, load: info.Load}
 	case d.isStream && resp.Status < http.StatusMultipleChoices:
-		return d.relayEvents(ctx, resp, info, w)
+		return d.relayEvents(ctx, t, resp, info, w)
 	default:
 		return d.relayBuffered(ctx, resp, info, w)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/exchange"
+	"hawthornway/lineage"
 	"hawthornway/outcome"
 	"hawthornway/quarantine"
 	"hawthornway/retry"
@@ -46,6 +47,7 @@
 	draining       func() bool
 	quarantine     Quarantine
 	newBudget      func(clockwork.Clock) retry.Budget
+	lineage        Lineage
 }
 
 // Limiter enforces the teams' limits across all hosts.
@@ -80,6 +82,14 @@
 	RecordSound(suspects []quarantine.Suspect)
 }
 
+// Lineage knows at which builds streams began.
+type Lineage interface {
+	// Began records that a stream has begun at a target of a build.
+	Began(id lineage.StreamID, build lineage.Build)
+	// Origin returns the build at which a stream began, which the given pool would take up.
+	Origin(ctx context.Context, pool target.Pool, id lineage.StreamID) lineage.Origin
+}
+
 // Liveness is the result of a probe: Dead, Idle or Busy.
 type Liveness interface{ liveness() }
 
@@ -186,6 +196,17 @@
 // WithQuarantine sets what is kept from targets.
 func WithQuarantine(q Quarantine) Option { return func(o *options) { o.quarantine = q } }
 
+// WithLineage sets where the builds of streams are recorded and found. Without it, streams
+// go on at any version.
+func WithLineage(l Lineage) Option { return func(o *options) { o.lineage = l } }
+
+type noLineage struct{}
+
+func (noLineage) Began(lineage.StreamID, lineage.Build) {}
+func (noLineage) Origin(_ context.Context, pool target.Pool, _ lineage.StreamID) lineage.Origin {
+	return lineage.Known{Build: lineage.Build{Pool: pool}}
+}
+
 type noQuarantine struct{}
 
 func (noQuarantine) Quarantined([]quarantine.Suspect) (quarantine.Suspect, bool) { return "", false }
@@ -208,6 +229,7 @@
 		random:        rand.Float64,
 		draining:      func() bool { return false },
 		quarantine:    noQuarantine{},
+		lineage:       noLineage{},
 		newBudget:     func(c clockwork.Clock) retry.Budget { return retry.NewBudget(c) },
 	}
 	for _, opt := range opts {
@@ -215,7 +237,7 @@
 	}
 	r := &Relay{options: o, startedAt: o.clock.Now()}
 	r.budgets = newPoolBudgets(func() retry.Budget { return o.newBudget(o.clock) })
-	r.steps = []step{r.readRequest, r.resolveRoute, r.authenticate, r.screen, r.charge, r.dispatch}
+	r.steps = []step{r.readRequest, r.resolveRoute, r.authenticate, r.screen, r.findVersion, r.charge, r.dispatch}
 	return r
 }
 
@@ -250,7 +272,9 @@
 	firstByte       time.Time
 	status          int
 	responseStarted bool // a target's response headers have been set
-	resumed         int
+	// version is the version of the targets that may run the request, or empty if all may.
+	version target.Version
+	resumed int
 	// serverError is a target's 5xx response. It is passed on if no other
 	// target responds.
 	serverError *bufferedResponse
--- a/relay/request.go
+++ b/relay/request.go
@@ -133,6 +133,8 @@
 	Pool    target.Pool
 	Model   model.Name
 	Adapter model.Name
+	// Version is the version of the target, or empty if any will do.
+	Version target.Version
 	Session string
 	// PromptTokens is the size of the prompt.
 	PromptTokens team.Tokens
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"hawthornway/catalog"
+	"hawthornway/lineage"
 	"hawthornway/outcome"
 	"hawthornway/quarantine"
 	"hawthornway/team"
@@ -152,6 +155,38 @@
 	}
 }
 
+// lineageRetryAfter is sent as Retry-After while the records of streams can't be read.
+const lineageRetryAfter = 250 * time.Millisecond
+
+// findVersion finds the pool and version at which a stream began that the request takes up.
+func (r *Relay) findVersion(ctx context.Context, f *inflight) outcome.Outcome {
+	if _, isStream := f.route.Delivery.(catalog.Stream); !isStream || f.req.LastEventID == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	defer cancel()
+	switch origin := r.lineage.Origin(ctx, f.pool, lineage.StreamID(f.req.Resumes)).(type) {
+	case lineage.Known:
+		return f.takeUpAt(origin.Build)
+	case lineage.Unknown:
+		return outcome.NotRun{Reason: outcome.ReasonVersion, Detail: "the software version that began the stream is unknown; it can only be begun anew"}
+	case lineage.Unavailable:
+		return outcome.NotRun{Reason: outcome.ReasonVersion, RetryAfter: lineageRetryAfter, Detail: "the software version that began the stream can't be read now"}
+	default:
+		panic(fmt.Sprintf("relay: unknown origin %T", origin))
+	}
+}
+
+// takeUpAt lets the request run only at the build that began its stream.
+func (f *inflight) takeUpAt(build lineage.Build) outcome.Outcome {
+	allowed := slices.ContainsFunc(f.route.Pools, func(p catalog.WeightedPool) bool { return p.Pool == build.Pool })
+	if !allowed {
+		return outcome.NotRun{Reason: outcome.ReasonVersion, Detail: "the stream began in a pool to which its route no longer leads; it can only be begun anew"}
+	}
+	f.pool, f.version = build.Pool, build.Version
+	return nil
+}
+
 // charge takes the request's tokens from its team's limit.
 func (r *Relay) charge(ctx context.Context, f *inflight) outcome.Outcome {
 	if f.team.Limit == nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -11,6 +11,8 @@
 	"strconv"
 
 	"hawthornway/exchange"
+	"hawthornway/lineage"
+	"hawthornway/roster"
 )
 
 // maxEventBytes limits the size of one event.
@@ -59,12 +61,16 @@
 
 // relayEvents passes the events of a stream on as they arrive. It passes on
 // complete events only, so that another target can continue after any of them.
-func (d *dispatcher) relayEvents(ctx context.Context, resp *exchange.Response, info ResponseInfo, w *watchdog) attemptResult {
+func (d *dispatcher) relayEvents(ctx context.Context, t roster.Target, resp *exchange.Response, info ResponseInfo, w *watchdog) attemptResult {
 	r, f := d.relay, d.inflight
 	if !info.Signed {
 		return interrupted{err: fmt.Errorf("answer with status %d is unsigned", resp.Status)}
 	}
 	if !f.responseStarted {
+		f.version = t.Version
+		if f.req.LastEventID == 0 {
+			r.lineage.Began(lineage.StreamID(f.req.ID), lineage.Build{Pool: f.pool, Version: t.Version})
+		}
 		r.startResponse(f, resp.Status, resp.Header)
 		f.w.WriteHeader(resp.Status)
 	} else {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -119,6 +119,10 @@
 	// addresses holds the IDs that are registered at each address.
 	addresses map[string][]target.ID
 	changed   chan struct{}
+	// versions counts the targets of each pool by version, and versionsChanged is closed at
+	// the next change of the versions that have any.
+	versions        map[target.Pool]map[target.Version]int
+	versionsChanged chan struct{}
 	// all and ready are cached lists, ordered by ID. They are rebuilt after each change
 	// and when the first lapsed registration expires, at listsValidUntil.
 	all             []Target
@@ -153,6 +157,7 @@
 func New(clock boottime.Clock) *Roster {
 	return &Roster{
 		clock: clock, targets: map[target.ID]entry{}, addresses: map[string][]target.ID{}, changed: make(chan struct{}),
+		versions: map[target.Pool]map[target.Version]int{}, versionsChanged: make(chan struct{}),
 		leaving: map[startKey]boottime.Instant{}, pausedUntil: map[startKey]boottime.Instant{},
 	}
 }
@@ -172,6 +177,7 @@
 		}
 	}
 	r.targets[t.ID] = entry{target: t}
+	r.countVersion(t, 1)
 	r.addresses[t.Address] = append(r.addresses[t.Address], t.ID)
 	r.notify()
 }
@@ -183,6 +189,7 @@
 		return
 	}
 	delete(r.targets, id)
+	r.countVersion(e.target, -1)
 	address := e.target.Address
 	r.addresses[address] = slices.DeleteFunc(r.addresses[address], func(other target.ID) bool { return other == id })
 	if len(r.addresses[address]) == 0 {
