quota, relay: take-ups of streams wait for their team's tokens

Cause: a take-up is charged like a new request, as the limit asks for, and refused like one after 400 ms; a ledger that starts anew is empty, and exactly then all callers come back.

Change: Charge takes the time that a request may wait, which is half of the time until its caller leaves for a take-up. It keeps a place in the queue, and new requests behind it are refused with a Retry-After.

--- a/quota/cache.go
+++ b/quota/cache.go
@@ -24,7 +24,7 @@
 	borrowTimeout = 300 * time.Millisecond
 	// borrowAheadTime is the time for which a host borrows ahead, at the team's rate.
 	borrowAheadTime = 20 * time.Millisecond
-	// maxTokenWait is the longest time that a request waits for tokens. It is half of
+	// maxTokenWait is the time that a request waits for tokens at least. It is half of
 	// the shortest objective that the platform's users have for a generation.
 	maxTokenWait = 400 * time.Millisecond
 	// minBorrowInterval is the minimum time between two borrow requests of a waiting
@@ -109,8 +109,9 @@
 }
 
 // Charge charges a request of a team with tokens, or returns why it is refused. The
-// function refund gives the tokens back.
-func (c *TokenCache) Charge(ctx context.Context, t catalog.Team, tokens team.Tokens) (refund func(), refusal *outcome.NotRun) {
+// function refund gives the tokens back. The request waits for tokens for maxWait, if that
+// is longer than requests usually do.
+func (c *TokenCache) Charge(ctx context.Context, t catalog.Team, tokens team.Tokens, maxWait time.Duration) (refund func(), refusal *outcome.NotRun) {
 	if t.Limit == nil {
 		return func() {}, nil
 	}
@@ -123,10 +124,11 @@
 		c.probeLedger(t)
 		return c.refund(t, tokens), nil
 	}
+	maxWait = max(maxWait, maxTokenWait)
 	// A small request that comes later may take tokens that this one waits for.
 	waited, queued := time.Duration(0), false
 	for {
-		grant, err := c.borrow(ctx, t, BorrowRequest{Need: missing, MaxWait: maxTokenWait - waited, Queued: queued})
+		grant, err := c.borrow(ctx, t, BorrowRequest{Need: missing, MaxWait: maxWait - waited, Queued: queued})
 		pause := failedLedgerDelay
 		switch {
 		case err != nil && c.takeReserve(t, missing):
@@ -142,7 +144,7 @@
 		case grant.Tokens > 0:
 			c.put(t.ID, grant.Tokens-missing)
 			return c.refund(t, tokens), nil
-		case waited+grant.Wait > maxTokenWait || ctx.Err() != nil:
+		case waited+grant.Wait > maxWait || ctx.Err() != nil:
 			c.put(t.ID, cached)
 			return nil, &outcome.NotRun{
 				Reason:     outcome.ReasonRate,
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -65,14 +65,14 @@
 	clock := clockwork.NewFakeClock()
 	lender := &hostLender{ledger: quota.NewLedger(clock, limits, quota.WithFullBuckets()), host: "a"}
 	cache := quota.NewTokenCache(lender, clock, takeoverTime)
-	_, refusal := cache.Charge(t.Context(), limited, 900)
+	_, refusal := cache.Charge(t.Context(), limited, 900, 0)
 	must.Nil(t, refusal)
-	_, refusal = cache.Charge(t.Context(), limited, 900)
+	_, refusal = cache.Charge(t.Context(), limited, 900, 0)
 	must.NotNil(t, refusal)
 	must.Eq(t, outcome.ReasonRate, refusal.Reason)
 	must.Between(t, 700*time.Millisecond, refusal.RetryAfter, 900*time.Millisecond)
 	clock.Advance(refusal.RetryAfter)
-	_, refusal = cache.Charge(t.Context(), limited, 900)
+	_, refusal = cache.Charge(t.Context(), limited, 900, 0)
 	must.Nil(t, refusal)
 }
 
@@ -80,10 +80,10 @@
 	clock := clockwork.NewFakeClock()
 	lender := &hostLender{ledger: quota.NewLedger(clock, limits, quota.WithFullBuckets()), host: "a"}
 	cache := quota.NewTokenCache(lender, clock, takeoverTime)
-	refund, refusal := cache.Charge(t.Context(), limited, 1000)
+	refund, refusal := cache.Charge(t.Context(), limited, 1000, 0)
 	must.Nil(t, refusal)
 	refund()
-	_, refusal = cache.Charge(t.Context(), limited, 1000)
+	_, refusal = cache.Charge(t.Context(), limited, 1000, 0)
 	must.Nil(t, refusal)
 }
 
@@ -97,7 +97,7 @@
 		ledger.RecordReport(fleet.HostID(fmt.Sprint("host", i)), 200)
 	}
 	cache := quota.NewTokenCache(&hostLender{ledger: ledger, host: "host1"}, clock, takeoverTime, quota.WithBackground(func(f func()) { f() }))
-	refund, refusal := cache.Charge(t.Context(), limited, 900)
+	refund, refusal := cache.Charge(t.Context(), limited, 900, 0)
 	must.Nil(t, refusal)
 	must.Eq(t, 0, ledger.Borrow("host2", "one", quota.BorrowRequest{Need: 800}).Tokens)
 	refund()
@@ -116,7 +116,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cache := quota.NewTokenCache(&hostLender{cut: true}, clockwork.NewRealClock(), takeoverTime)
 		start := time.Now()
-		_, refusal := cache.Charge(t.Context(), limited, 1)
+		_, refusal := cache.Charge(t.Context(), limited, 1, 0)
 		must.NotNil(t, refusal)
 		must.Eq(t, outcome.ReasonLedgerMissing, refusal.Reason)
 		must.Positive(t, refusal.RetryAfter)
@@ -124,7 +124,7 @@
 		// The ledger is known to be unavailable by now: the next request is refused at
 		// once.
 		start = time.Now()
-		_, refusal = cache.Charge(t.Context(), limited, 1)
+		_, refusal = cache.Charge(t.Context(), limited, 1, 0)
 		must.NotNil(t, refusal)
 		must.Less(t, 10*time.Millisecond, time.Since(start))
 	})
@@ -143,7 +143,7 @@
 		for i := range 8 {
 			cache := quota.NewTokenCache(&hostLender{ledger: ledger, host: fleet.HostID(fmt.Sprint("host", i))}, clock, takeoverTime)
 			requests.Go(func() {
-				_, refusal := cache.Charge(t.Context(), limited, 100)
+				_, refusal := cache.Charge(t.Context(), limited, 100, 0)
 				mu.Lock()
 				defer mu.Unlock()
 				if refusal == nil {
@@ -169,7 +169,7 @@
 		lender := &hostLender{ledger: quota.NewLedger(clock, limits, quota.WithFullBuckets()), host: "a", cut: true}
 		cache := quota.NewTokenCache(lender, clock, takeoverTime)
 		time.AfterFunc(takeoverTime-100*time.Millisecond, func() { lender.restore() })
-		_, refusal := cache.Charge(t.Context(), limited, 100)
+		_, refusal := cache.Charge(t.Context(), limited, 100, 0)
 		must.Nil(t, refusal)
 	})
 }
@@ -185,7 +185,7 @@
 		for range 20 {
 			requests.Go(func() {
 				start := time.Now()
-				_, refusal := cache.Charge(t.Context(), limited, 100)
+				_, refusal := cache.Charge(t.Context(), limited, 100, 0)
 				mu.Lock()
 				defer mu.Unlock()
 				if refusal == nil {
@@ -225,7 +225,7 @@
 		cache := quota.NewTokenCache(lender, clock, takeoverTime)
 		charge := func() time.Duration {
 			start := time.Now()
-			_, refusal := cache.Charge(t.Context(), limited, 25)
+			_, refusal := cache.Charge(t.Context(), limited, 25, 0)
 			must.Nil(t, refusal)
 			return time.Since(start)
 		}
@@ -368,7 +368,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				cancel()
 				tokens := team.Tokens(1 + rng.IntN(w.maxRequest))
-				refund, refusal := cache.Charge(ctx, limitedTeam, tokens)
+				refund, refusal := cache.Charge(ctx, limitedTeam, tokens, 0)
 				switch {
 				case refusal != nil:
 				case w.refunds && rng.IntN(3) == 0:
@@ -388,7 +388,7 @@
 			// The context is cancelled, since waiting would need the clock to advance.
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel()
-			if _, refusal := cache.Charge(ctx, limitedTeam, tokens); refusal == nil {
+			if _, refusal := cache.Charge(ctx, limitedTeam, tokens, 0); refusal == nil {
 				sum += float64(tokens)
 			}
 		}
@@ -406,3 +406,43 @@
 		}
 	}
 }
+
+// Guards against streams that break off with all hosts and are then refused, one after the
+// other, because their team's tokens go to new requests that come at the same time: callers
+// who have a part of a response lose it, and those who have nothing come back anyway.
+func TestTakeUpsWaitForTokens(t *testing.T) {
+	const (
+		cost     = 20 // fifty requests a second
+		takeUps  = 40
+		arrivals = 100 // new requests a second
+		patience = 1500 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ledger := quota.NewLedger(clockwork.NewRealClock(), limits) // empty, as after a restart of all hosts
+		var caches []*quota.TokenCache
+		for i := range 9 {
+			lender := &hostLender{ledger: ledger, host: fleet.HostID(fmt.Sprint("host", i))}
+			caches = append(caches, quota.NewTokenCache(lender, clockwork.NewRealClock(), takeoverTime))
+		}
+		var served [2]atomic.Int64
+		var wg sync.WaitGroup
+		charge := func(i int, maxWait time.Duration, counter *atomic.Int64) {
+			wg.Go(func() {
+				if _, refusal := caches[i%len(caches)].Charge(t.Context(), limited, cost, maxWait); refusal == nil {
+					counter.Add(1)
+				}
+			})
+		}
+		for i := range 3 * arrivals {
+			if i >= arrivals/10 && i < arrivals/10+takeUps {
+				charge(i, patience, &served[0])
+			}
+			charge(i, 0, &served[1])
+			time.Sleep(time.Second / arrivals)
+		}
+		wg.Wait()
+		t.Logf("%d of %d taken up, %d of %d new ones served", served[0].Load(), takeUps, served[1].Load(), 3*arrivals)
+		must.GreaterEq(t, takeUps*9/10, int(served[0].Load()))
+		must.GreaterEq(t, 3*arrivals/10, int(served[1].Load()))
+	})
+}
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -34,6 +34,9 @@
 		ID: relay.RequestID(r.Header.Get("Id")), Key: catalog.Key(r.Header.Get("Key")), Model: "m",
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Path: r.URL.Path, Header: r.Header,
 	}
+	if after, err := strconv.Atoi(r.Header.Get("Last")); err == nil {
+		req.LastEventID, req.Resumes = relay.EventID(after), relay.RequestID(r.Header.Get("Resumes"))
+	}
 	for part := range strings.FieldsSeq(r.Header.Get("Parts")) {
 		req.PromptParts = append(req.PromptParts, quarantine.Suspect(part))
 	}
@@ -110,11 +113,14 @@
 	refusal *outcome.NotRun
 	mu      sync.Mutex
 	spent   team.Tokens
+	// maxWait is that of the last charge.
+	maxWait time.Duration
 }
 
-func (l *limiter) Charge(_ context.Context, _ catalog.Team, tokens team.Tokens) (func(), *outcome.NotRun) {
+func (l *limiter) Charge(_ context.Context, _ catalog.Team, tokens team.Tokens, maxWait time.Duration) (func(), *outcome.NotRun) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.maxWait = maxWait
 	if l.refusal != nil {
 		return nil, l.refusal
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -54,8 +54,9 @@
 type Limiter interface {
 	// Charge takes a request's tokens from its team's limit. A refusal tells
 	// the caller how long to wait. The returned refund function gives the
-	// tokens back if the request was not run.
-	Charge(ctx context.Context, t catalog.Team, tokens team.Tokens) (refund func(), refusal *outcome.NotRun)
+	// tokens back if the request was not run. The request may wait for tokens
+	// for maxWait, if that is longer than requests usually do.
+	Charge(ctx context.Context, t catalog.Team, tokens team.Tokens, maxWait time.Duration) (refund func(), refusal *outcome.NotRun)
 }
 
 // Placer chooses targets.
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -194,7 +194,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel()
-	refund, refusal := r.limiter.Charge(ctx, f.team, tokenCost(f.req, *f.team.Limit))
+	refund, refusal := r.limiter.Charge(ctx, f.team, tokenCost(f.req, *f.team.Limit), r.maxTokenWait(f))
 	if refusal != nil {
 		return *refusal
 	}
@@ -202,6 +202,19 @@
 	return nil
 }
 
+// takeUpWaitShare is the share of the time until its caller leaves for which a request that
+// takes up a stream may wait for its team's tokens. The rest is for the target.
+const takeUpWaitShare = 0.5
+
+// maxTokenWait returns how long the request may wait for tokens beyond what others do. The
+// caller of a broken stream would lose what it has, and new requests come back.
+func (r *Relay) maxTokenWait(f *inflight) time.Duration {
+	if f.req.LastEventID == 0 {
+		return 0
+	}
+	return time.Duration(takeUpWaitShare * float64(r.callerDeadline(f).Sub(r.clock.Now())))
+}
+
 // tokenCost returns what a request counts towards a limit: its tokens, or 1 if
 // the limit counts requests.
 func tokenCost(req Request, limit catalog.Limit) team.Tokens {
