--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -39,6 +40,7 @@
 	"hawthornway/retry"
 	"hawthornway/roster"
 	"hawthornway/target"
+	"hawthornway/tcp"
 )
 
 // Gateway is one host of the fleet.
@@ -62,12 +64,19 @@
 	return func(g *gateway) { g.reloadSignals, g.loadSettings = changed, load }
 }
 
+// DialFunc opens a connection to a target at an IP address and port.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// WithTargetDial sets the function that opens connections to targets.
+func WithTargetDial(dial DialFunc) Option { return func(g *gateway) { g.targetDial = dial } }
+
 type gateway struct {
 	settings      platform.Settings
 	reloadSignals <-chan os.Signal
 	loadSettings  func() (platform.Settings, error)
 	clock         clockwork.Clock
 	bootClock     boottime.Clock
+	targetDial    DialFunc
 	log           *slog.Logger
 
 	roster        *roster.Roster
@@ -101,7 +110,10 @@
 // New returns a new Gateway with its listeners bound. It fails if an address
 // can't be bound.
 func New(s platform.Settings, opts ...Option) (Gateway, error) {
-	g := &gateway{settings: s, clock: clockwork.NewRealClock(), bootClock: boottime.SystemClock{}, log: slog.Default(), catalogKnown: make(chan struct{}), newest: newNewestConfig()}
+	g := &gateway{
+		settings: s, clock: clockwork.NewRealClock(), bootClock: boottime.SystemClock{}, log: slog.Default(), catalogKnown: make(chan struct{}), newest: newNewestConfig(),
+		targetDial: tcp.Dialer{Timeout: exchange.DialTimeout}.DialContext,
+	}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -164,7 +176,7 @@
 		coordinator.WithBootClock(g.bootClock),
 		coordinator.WithCatalogs(g.confirmedCatalog),
 		coordinator.WithNewerConfig(g.newerConfig),
-		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves))),
+		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves), platform.WithEngineDial(g.targetDial))),
 		coordinator.WithBounds(s.Bounds),
 		coordinator.WithFirstStart(s.FirstStart),
 		coordinator.WithConfirmedAge(g.freshness.age),
@@ -179,7 +191,9 @@
 	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving))
 	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
 	g.placer = &placer{gateway: g, usage: usage, pacer: pacer}
-	g.targetClient = exchange.New(exchange.WithClock(g.clock))
+	g.targetClient = exchange.New(exchange.WithClock(g.clock), exchange.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		return g.targetDial(ctx, "tcp", address)
+	}))
 	g.follower = platform.NewFollower(g.store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay),
 		platform.WithBackup(storeProxy, func() bool {
 			_, _, leads := g.election.Term()
@@ -194,7 +208,7 @@
 		relay.WithKeysConfirmed(g.freshness.current),
 		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime)),
 		relay.WithPlacer(g.placer),
-		relay.WithProber(&prober{engines: platform.NewEngines(platform.WithLeaving(g.targetLeaves))}),
+		relay.WithProber(&prober{engines: platform.NewEngines(platform.WithLeaving(g.targetLeaves), platform.WithEngineDial(g.targetDial)), dial: g.targetDial}),
 		relay.WithClient(g.targetClient),
 		relay.WithObserver(&observer{log: g.log, scope: g.metrics.Scope()}),
 		relay.WithClock(g.clock),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -83,7 +83,7 @@
 }
 
 // launch starts a host without waiting until it is ready.
-func (f *fleet) launch(name string, firstStart bool) *host {
+func (f *fleet) launch(name string, firstStart bool, opts ...gateway.Option) *host {
 	f.t.Helper()
 	h := &host{Host: platformtest.NewHost(name, "zone-0"), ended: make(chan struct{}), reload: make(chan os.Signal, 1)}
 	h.path = filepath.Join(f.t.TempDir(), name+".toml")
@@ -91,7 +91,8 @@
 	load := func() (platform.Settings, error) { return platform.LoadSettings(h.path) }
 	settings, err := load()
 	must.NoError(f.t, err)
-	g, err := gateway.New(settings, gateway.WithLogger(slog.New(slog.DiscardHandler)), gateway.WithReload(h.reload, load))
+	opts = append([]gateway.Option{gateway.WithLogger(slog.New(slog.DiscardHandler)), gateway.WithReload(h.reload, load)}, opts...)
+	g, err := gateway.New(settings, opts...)
 	must.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 
 	"hawthornway/platform"
 	"hawthornway/relay"
@@ -12,6 +11,7 @@
 // prober checks whether silent targets are alive.
 type prober struct {
 	engines platform.Engines
+	dial    DialFunc
 }
 
 // Probe implements relay.Prober. It reads the report of an engine, which needs
@@ -19,7 +19,7 @@
 // checks wait for a slot like any request.
 func (p *prober) Probe(ctx context.Context, t roster.Target) relay.Liveness {
 	if len(t.Holdings.Models) == 0 {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", t.Address)
+		conn, err := p.dial(ctx, "tcp", t.Address)
 		if err != nil {
 			return relay.Dead{}
 		}
