detour: hosts that are cut from targets reach them through other hosts

Cause: requests had one path, the host's own connections.

Change: package detour opens connections to targets through a neighbour over a WebSocket connection where a direct one isn't open within 100 ms, and tries both at once where that was so before. Choice of target, limits, retries and answers stay with the caller's host. Probes tell whether a target lives by another path only, which shows that connections from before hang. Pauses and leaving are passed on between both ends, since the target takes them for one host. The end of a detour is never evidence of a crash. Hosts are sent their neighbours again as soon as hosts join or leave.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -200,6 +200,15 @@
 	return ok && b.clock.Now().Before(s.backoffUntil)
 }
 
+// EndBackoffs lets all targets be chosen again, since another path to them was found.
+func (b *Balancer) EndBackoffs() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.states {
+		s.backoffUntil, s.nextBackoff = time.Time{}, minBackoff
+	}
+}
+
 // Running returns the number of this host's requests in progress at each
 // target.
 func (b *Balancer) Running() map[target.ID]int {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -102,8 +102,8 @@
 	loadRequests map[Need]*loadRequest
 	rates        map[model.Name]*rate
 	hosts        map[fleet.HostID]hostReport
-	// neighboursSentAt is when each host was last sent its neighbours.
-	neighboursSentAt map[fleet.HostID]time.Time
+	// neighboursSent tells when each host was last sent its neighbours.
+	neighboursSent map[fleet.HostID]sentNeighbours
 	// registered holds the targets, and config the version of the configuration, that
 	// hosts were last sent.
 	registered registrations
@@ -156,7 +156,7 @@
 	c.loadRequests = map[Need]*loadRequest{}
 	c.rates = map[model.Name]*rate{}
 	c.hosts = map[fleet.HostID]hostReport{}
-	c.neighboursSentAt = map[fleet.HostID]time.Time{}
+	c.neighboursSent = map[fleet.HostID]sentNeighbours{}
 	c.weightStoreLoadTimes = nil
 	c.registered = newRegistrations()
 	c.dirty = map[*engine]bool{}
--- a/coordinator/neighbour.go
+++ b/coordinator/neighbour.go
@@ -25,6 +25,8 @@
 	// neighbourInterval is the interval at which hosts are sent their neighbours, which
 	// change as hosts join and leave.
 	neighbourInterval = 3 * time.Second
+	// minNeighbourInterval is that interval while hosts join or leave.
+	minNeighbourInterval = 500 * time.Millisecond
 	// searchDelay is the time without a coordinator after which neighbours are asked. The
 	// store normally shows a new coordinator sooner.
 	searchDelay = 500 * time.Millisecond
@@ -45,15 +47,24 @@
 	Fence target.Fence `cbor:"fence"`
 }
 
+// sentNeighbours is when a host was last sent its neighbours, and how many other hosts there
+// were then.
+type sentNeighbours struct {
+	at    time.Time
+	peers int
+}
+
 // dueNeighbours returns a host's neighbours if neighbourInterval has passed since
-// they were last sent.
+// they were last sent, or if hosts have joined or left.
 func (c *Coordinator) dueNeighbours(host fleet.HostID, now time.Time) []wireMember {
-	if now.Sub(c.neighboursSentAt[host]) < neighbourInterval {
+	peers := c.mesh.Peers()
+	last := c.neighboursSent[host]
+	if now.Sub(last.at) < neighbourInterval && (last.peers == len(peers) || now.Sub(last.at) < minNeighbourInterval) {
 		return nil
 	}
-	c.neighboursSentAt[host] = now
+	c.neighboursSent[host] = sentNeighbours{now, len(peers)}
 	var wire []wireMember
-	for _, m := range chooseNeighbours(host, c.mesh.Peers()) {
+	for _, m := range chooseNeighbours(host, peers) {
 		wire = append(wire, wireMember{m.Host, m.Incarnation, m.PeerAddress})
 	}
 	return wire
@@ -98,6 +109,19 @@
 	return s.neighbours[s.askCount%len(s.neighbours)], true
 }
 
+// Neighbours returns the hosts that the last coordinator named, and its own host.
+func (c *Client) Neighbours() []fleet.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	neighbours := slices.Clone(c.search.neighbours)
+	leader := c.peerMember(c.leader)
+	known := slices.ContainsFunc(neighbours, func(m fleet.Member) bool { return m.Host == leader.Host })
+	if leader.Host != "" && leader.Host != c.mesh.Self().Host && !known {
+		neighbours = append(neighbours, leader)
+	}
+	return neighbours
+}
+
 // askNeighbour asks a neighbour for the coordinator if the known one has not answered
 // for searchDelay.
 func (c *Client) askNeighbour(ctx context.Context) {
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -25,6 +25,10 @@
 	ErrNoResponse = errors.New("request was sent and not answered")
 )
 
+// ErrDetourBroken means that a connection through another host ended because of that host or
+// the way to it, which says nothing about the target.
+var ErrDetourBroken = errors.New("connection through another host broke")
+
 // Request is one request to a target.
 type Request struct {
 	Method string
@@ -37,6 +41,19 @@
 	// may first send a late response to another request. If Matches is nil,
 	// every response matches.
 	Matches func(http.Header) bool
+	// Chosen, unless it is nil, is called with whether the connection that the request is
+	// sent on leads through another host.
+	Chosen func(detour bool)
+}
+
+// Detour is a connection that leads through another host.
+type Detour interface {
+	net.Conn
+	// Reusable reports whether the connection can be used for another request.
+	Reusable() bool
+	// Notify tells the other host what the target has said of itself: that it leaves, or
+	// that it wants no requests for some time.
+	Notify(leaving bool, pause time.Duration) error
 }
 
 // MaxIdleTime limits how long a connection may have been idle before it is
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -22,6 +22,10 @@
 		}
 		conn = newConn
 	}
+	if req.Chosen != nil {
+		_, detour := conn.Conn.(Detour)
+		req.Chosen(detour)
+	}
 	// Closing the connection of a cancelled request stops the target's work on it.
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	writeResult := c.writeRequest(conn, req)
@@ -144,6 +148,15 @@
 	return r.response.ContentLength >= 0 || len(r.response.TransferEncoding) > 0
 }
 
+// Notify passes on what the target has said of itself to the host through which the
+// connection leads, if any.
+func (r *Response) Notify(leaving bool, pause time.Duration) error {
+	if detour, ok := r.conn.Conn.(Detour); ok {
+		return detour.Notify(leaving, pause)
+	}
+	return nil
+}
+
 // Close ends the exchange. The connection is kept if the response was read to
 // its end and both sides support reuse. Otherwise it is closed, which cancels a
 // request in progress.
--- a/exchange/socket.go
+++ b/exchange/socket.go
@@ -10,6 +10,9 @@
 // isReusable reports whether an idle connection is open and has no bytes to
 // read. Unsolicited bytes belong to no request.
 func isReusable(c net.Conn) bool {
+	if detour, ok := c.(Detour); ok {
+		return detour.Reusable()
+	}
 	sys, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -173,21 +173,24 @@
 			}
 			var wg sync.WaitGroup
 			var served, sent [2]atomic.Int64
+			begun := time.Now()
 			send := func(i int, timeout time.Duration, model string) {
 				side := 0
 				if cutOff[i%3] {
 					side = 1
 				}
 				wg.Go(func() {
+					start := time.Now()
 					got := f.send(f.hosts[i%3], platformtest.Call{Key: "secret", Model: model, Timeout: timeout})
 					sent[side].Add(1)
 					if got.err == nil && got.status == http.StatusOK {
 						served[side].Add(1)
+						return
 					}
+					t.Logf("%v: host %d, model %q, after %v: status %d, error %v", time.Since(begun).Round(time.Millisecond), i%3, model, time.Since(start).Round(time.Millisecond), got.status, got.err)
 				})
 				time.Sleep(15 * time.Millisecond)
 			}
-			begun := time.Now()
 			for i := 0; time.Since(begun) < 3*time.Second; i++ { // until the cut has to be noticed
 				send(i, 2*time.Second, []string{"", "m0", "m2"}[i/3%3])
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"hawthornway/boottime"
 	"hawthornway/catalog"
 	"hawthornway/coordinator"
+	"hawthornway/detour"
 	"hawthornway/election"
 	"hawthornway/exchange"
 	"hawthornway/fleet"
@@ -102,6 +103,8 @@
 	targetClient      exchange.Client
 	relay             *relay.Relay
 	lineage           *lineage.Book
+	paths             *detour.Paths
+	tunnels           *detour.Server
 	metrics           metric.Metrics
 
 	callerServer, readinessServer, peerServer *khttp.Server
@@ -191,8 +194,11 @@
 	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving))
 	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
 	g.placer = &placer{gateway: g, usage: usage, pacer: pacer}
+	g.paths = detour.NewPaths(g.clock)
+	g.tunnels = detour.NewServer(g.links, tunnelTargets{g}, g.targetDial, g.paths, g.log)
+	dialer := detour.NewDialer(g.targetDial, g.links, g.coordinatorClient.Neighbours, g.paths, g.clock, g.log, g.detoured)
 	g.targetClient = exchange.New(exchange.WithClock(g.clock), exchange.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
-		return g.targetDial(ctx, "tcp", address)
+		return dialer.DialContext(ctx, "tcp", address)
 	}))
 	g.follower = platform.NewFollower(g.store, g.coordinatorClient, g, g.clock, g.bootClock, g.log, platform.WatchWait(s.Bounds.MaxWithdrawalDelay),
 		platform.WithBackup(storeProxy, func() bool {
@@ -208,7 +214,7 @@
 		relay.WithKeysConfirmed(g.freshness.current),
 		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime)),
 		relay.WithPlacer(g.placer),
-		relay.WithProber(&prober{engines: platform.NewEngines(platform.WithLeaving(g.targetLeaves), platform.WithEngineDial(g.targetDial)), dial: g.targetDial}),
+		relay.WithProber(newProber(dialer.DialContext, platform.WithLeaving(g.targetLeaves))),
 		relay.WithClient(g.targetClient),
 		relay.WithObserver(&observer{log: g.log, scope: g.metrics.Scope()}),
 		relay.WithClock(g.clock),
@@ -284,6 +290,7 @@
 	bounds.Connections = maxPeerConnections
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, g.links)
+	mux.Handle(detour.Path, g.tunnels)
 	mux.Handle(metricsPath, g.metrics.Handler())
 	g.peerServer, _, err = listener.NewServer(g.settings.Listen.Peers, mux, bounds, nil)
 	return trace.Wrap(err)
@@ -377,6 +384,7 @@
 			_ = server.Close() // aborts the remaining connections
 		}
 	}
+	g.tunnels.Close()
 	g.targetClient.Close()
 	if err := g.metrics.Close(); err != nil {
 		g.log.Warn("gateway: closing the metrics failed", "error", err)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -311,7 +311,9 @@
 	switch n := notice.(type) {
 	case relay.Leaving:
 		p.gateway.targetLeaves(t)
+		p.gateway.tunnels.Notify(t.Address, true, 0)
 	case relay.Paused:
+		p.gateway.tunnels.Notify(t.Address, false, n.For)
 		p.gateway.roster.Pause(t.ID, t.Start, n.For)
 		p.gateway.log.Info("gateway: target asks for a pause", "target", t.ID, "for", n.For)
 	case relay.Limited:
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -127,25 +127,37 @@
 }
 
 func (l *Links) open(address string) (*link, error) {
-	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	conn, member, err := l.DialConn(l.ctx, address, Path)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ln, err := l.addLink(newLink(l, conn, member, true))
+	if err != nil {
+		_ = conn.CloseNow()
+		return nil, trace.Wrap(err)
+	}
+	return ln, nil
+}
+
+// DialConn opens a WebSocket connection to the host at a peer address, which accepts it at
+// the given path with AcceptConn.
+func (l *Links) DialConn(ctx context.Context, address, path string) (*websocket.Conn, fleet.Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+path, &websocket.DialOptions{
 		HTTPClient:      l.client,
 		CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, fleet.Member{}, trace.Wrap(err)
 	}
 	conn.SetReadLimit(maxFrameBytes)
 	member, err := handshake{conn, l.self, l.secret}.dial(ctx)
-	if err == nil {
-		var ln *link
-		if ln, err = l.addLink(newLink(l, conn, member, true)); err == nil {
-			return ln, nil
-		}
+	if err != nil {
+		_ = conn.CloseNow()
+		return nil, fleet.Member{}, trace.Wrap(err)
 	}
-	_ = conn.CloseNow()
-	return nil, trace.Wrap(err)
+	return conn, member, nil
 }
 
 // linkTo returns the link to a host. It dials the host if there is none.
--- a/peer/links.go
+++ b/peer/links.go
@@ -94,13 +94,12 @@
 // ServeHTTP accepts links from other hosts. It has to be mounted at Path, and
 // returns when the link is closed.
 func (l *Links) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	conn, member, err := l.AcceptConn(w, r)
 	if err != nil {
-		l.log.Info("peer: WebSocket upgrade failed", "error", err)
+		l.log.Warn("peer: link refused", "from", r.RemoteAddr, "error", err)
 		return
 	}
-	conn.SetReadLimit(maxFrameBytes)
-	ln, err := l.accept(conn)
+	ln, err := l.addLink(newLink(l, conn, member, false))
 	if err != nil {
 		l.logRefused(r.RemoteAddr, err)
 		_ = conn.CloseNow()
@@ -109,6 +108,24 @@
 	<-ln.done
 }
 
+// AcceptConn accepts a WebSocket connection from another host, which has to be closed
+// before the request's handler returns.
+func (l *Links) AcceptConn(w http.ResponseWriter, r *http.Request) (*websocket.Conn, fleet.Member, error) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return nil, fleet.Member{}, trace.Wrap(err, "WebSocket upgrade")
+	}
+	conn.SetReadLimit(maxFrameBytes)
+	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	defer cancel()
+	member, err := handshake{conn, l.self, l.secret}.accept(ctx)
+	if err != nil {
+		_ = conn.CloseNow()
+		return nil, fleet.Member{}, trace.Wrap(err)
+	}
+	return conn, member, nil
+}
+
 // logRefused logs a refused link as a warning, or at debug level if the two hosts
 // dialled each other at the same time, which is normal.
 func (l *Links) logRefused(from string, err error) {
@@ -119,16 +136,6 @@
 	l.log.Warn("peer: link refused", "from", from, "error", err)
 }
 
-func (l *Links) accept(conn *websocket.Conn) (*link, error) {
-	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
-	defer cancel()
-	member, err := handshake{conn, l.self, l.secret}.accept(ctx)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return l.addLink(newLink(l, conn, member, false))
-}
-
 // addLink makes a new link the current one to its peer. It refuses a link to an
 // older incarnation of the peer. If both hosts dialled each other, the link of the
 // host with the lower ID stays as long as frames arrive on it. In all other cases
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -328,7 +328,7 @@
 // comes again.
 func (f *inflight) suspectsOf(r interrupted) []quarantine.Suspect {
 	switch {
-	case r.abandoned || r.silent || r.events > maxEventsAtBeginning:
+	case r.abandoned || r.silent || r.events > maxEventsAtBeginning || errors.Is(r.err, exchange.ErrDetourBroken):
 		return nil
 	case r.began:
 		return f.suspects()
@@ -420,6 +420,7 @@
 		}),
 		Body:    f.req.Body,
 		Matches: func(h http.Header) bool { return r.dialect.IsResponseTo(f.req, h) },
+		Chosen:  w.detour.Store,
 	}, maxIdle)
 	if err != nil {
 		if errors.Is(err, exchange.ErrNotSent) {
@@ -431,6 +432,11 @@
 	w.recordActivity()
 	info := r.dialect.ParseResponse(t.ID, resp.Status, resp.Header)
 	placement.notify(info)
+	if info.Leaving || info.Pause > 0 {
+		if err := resp.Notify(info.Leaving, info.Pause); err != nil {
+			r.log.Info("relay: notice not passed on to the host on the way", "target", t.ID, "error", err)
+		}
+	}
 	switch {
 	case info.NotRun || info.Replaced:
 		resp.Skip()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,7 +91,7 @@
 	Origin(ctx context.Context, pool target.Pool, id lineage.StreamID) lineage.Origin
 }
 
-// Liveness is the result of a probe: Dead, Idle or Busy.
+// Liveness is the result of a probe: Dead, Idle, Busy or Detoured.
 type Liveness interface{ liveness() }
 
 // Dead means that the target does not respond.
@@ -104,9 +104,14 @@
 // Busy means that the target has requests waiting or does not report its load.
 type Busy struct{}
 
-func (Dead) liveness() {}
-func (Idle) liveness() {}
-func (Busy) liveness() {}
+// Detoured means that the target is only reached through another host, by which it is Idle or
+// Busy. Connections from before are dead unless they lead through another host.
+type Detoured struct{ Liveness Liveness }
+
+func (Dead) liveness()     {}
+func (Idle) liveness()     {}
+func (Busy) liveness()     {}
+func (Detoured) liveness() {}
 
 // Observer is notified when a request ends.
 type Observer interface {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -46,6 +47,8 @@
 	target        roster.Target
 	ctx           context.Context
 	enabled       bool
+	// detour is set if the attempt's connection leads through another host.
+	detour atomic.Bool
 }
 
 // startWatchdog starts watching an attempt. The last attempt is not watched,
@@ -101,7 +104,7 @@
 	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, probeTimeout)
 	defer cancel()
-	switch w.prober.Probe(ctx, w.target).(type) {
+	switch w.pathLiveness(w.prober.Probe(ctx, w.target)).(type) {
 	case Dead:
 		if w.ctx.Err() == nil {
 			w.cancel(errTargetSilent)
@@ -121,6 +124,19 @@
 	}
 }
 
+// pathLiveness returns the liveness of the target as the attempt's connection sees it.
+func (w *watchdog) pathLiveness(l Liveness) Liveness {
+	detoured, ok := l.(Detoured)
+	switch {
+	case !ok:
+		return l
+	case w.detour.Load():
+		return detoured.Liveness
+	default:
+		return Dead{}
+	}
+}
+
 // silent reports whether the attempt's context ended because of the target's silence.
 func (w *watchdog) silent(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), errTargetSilent)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -367,6 +367,24 @@
 	return e.target, ok
 }
 
+// At returns the targets that are registered at an address.
+func (r *Roster) At(address string) []Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	targets := make([]Target, 0, len(r.addresses[address]))
+	for _, id := range r.addresses[address] {
+		targets = append(targets, r.targets[id].target)
+	}
+	return targets
+}
+
+// ReadyAt reports whether a target at an address may get requests.
+func (r *Roster) ReadyAt(address string) bool {
+	return slices.ContainsFunc(r.At(address), func(t Target) bool {
+		return slices.ContainsFunc(r.Ready(t.Pool), func(ready Target) bool { return ready.ID == t.ID })
+	})
+}
+
 // Changed returns a channel that is closed at the next change.
 func (r *Roster) Changed() <-chan struct{} {
 	r.mu.Lock()
