gateway: a coordinator that is cut off from the engines resigns

Cause: orders have to come from one host and take no detours, and nothing ended the term of a coordinator that reaches no engine.

Change: a host that is cut off reports that it isn't to be preferred as the coordinator; a coordinator that has been cut off for a second names a successor that is preferred, resigns and stands aside for three seconds. It stays if no other host would do better.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -116,7 +116,7 @@
 	leaders Leaders
 	local   *Coordinator
 	// weak is reported to the coordinator.
-	weak     bool
+	weak     func() bool
 	usage    func() Usage
 	receiver ViewReceiver
 	clock    clockwork.Clock
@@ -167,9 +167,9 @@
 // ClientOption sets an option of a Client.
 type ClientOption func(*Client)
 
-// WithWeakHost sets whether this host has too little processor time to be preferred as
+// WithWeakHost sets the function that reports whether this host is not to be preferred as
 // the coordinator.
-func WithWeakHost(weak bool) ClientOption { return func(c *Client) { c.weak = weak } }
+func WithWeakHost(weak func() bool) ClientOption { return func(c *Client) { c.weak = weak } }
 
 // WithScreen sets the quarantined suspects that this host keeps from targets, and
 // its evidence for the coordinator.
@@ -191,6 +191,7 @@
 		mesh:           mesh,
 		leaders:        leaders,
 		local:          local,
+		weak:           func() bool { return false },
 		usage:          usage,
 		receiver:       receiver,
 		updateLoad:     updateLoad,
@@ -303,7 +304,7 @@
 func (c *Client) report(ctx context.Context) {
 	c.mu.Lock()
 	leader := c.leader
-	report := wireReport{Since: c.version, Fence: c.fence, Hosts: c.hosts, Weak: c.weak}
+	report := wireReport{Since: c.version, Fence: c.fence, Hosts: c.hosts, Weak: c.weak()}
 	c.mu.Unlock()
 	if leader.Host == "" {
 		return
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -109,8 +109,8 @@
 	Targets []uint64 `cbor:"targets"`
 	// Hosts is the fleet size in the last view that the host received.
 	Hosts int `cbor:"hosts"`
-	// Weak is set by a host with too little processor time to be preferred as the
-	// coordinator.
+	// Weak is set by a host that is not to be preferred as the coordinator: it has too little
+	// processor time, or is cut off from the targets.
 	Weak bool `cbor:"weak"`
 	// Config is the version of the host's configuration, or zero if the host doesn't know
 	// whether that is the newest.
--- a/coordinator/successor.go
+++ b/coordinator/successor.go
@@ -7,24 +7,33 @@
 
 // NameSuccessor tells all hosts which one this host, which is about to resign as the
 // coordinator, prefers as its successor. It does nothing if this host doesn't lead.
-func (c *Coordinator) NameSuccessor() {
+func (c *Coordinator) NameSuccessor() { c.nameSuccessor(func(fleet.HostID) bool { return true }) }
+
+// NameStrongSuccessor does the same, unless only weak hosts could succeed. It reports whether
+// it has named one.
+func (c *Coordinator) NameStrongSuccessor() bool {
+	return c.nameSuccessor(func(host fleet.HostID) bool { return !c.mayBeWeak(host) })
+}
+
+func (c *Coordinator) nameSuccessor(allowed func(fleet.HostID) bool) (named bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.leading {
-		return
+		return false
 	}
 	successor, ok := chooseSuccessor(c.mesh.Peers(), c.mayBeWeak)
-	if !ok {
-		return
+	if !ok || !allowed(successor) {
+		return false
 	}
 	c.log.Info("coordinator: resigning", "successor", successor)
 	view := c.newView()
 	view.Since, view.Successor = c.version, successor
 	c.broadcast(view)
+	return true
 }
 
-// mayBeWeak reports whether a host has little processor time, or has not reported yet
-// whether it does.
+// mayBeWeak reports whether a host isn't preferred as the coordinator, or has not reported
+// yet whether it is.
 func (c *Coordinator) mayBeWeak(host fleet.HostID) bool {
 	h, ok := c.hosts[host]
 	return !ok || h.weak
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -216,3 +217,52 @@
 		})
 	}
 }
+
+// Guards against models that nobody loads while the coordinator is cut off from the engines:
+// another host takes over.
+func TestCoordinatorCutFromEnginesIsReplaced(t *testing.T) {
+	t.Parallel()
+	f, networks := newCutFleet(t, 3)
+	f.waitUntil("a model is loaded", func() bool { return f.call(f.hosts[0], "secret", f.notLoaded()).status == http.StatusOK })
+	coordinator := f.coordinator()
+	networks[coordinator].cut(hanging)
+	begun := time.Now()
+	for i := 0; time.Since(begun) < 2*time.Second; i++ {
+		f.call(f.hosts[i%3], "secret", []string{"m0", "m2", "m4"}[i/3%3])
+	}
+	cold := f.notLoaded()
+	f.waitUntil("a model that was not loaded is served", func() bool {
+		return f.send(f.hosts[1], platformtest.Call{Key: "secret", Model: cold, Timeout: 2 * time.Second}).status == http.StatusOK
+	})
+	t.Logf("served %v after the cut", time.Since(begun).Round(time.Millisecond))
+	for _, h := range f.hosts {
+		must.Eq(t, http.StatusOK, f.call(h, "secret", cold).status)
+	}
+	must.NotEq(t, coordinator, f.coordinator())
+	networks[coordinator].cut(uncut)
+	f.checkOrders()
+}
+
+// coordinator returns the index of the host that gave the newest order.
+func (f *fleet) coordinator() int {
+	var newest platformtest.AcceptedOrder
+	for _, e := range f.engines {
+		orders, _ := e.Orders()
+		if last := len(orders) - 1; last >= 0 && orders[last].At.After(newest.At) {
+			newest = orders[last]
+		}
+	}
+	return slices.IndexFunc(f.hosts, func(h *host) bool { return h.Name == newest.Holder })
+}
+
+// notLoaded returns a model that no engine holds.
+func (f *fleet) notLoaded() string {
+	f.t.Helper()
+	for _, model := range models(12) {
+		if !slices.ContainsFunc(f.engines, func(e *platformtest.Engine) bool { return e.Holds(model) }) {
+			return model
+		}
+	}
+	f.t.Fatal("all models are loaded")
+	return ""
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,12 +189,15 @@
 		coordinator.WithLogger(g.log),
 	)
 	g.balancer = balance.New(s.Domain, g.clock)
+	g.paths = detour.NewPaths(g.clock)
 	usage := newUsageTracker()
 	g.screen = quarantine.NewScreen(g.clock, g.log)
-	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(weak), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving))
+	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(func() bool {
+		_, cut := g.paths.CutOff()
+		return weak || cut
+	}), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving))
 	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
 	g.placer = &placer{gateway: g, usage: usage, pacer: pacer}
-	g.paths = detour.NewPaths(g.clock)
 	g.tunnels = detour.NewServer(g.links, tunnelTargets{g}, g.targetDial, g.paths, g.log)
 	dialer := detour.NewDialer(g.targetDial, g.links, g.coordinatorClient.Neighbours, g.paths, g.clock, g.log, g.detoured)
 	g.targetClient = exchange.New(exchange.WithClock(g.clock), exchange.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
@@ -326,7 +329,7 @@
 	start("links", runCtx, g.links.Run)
 	start("follower", runCtx, g.follower.Run)
 	start("coordinator", electionCtx, g.coordinator.Run)
-	start("election", electionCtx, g.election.Run)
+	start("election", electionCtx, g.standForElection)
 	start("confirmation", electionCtx, g.recordConfirmed)
 	start("client", runCtx, g.coordinatorClient.Run)
 	start("lineage", runCtx, g.lineage.Run)
