pace: brittle targets get requests only while they have room

Callers of a service that says that it is brittle lost it altogether: all hosts together sent more than it could hold, it turned requests away, fell over, and was pushed over again when it was back.

Cause class: what a target states of itself and only all hosts together can keep. So it is a limit of pace beside the rate: room, the number of requests that the target may have at a time, 0.85 of its slots. The coordinator gives room out and hosts release it; room that isn't released is free at the request's deadline. Targets that have just started are taken for brittle if others of their pool are. Requests without room wait at their hosts while they can be on time, and are refused after that.

The interval follows the number of hosts now.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -143,6 +143,7 @@
 	c.reset()
 	c.mesh.Handle(kindBorrow, c.handleBorrow)
 	c.mesh.Handle(kindReserve, c.handleReserve)
+	c.mesh.Handle(kindRelease, c.handleRelease)
 	c.mesh.Handle(kindReport, c.handleReport)
 	c.mesh.Handle(kindLoadRequest, c.handleLoadRequest)
 	c.mesh.Handle(kindConfigPart, c.handleConfigPart)
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -171,7 +171,7 @@
 
 // limited reports whether an engine takes a limited number of requests only.
 func (c *Coordinator) limited(e *engine) bool {
-	_, limited := c.limits.Rate(pace.KeyOf(e.target))
+	_, limited := c.limits.Limit(pace.KeyOf(e.target))
 	return limited
 }
 
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -23,6 +23,7 @@
 	kindRenew       peer.Kind = "renew-lease"
 	kindStoreRead   peer.Kind = "read-store"
 	kindReserve     peer.Kind = "reserve-place"
+	kindRelease     peer.Kind = "release-room"
 )
 
 // wireBorrow is a host's request to borrow tokens of a team.
--- a/coordinator/pace.go
+++ b/coordinator/pace.go
@@ -23,19 +23,21 @@
 	Ended bool    `cbor:"4,keyasint,omitempty"`
 	// Ago is the time since then in milliseconds.
 	Ago int64 `cbor:"5,keyasint"`
+	// Room is the number of requests that the target may have at a time, or zero.
+	Room int `cbor:"6,keyasint,omitempty"`
 }
 
 func newWireLimits(statements []pace.Statement, now boottime.Instant) []wireLimit {
 	var wire []wireLimit
 	for _, s := range statements {
-		wire = append(wire, wireLimit{Target: s.Target, Start: s.Start, Rate: float64(s.Rate), Ended: s.Ended, Ago: now.Sub(s.At).Milliseconds()})
+		wire = append(wire, wireLimit{Target: s.Target, Start: s.Start, Rate: float64(s.Rate), Room: s.Room, Ended: s.Ended, Ago: now.Sub(s.At).Milliseconds()})
 	}
 	return wire
 }
 
 func (w wireLimit) statement(now boottime.Instant) pace.Statement {
 	return pace.Statement{
-		Key: pace.Key{Target: w.Target, Start: w.Start}, Rate: pace.Rate(w.Rate), Ended: w.Ended,
+		Key: pace.Key{Target: w.Target, Start: w.Start}, Rate: pace.Rate(w.Rate), Room: w.Room, Ended: w.Ended,
 		At: now.Add(-time.Duration(w.Ago) * time.Millisecond),
 	}
 }
@@ -45,6 +47,8 @@
 	Limits []wireLimit `cbor:"limits"`
 	// MaxWait is in milliseconds.
 	MaxWait int64 `cbor:"max-wait-ms"`
+	// Hold is in milliseconds.
+	Hold int64 `cbor:"hold-ms,omitempty"`
 }
 
 // wirePlace is the answer to a wireReserve.
@@ -55,16 +59,25 @@
 	// place if Refused is set.
 	Wait    int64 `cbor:"wait-ms"`
 	Refused bool  `cbor:"refused,omitempty"`
+	Full    bool  `cbor:"full,omitempty"`
+	Held    bool  `cbor:"held,omitempty"`
+}
+
+// wireRelease gives back room at a target.
+type wireRelease struct {
+	Target     target.ID      `cbor:"target"`
+	Start      roster.StartID `cbor:"start"`
+	TurnedAway bool           `cbor:"turned-away,omitempty"`
 }
 
 // Reserve gets a place in the line of one of several targets from the coordinator. It fails
 // if no coordinator is known, or if the known one can't be reached or has lost its term.
-func (c *Client) Reserve(ctx context.Context, statements []pace.Statement, maxWait time.Duration) (pace.Grant, error) {
+func (c *Client) Reserve(ctx context.Context, statements []pace.Statement, maxWait, hold time.Duration) (pace.Grant, error) {
 	leader := c.knownLeader()
 	if leader.Host == "" {
 		return pace.Grant{}, trace.NotFound("no coordinator is known")
 	}
-	request := wireReserve{Limits: newWireLimits(statements, c.boot.Now()), MaxWait: maxWait.Milliseconds()}
+	request := wireReserve{Limits: newWireLimits(statements, c.boot.Now()), MaxWait: maxWait.Milliseconds(), Hold: hold.Milliseconds()}
 	var place wirePlace
 	var err error
 	if leader.Host == c.mesh.Self().Host {
@@ -79,9 +92,47 @@
 		Key:     pace.Key{Target: place.Target, Start: place.Start},
 		Wait:    time.Duration(place.Wait) * time.Millisecond,
 		Refused: place.Refused,
+		Full:    place.Full,
+		Held:    place.Held,
 	}, nil
 }
 
+// Release gives back room at a target to the coordinator. A message that is lost leaves the
+// room taken until its time is over.
+func (c *Client) Release(key pace.Key, turnedAway bool) {
+	leader := c.knownLeader()
+	release := wireRelease{Target: key.Target, Start: key.Start, TurnedAway: turnedAway}
+	if leader.Host == c.mesh.Self().Host {
+		c.local.release(release)
+		return
+	}
+	if err := c.mesh.Notify(leader.Host, kindRelease, release); err != nil {
+		c.log.Debug("coordinator: room not given back; it is free after its time", "target", key.Target, "error", err)
+	}
+}
+
+func (c *Coordinator) handleRelease(_ context.Context, _ fleet.Member, body []byte) (any, error) {
+	var release wireRelease
+	if err := peer.Decode(body, &release); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c.release(release)
+	return nil, nil
+}
+
+// release gives back room at a target that a host has held.
+func (c *Coordinator) release(release wireRelease) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leading {
+		return
+	}
+	if release.TurnedAway {
+		c.log.Info("coordinator: a target turned a request away that should have had room", "target", release.Target)
+	}
+	c.lines.Release(pace.Key{Target: release.Target, Start: release.Start}, release.TurnedAway)
+}
+
 func (c *Coordinator) handleReserve(_ context.Context, from fleet.Member, body []byte) (any, error) {
 	var request wireReserve
 	if err := peer.Decode(body, &request); err != nil {
@@ -106,15 +157,19 @@
 	var candidates []pace.Candidate
 	for _, w := range request.Limits {
 		key := pace.Key{Target: w.Target, Start: w.Start}
-		rate, limited := c.limits.Rate(key)
+		limit, limited := c.limits.Limit(key)
 		if !limited {
 			return wirePlace{Target: w.Target, Start: w.Start}, nil // its limit has ended
 		}
-		candidates = append(candidates, pace.Candidate{Key: key, Rate: rate * share})
+		candidates = append(candidates, pace.Candidate{Key: key, Rate: limit.Rate * share, Room: limit.Room})
 	}
 	maxWait := time.Duration(request.MaxWait) * time.Millisecond
-	grant := c.lines.Reserve(c.clock.Now(), candidates, maxWait)
-	return wirePlace{Target: grant.Key.Target, Start: grant.Key.Start, Wait: grant.Wait.Milliseconds(), Refused: grant.Refused}, nil
+	hold := time.Duration(request.Hold) * time.Millisecond
+	grant := c.lines.Reserve(c.clock.Now(), candidates, maxWait, hold)
+	return wirePlace{
+		Target: grant.Key.Target, Start: grant.Key.Start, Wait: grant.Wait.Milliseconds(),
+		Refused: grant.Refused, Full: grant.Full, Held: grant.Held,
+	}, nil
 }
 
 // recordLimits records what a host has heard of the limits of targets.
--- a/coordinator/pace_test.go
+++ b/coordinator/pace_test.go
@@ -23,7 +23,7 @@
 			return pace.Statement{Key: pace.Key{Target: id}, Rate: rate, At: now}
 		}
 		reserve := func(maxWait time.Duration, statements ...pace.Statement) pace.Grant {
-			grant, err := f.client.Reserve(context.Background(), statements, maxWait)
+			grant, err := f.client.Reserve(context.Background(), statements, maxWait, 0)
 			must.NoError(t, err)
 			return grant
 		}
@@ -31,7 +31,7 @@
 		must.Eq(t, pace.Grant{Key: pace.Key{Target: "e1"}, Wait: time.Second}, reserve(time.Second, limit("e1", 2)))
 		must.Eq(t, pace.Grant{Key: pace.Key{Target: "e1"}, Wait: 1500 * time.Millisecond, Refused: true}, reserve(time.Second, limit("e1", 2)))
 		must.Eq(t, pace.Grant{Key: pace.Key{Target: "e2"}, Wait: 100 * time.Millisecond}, reserve(time.Second, limit("e1", 2), limit("e2", 10)))
-		_, err := f.client.Reserve(context.Background(), nil, time.Second)
+		_, err := f.client.Reserve(context.Background(), nil, time.Second, 0)
 		must.Error(t, err)
 	})
 }
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -17,6 +17,10 @@
 // is late then, which smooths short bursts.
 const minLineWait = 200 * time.Millisecond
 
+// fullRetryAfter is sent as Retry-After if the targets have no room. Requests that run end in
+// about that time.
+const fullRetryAfter = 300 * time.Millisecond
+
 // lineWait is the wait of one request for a target with a limit.
 type lineWait struct {
 	pacer *pace.Pacer
@@ -24,34 +28,43 @@
 	place *pace.Reservation
 	// untilFree is the time until a line has a place, if none had one in time.
 	untilFree time.Duration
+	// full is set if no target had room when the request last asked.
+	full bool
+	// taken is the place that the request has been given.
+	taken pace.Reservation
 }
 
+// take returns the place that the request uses, or the zero Reservation if its target has no
+// limit.
+func (l *lineWait) take() pace.Reservation { return l.taken }
+
 // ask returns a target with a limit that is to be asked now and then, even if other targets
 // could run the request.
-func (l *lineWait) ask(ctx context.Context, c candidates) (roster.Target, bool) {
+func (l *lineWait) ask(ctx context.Context, now time.Time, c candidates, request relay.PlacementRequest) (roster.Target, bool) {
 	if len(c.limited) == 0 || len(c.eligible) == 0 || l.place != nil {
 		return roster.Target{}, false
 	}
-	place, ok := l.pacer.ReserveToAsk(ctx, keysOf(c.limited))
+	place, ok := l.pacer.ReserveToAsk(ctx, keysOf(c.limited), request.Deadline.Sub(now))
 	if !ok {
 		return roster.Target{}, false
 	}
+	l.taken = place
 	return targetOf(place.Key, c.limited)
 }
 
 // wait returns the target at which it is the request's turn, if any. It gets a place in the
 // line of one of the targets unless the request has one.
 func (l *lineWait) wait(ctx context.Context, clock clockwork.Clock, limited []roster.Target, request relay.PlacementRequest) (roster.Target, bool) {
-	l.untilFree = 0
+	l.untilFree, l.full = 0, false
 	if l.place != nil {
 		if _, ok := targetOf(l.place.Key, limited); !ok {
 			l.leave() // the target can't run the request any more
 		}
 	}
 	if l.place == nil && len(limited) > 0 {
-		place, untilFree, ok := l.pacer.Reserve(ctx, keysOf(limited), lineWaitLimit(clock.Now(), request))
+		place, untilFree, ok := l.pacer.Reserve(ctx, keysOf(limited), lineWaitLimit(clock.Now(), request), request.Deadline.Sub(clock.Now()))
 		if !ok {
-			l.untilFree = untilFree
+			l.untilFree, l.full = untilFree, untilFree == 0
 			return roster.Target{}, false
 		}
 		l.place = &place
@@ -60,7 +73,7 @@
 		return roster.Target{}, false
 	}
 	t, ok := targetOf(l.place.Key, limited)
-	l.place = nil
+	l.taken, l.place = *l.place, nil
 	return t, ok
 }
 
@@ -98,6 +111,9 @@
 
 // recheckDelay returns the time after which the request looks for a target again.
 func (l *lineWait) recheckDelay(now time.Time) time.Duration {
+	if l.full {
+		return l.pacer.FullRest()
+	}
 	if l.place == nil {
 		return recheckInterval
 	}
@@ -107,15 +123,19 @@
 // refuseIfLimited returns a refusal if only targets with a limit could run the request, and
 // none has a place in its line in time.
 func (p *placer) refuseIfLimited(ready []roster.Target, c candidates, request relay.PlacementRequest, line lineWait) *outcome.NotRun {
-	if line.untilFree == 0 || len(c.eligible) > 0 {
+	tooLate := line.full && p.gateway.clock.Now().After(request.Due.Add(minLineWait))
+	if line.untilFree == 0 && !tooLate || len(c.eligible) > 0 {
 		return nil
 	}
 	if request.Model != "" {
 		for _, t := range ready {
-			if _, limited := p.gateway.limits.Rate(pace.KeyOf(t)); !limited {
+			if _, limited := p.gateway.limits.Limit(pace.KeyOf(t)); !limited {
 				return nil // the model can be loaded there
 			}
 		}
 	}
+	if tooLate {
+		return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: fullRetryAfter, Detail: "the targets had no room while the response could be on time"}
+	}
 	return &outcome.NotRun{Reason: outcome.ReasonNoTarget, RetryAfter: line.untilFree, Detail: "the limits of the targets allow no further request in time"}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -63,7 +63,7 @@
 		}
 		ready := ofVersion(g.roster.Ready(request.Pool), request.Version)
 		c := p.candidates(ready, request)
-		t, ok := line.ask(ctx, c)
+		t, ok := line.ask(ctx, g.clock.Now(), c, request)
 		if !ok {
 			t, ok = p.choose(c, request)
 		}
@@ -75,7 +75,7 @@
 				g.log.Info("gateway: wait ended", "request", request.ID, "model", request.Model, "adapter", request.Adapter,
 					"target", t.ID, "waited", g.clock.Since(waitStart).Round(time.Millisecond))
 			}
-			return p.startPlacement(t, request), nil
+			return p.startPlacement(t, request, line.take()), nil
 		}
 		if refusal := p.refuseIfUnplaceable(ready, request, diskLoadTime); refusal != nil {
 			return relay.Placement{}, refusal
@@ -148,17 +148,47 @@
 func (p *placer) candidates(ready []roster.Target, request relay.PlacementRequest) candidates {
 	g := p.gateway
 	var c candidates
+	p.limitNewTargets(ready)
 	for _, t := range ready {
 		if request.Model != "" && (!g.coordinatorClient.Holdings(t).Has(request.Model, request.Adapter) || p.usage.recentlyNotLoaded(t.ID, request, g.clock.Now())) {
 			continue
 		}
-		_, limited := g.limits.Rate(pace.KeyOf(t))
+		_, limited := g.limits.Limit(pace.KeyOf(t))
 		c.add(t, limited, request.Avoid[t.ID], g.balancer.BackingOff(t.ID))
 	}
 	c.addLastResort()
 	return c
 }
 
+// roomShare is the share of a target's slots that it is sent requests for while it can't bear
+// turning many away. Connections and health checks take slots for moments as well.
+const roomShare = 0.85
+
+// roomOf returns the number of requests that a target may have at a time while it can't bear
+// turning many away.
+func roomOf(t roster.Target) int { return max(1, int(roomShare*float64(t.Slots))) }
+
+// limitNewTargets takes targets that have not answered yet for brittle, if others of their
+// pool are. A target that has just fallen over comes back to all the requests that wait.
+func (p *placer) limitNewTargets(ready []roster.Target) {
+	limits := p.gateway.limits
+	if !limits.AnyRoom() {
+		return
+	}
+	brittle := slices.ContainsFunc(p.gateway.roster.All(), func(t roster.Target) bool {
+		s, limited := limits.Limit(pace.KeyOf(t))
+		return limited && s.Room > 0 && len(ready) > 0 && t.Pool == ready[0].Pool
+	})
+	if !brittle {
+		return
+	}
+	for _, t := range ready {
+		if !limits.Known(pace.KeyOf(t)) {
+			p.recordLimit(pace.Statement{Key: pace.KeyOf(t), Room: roomOf(t)})
+		}
+	}
+}
+
 // addLastResort makes targets with a limit that have failed the request candidates if there
 // are no others. The request would otherwise wait in vain.
 func (c *candidates) addLastResort() {
@@ -289,7 +319,7 @@
 	}
 }
 
-func (p *placer) startPlacement(t roster.Target, request relay.PlacementRequest) relay.Placement {
+func (p *placer) startPlacement(t roster.Target, request relay.PlacementRequest, place pace.Reservation) relay.Placement {
 	g := p.gateway
 	g.balancer.RequestStarted(t.ID)
 	end := p.usage.startRequest(t.ID, request)
@@ -300,6 +330,8 @@
 		Done: func(result relay.Result) {
 			once.Do(func() {
 				end()
+				refused, turnedAway := result.(relay.Refused)
+				p.pacer.Release(place, turnedAway && !refused.NotLoaded)
 				p.recordResult(t, request, result)
 			})
 		},
@@ -317,7 +349,11 @@
 		p.gateway.roster.Pause(t.ID, t.Start, n.For)
 		p.gateway.log.Info("gateway: target asks for a pause", "target", t.ID, "for", n.For)
 	case relay.Limited:
-		p.recordLimit(pace.Statement{Key: pace.KeyOf(t), Rate: n.Rate})
+		statement := pace.Statement{Key: pace.KeyOf(t), Rate: n.Rate}
+		if n.Brittle {
+			statement.Room = roomOf(t)
+		}
+		p.recordLimit(statement)
 	case relay.Unlimited:
 		p.recordLimit(pace.Statement{Key: pace.KeyOf(t), Ended: true})
 	}
@@ -332,7 +368,7 @@
 	case s.Ended:
 		g.log.Info("gateway: target states no limit any more", "target", s.Target, "start", s.Start)
 	default:
-		g.log.Info("gateway: target states a limit", "target", s.Target, "start", s.Start, "requests-per-second", s.Rate)
+		g.log.Info("gateway: target states a limit", "target", s.Target, "start", s.Start, "requests-per-second", s.Rate, "room", s.Room)
 	}
 }
 
--- a/pace/limits.go
+++ b/pace/limits.go
@@ -38,8 +38,11 @@
 // Statement is what a target said about its limit at some time.
 type Statement struct {
 	Key
-	// Rate is the stated limit. Ended is set if the target stated none.
+	// Rate is the stated limit, or zero. Room is the number of requests that the target may
+	// have at a time, since it says that it can't bear turning requests away, or zero. Ended
+	// is set if the target stated neither.
 	Rate  Rate
+	Room  int
 	Ended bool
 	At    boottime.Instant
 }
@@ -64,7 +67,7 @@
 
 // activeLimits are the limits in force, with their digest.
 type activeLimits struct {
-	rates  map[Key]Rate
+	limits map[Key]Statement
 	digest uint64
 }
 
@@ -78,7 +81,7 @@
 // Record records a statement unless a newer one is known. It reports whether the limit in
 // force has changed. A target that never stated a limit needs no record.
 func (l *Limits) Record(s Statement) (changed bool) {
-	if s.Ended && len(l.active.Load().rates) == 0 {
+	if s.Ended && len(l.active.Load().limits) == 0 {
 		return false
 	}
 	l.mu.Lock()
@@ -93,11 +96,11 @@
 		now := l.clock.Now()
 		maps.DeleteFunc(l.known, func(_ Key, old Statement) bool { return now.Sub(old.At) > statementTTL })
 	}
-	if !s.Ended {
+	if !s.Ended && s.Room == 0 {
 		s.Rate = max(s.Rate, minRate)
 	}
 	l.known[s.Key] = s
-	if known && previous.Rate == s.Rate && previous.Ended == s.Ended {
+	if known && previous.Rate == s.Rate && previous.Room == s.Room && previous.Ended == s.Ended {
 		return false
 	}
 	l.activate()
@@ -106,20 +109,43 @@
 
 // activate computes the limits in force.
 func (l *Limits) activate() {
-	a := &activeLimits{rates: map[Key]Rate{}}
+	a := &activeLimits{limits: map[Key]Statement{}}
 	for key, s := range l.known {
-		if !s.Ended {
-			a.rates[key] = s.Rate
-			a.digest ^= xxhash.Sum64(fmt.Appendf(nil, "%q %d %g", key.Target, key.Start, s.Rate))
+		if s.Ended {
+			continue
 		}
+		a.limits[key] = s
+		text := fmt.Appendf(nil, "%q %d %g", key.Target, key.Start, s.Rate)
+		if s.Room > 0 {
+			text = fmt.Appendf(text, " %d", s.Room)
+		}
+		a.digest ^= xxhash.Sum64(text)
 	}
 	l.active.Store(a)
 }
 
-// Rate returns the limit of a target, and false if it has none.
-func (l *Limits) Rate(key Key) (Rate, bool) {
-	rate, limited := l.active.Load().rates[key]
-	return rate, limited
+// Limit returns the statement in force of a target, and false if it has no limit.
+func (l *Limits) Limit(key Key) (Statement, bool) {
+	s, limited := l.active.Load().limits[key]
+	return s, limited
+}
+
+// AnyRoom reports whether a target has stated that it can't bear turning requests away.
+func (l *Limits) AnyRoom() bool {
+	for _, s := range l.active.Load().limits {
+		if s.Room > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Known reports whether a target has ever stated a limit, which may have ended.
+func (l *Limits) Known(key Key) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, known := l.known[key]
+	return known
 }
 
 // Digest returns a hash of the limits in force. Limits with equal digests are the same.
--- a/pace/limits_test.go
+++ b/pace/limits_test.go
@@ -45,10 +45,10 @@
 			for i, s := range tc.statements {
 				must.Eq(t, tc.wantChanged[i], limits.Record(s))
 			}
-			got, limited := limits.Rate(key)
+			got, limited := limits.Limit(key)
 			must.Eq(t, tc.limited, limited)
-			must.Eq(t, tc.want, got)
-			_, limited = limits.Rate(pace.Key{Target: "a", Start: 2})
+			must.Eq(t, tc.want, got.Rate)
+			_, limited = limits.Limit(pace.Key{Target: "a", Start: 2})
 			must.False(t, limited)
 		})
 	}
--- a/pace/pacer.go
+++ b/pace/pacer.go
@@ -15,7 +15,12 @@
 // Scheduler gives out places in the lines of targets to all hosts. It fails while it can't
 // be reached.
 type Scheduler interface {
-	Reserve(ctx context.Context, statements []Statement, maxWait time.Duration) (Grant, error)
+	// Reserve gets a place in the line of one of the targets. A Held one takes room at the
+	// target for hold, unless it is released before.
+	Reserve(ctx context.Context, statements []Statement, maxWait, hold time.Duration) (Grant, error)
+	// Release gives back room at a target, which has turned the request away or not. It
+	// returns at once; room that isn't given back is free after its time.
+	Release(key Key, turnedAway bool)
 }
 
 const (
@@ -35,6 +40,10 @@
 	maxOwnWait = 300 * time.Millisecond
 	// unusedTTL is how long after its time a place may be used that its request didn't need.
 	unusedTTL = time.Second
+	// A host asks again for room at a target that had none after fullRestPerHost for each
+	// host of the fleet, so that the scheduler bears all of them, and minFullRest at least.
+	fullRestPerHost = 2 * time.Millisecond
+	minFullRest     = 20 * time.Millisecond
 )
 
 // Reservation is a place in the line of a target.
@@ -42,6 +51,9 @@
 	Key Key
 	// At is the time from which the request may be sent.
 	At time.Time
+	// Held is set if the reservation has to be released. The room is this host's own part
+	// if own is set.
+	Held, own bool
 }
 
 // Pacer gets the places that the requests of one host need. It is safe for concurrent use.
@@ -62,6 +74,8 @@
 	unused []Reservation
 	// full holds, for targets whose line was too long, the time of their next place.
 	full map[Key]fullLine
+	// fullUntil holds until when targets without room aren't asked for some.
+	fullUntil map[Key]time.Time
 	// askedAt is when targets were last asked by requests that could go elsewhere.
 	askedAt map[Key]time.Time
 }
@@ -80,7 +94,7 @@
 
 // NewPacer returns a Pacer.
 func NewPacer(limits *Limits, scheduler Scheduler, hosts func() int, clock clockwork.Clock, log *slog.Logger, opts ...PacerOption) *Pacer {
-	p := &Pacer{limits: limits, scheduler: scheduler, hosts: hosts, clock: clock, log: log, random: rand.Float64, full: map[Key]fullLine{}, askedAt: map[Key]time.Time{}}
+	p := &Pacer{limits: limits, scheduler: scheduler, hosts: hosts, clock: clock, log: log, random: rand.Float64, full: map[Key]fullLine{}, fullUntil: map[Key]time.Time{}, askedAt: map[Key]time.Time{}}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -88,14 +102,15 @@
 }
 
 // Reserve gets a place in the line of one of the targets, no later than maxWait from now.
-// If there is none, it returns the time until there is one. A target that has lost its
-// limit meanwhile has a place at once.
-func (p *Pacer) Reserve(ctx context.Context, targets []Key, maxWait time.Duration) (Reservation, time.Duration, bool) {
+// If there is none, it returns the time until there is one, or zero if nobody knows, since
+// the targets have no room. A target that has lost its limit meanwhile has a place at once.
+// Hold is how long the request may take room at the target.
+func (p *Pacer) Reserve(ctx context.Context, targets []Key, maxWait, hold time.Duration) (Reservation, time.Duration, bool) {
 	now := p.clock.Now()
 	statements := p.limits.Statements(targets)
 	if len(statements) < len(targets) {
 		for _, key := range targets {
-			if _, limited := p.limits.Rate(key); !limited {
+			if _, limited := p.limits.Limit(key); !limited {
 				return Reservation{Key: key, At: now}, 0, true
 			}
 		}
@@ -106,21 +121,71 @@
 	if wait, full := p.knownFull(statements, now, maxWait); full {
 		return Reservation{}, wait, false
 	}
-	grant := p.ask(ctx, statements, maxWait)
-	if grant.Refused {
+	if p.knownWithoutRoom(statements, now) {
+		return Reservation{}, 0, false
+	}
+	grant, own := p.ask(ctx, statements, maxWait, hold)
+	switch {
+	case grant.Full:
+		return Reservation{}, 0, false
+	case grant.Refused:
 		return Reservation{}, grant.Wait, false
 	}
-	return Reservation{Key: grant.Key, At: p.clock.Now().Add(grant.Wait)}, 0, true
+	return Reservation{Key: grant.Key, At: p.clock.Now().Add(grant.Wait), Held: grant.Held, own: own}, 0, true
+}
+
+// knownWithoutRoom reports whether none of the targets had room a moment ago.
+func (p *Pacer) knownWithoutRoom(statements []Statement, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range statements {
+		if !now.Before(p.fullUntil[s.Key]) {
+			return false
+		}
+	}
+	return len(statements) > 0
+}
+
+// FullRest returns the time after which this host asks again for room at a target that had
+// none.
+func (p *Pacer) FullRest() time.Duration {
+	return max(minFullRest, time.Duration(p.hosts())*fullRestPerHost)
+}
+
+// recordWithoutRoom records that none of the targets has room. The caller holds the lock.
+func (p *Pacer) recordWithoutRoom(statements []Statement) {
+	now := p.clock.Now()
+	maps.DeleteFunc(p.fullUntil, func(_ Key, until time.Time) bool { return !now.Before(until) })
+	for _, s := range statements {
+		p.fullUntil[s.Key] = now.Add(p.FullRest())
+	}
+}
+
+// Release gives back the room of a reservation, if it has any. The target has turned the
+// request away or not.
+func (p *Pacer) Release(r Reservation, turnedAway bool) {
+	if !r.Held {
+		return
+	}
+	if !r.own {
+		p.scheduler.Release(r.Key, turnedAway)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.own != nil {
+		p.own.Release(r.Key, turnedAway)
+	}
 }
 
 // ReserveToAsk gets a place at once in the line of one of the targets that this host hasn't
 // asked for some time, for a request that could go elsewhere.
-func (p *Pacer) ReserveToAsk(ctx context.Context, targets []Key) (Reservation, bool) {
+func (p *Pacer) ReserveToAsk(ctx context.Context, targets []Key, hold time.Duration) (Reservation, bool) {
 	key, ok := p.dueToAsk(targets)
 	if !ok {
 		return Reservation{}, false
 	}
-	r, _, ok := p.Reserve(ctx, []Key{key}, 0)
+	r, _, ok := p.Reserve(ctx, []Key{key}, 0, hold)
 	return r, ok
 }
 
@@ -143,6 +208,10 @@
 
 // GiveBack makes a place available to other requests of this host.
 func (p *Pacer) GiveBack(r Reservation) {
+	if r.Held {
+		p.Release(r, false)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -199,26 +268,29 @@
 
 // ask asks the scheduler for a place, or this host's own part of the lines if the scheduler
 // can't be reached.
-func (p *Pacer) ask(ctx context.Context, statements []Statement, maxWait time.Duration) Grant {
+func (p *Pacer) ask(ctx context.Context, statements []Statement, maxWait, hold time.Duration) (grant Grant, own bool) {
 	p.mu.Lock()
 	lost := p.clock.Now().Before(p.retryAt)
 	p.mu.Unlock()
 	if !lost {
 		callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 		defer cancel()
-		grant, err := p.scheduler.Reserve(callCtx, statements, maxWait)
+		grant, err := p.scheduler.Reserve(callCtx, statements, maxWait, hold)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if err == nil {
 			p.own, p.retryAt = nil, time.Time{}
-			if grant.Refused {
+			switch {
+			case grant.Full:
+				p.recordWithoutRoom(statements)
+			case grant.Refused:
 				p.recordFull(statements, p.clock.Now().Add(grant.Wait))
 			}
-			return grant
+			return grant, false
 		}
 		if ctx.Err() != nil {
 			// The caller has left, which says nothing about the scheduler.
-			return Grant{Refused: true, Wait: retryDelay}
+			return Grant{Refused: true, Wait: retryDelay}, false
 		}
 		if p.own == nil {
 			p.log.Warn("pace: places in the lines of targets can't be had; keeping to this host's part of their limits", "hosts", p.hosts(), "error", err)
@@ -226,14 +298,14 @@
 			p.own = NewSchedule(p.clock.Now(), p.random)
 		}
 		p.retryAt = p.clock.Now().Add(retryDelay)
-		return p.reserveOwn(statements, maxWait)
+		return p.reserveOwn(statements, maxWait, hold), true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.reserveOwn(statements, maxWait)
+	return p.reserveOwn(statements, maxWait, hold), true
 }
 
-func (p *Pacer) reserveOwn(statements []Statement, maxWait time.Duration) Grant {
+func (p *Pacer) reserveOwn(statements []Statement, maxWait, hold time.Duration) Grant {
 	hosts := p.hosts()
 	if hosts == 0 || p.own == nil {
 		// Another host is likely to know more.
@@ -241,7 +313,14 @@
 	}
 	var candidates []Candidate
 	for _, s := range statements {
-		candidates = append(candidates, Candidate{s.Key, s.Rate * ownShare / Rate(hosts)})
+		room := int(float64(s.Room) * ownShare / float64(hosts))
+		if s.Room > 0 && room == 0 {
+			continue // this host's part is less than one request
+		}
+		candidates = append(candidates, Candidate{s.Key, s.Rate * ownShare / Rate(hosts), room})
+	}
+	if len(candidates) == 0 {
+		return Grant{Refused: true, Wait: max(retryDelay, maxWait)}
 	}
-	return p.own.Reserve(p.clock.Now(), candidates, min(maxWait, maxOwnWait))
+	return p.own.Reserve(p.clock.Now(), candidates, min(maxWait, maxOwnWait), hold)
 }
--- a/pace/pacer_test.go
+++ b/pace/pacer_test.go
@@ -56,7 +56,7 @@
 var errCut = errors.New("cut off")
 
 // Reserve implements pace.Scheduler.
-func (h *simulatedHost) Reserve(ctx context.Context, statements []pace.Statement, maxWait time.Duration) (pace.Grant, error) {
+func (h *simulatedHost) Reserve(ctx context.Context, statements []pace.Statement, maxWait, _ time.Duration) (pace.Grant, error) {
 	s := h.simulation
 	if err := ctx.Err(); err != nil {
 		return pace.Grant{}, err
@@ -71,9 +71,12 @@
 		}
 	}
 	share := pace.Rate(1 - float64(silent)/float64(len(s.hosts)))
-	return s.lines.Reserve(s.clock.Now(), []pace.Candidate{{Key: s.key, Rate: statements[0].Rate * share}}, maxWait), nil
+	return s.lines.Reserve(s.clock.Now(), []pace.Candidate{{Key: s.key, Rate: statements[0].Rate * share}}, maxWait, 0), nil
 }
 
+// Release implements pace.Scheduler.
+func (*simulatedHost) Release(pace.Key, bool) {}
+
 func newSimulation(seed uint64, hosts int, rate pace.Rate) *simulation {
 	s := &simulation{
 		clock: clockwork.NewFakeClock(), boot: boottime.NewFakeClock(boottime.Instant(time.Hour)), random: rand.New(rand.NewPCG(seed, 1)),
@@ -97,7 +100,7 @@
 			if s.random.Float64() >= arrivals {
 				continue
 			}
-			if r, _, ok := h.pacer.Reserve(context.Background(), []pace.Key{s.key}, lineWait); ok {
+			if r, _, ok := h.pacer.Reserve(context.Background(), []pace.Key{s.key}, lineWait, 0); ok {
 				h.sends = append(h.sends, r.At)
 			}
 		}
@@ -184,19 +187,19 @@
 	s := newSimulation(1, 1, 1)
 	h, targets := s.hosts[0], []pace.Key{s.key}
 	s.clock.Advance(2 * time.Second)
-	place, _, ok := h.pacer.Reserve(context.Background(), targets, 2*time.Second)
+	place, _, ok := h.pacer.Reserve(context.Background(), targets, 2*time.Second, 0)
 	must.True(t, ok)
 	must.Eq(t, time.Second, place.At.Sub(s.clock.Now()))
-	_, wait, ok := h.pacer.Reserve(context.Background(), targets, 500*time.Millisecond)
+	_, wait, ok := h.pacer.Reserve(context.Background(), targets, 500*time.Millisecond, 0)
 	must.False(t, ok)
 	must.Eq(t, 2*time.Second, wait)
 	h.pacer.GiveBack(place)
-	again, _, ok := h.pacer.Reserve(context.Background(), targets, time.Second)
+	again, _, ok := h.pacer.Reserve(context.Background(), targets, time.Second, 0)
 	must.True(t, ok)
 	must.Eq(t, place, again)
 	h.pacer.GiveBack(again)
 	s.clock.Advance(3 * time.Second)
-	_, wait, ok = h.pacer.Reserve(context.Background(), targets, 0)
+	_, wait, ok = h.pacer.Reserve(context.Background(), targets, 0, 0)
 	must.True(t, ok, must.Sprint(wait)) // a new one
 }
 
@@ -204,13 +207,13 @@
 // for lost, or the line for full.
 func TestCallerThatLeavesSaysNothingAboutTheScheduler(t *testing.T) {
 	s := newSimulation(1, 9, 1)
-	s.hosts[0].pacer.Reserve(context.Background(), []pace.Key{s.key}, time.Minute) // begins the line
+	s.hosts[0].pacer.Reserve(context.Background(), []pace.Key{s.key}, time.Minute, 0) // begins the line
 	s.clock.Advance(2 * time.Second)
 	left, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, _, ok := s.hosts[0].pacer.Reserve(left, []pace.Key{s.key}, 0)
+	_, _, ok := s.hosts[0].pacer.Reserve(left, []pace.Key{s.key}, 0, 0)
 	must.False(t, ok)
-	_, wait, ok := s.hosts[0].pacer.Reserve(context.Background(), []pace.Key{s.key}, 0)
+	_, wait, ok := s.hosts[0].pacer.Reserve(context.Background(), []pace.Key{s.key}, 0, 0)
 	must.True(t, ok, must.Sprint(wait))
 }
 
@@ -219,14 +222,14 @@
 func TestSchedulerIsAskedAgainOnceItIsBack(t *testing.T) {
 	s := newSimulation(1, 9, 1)
 	h, targets := s.hosts[0], []pace.Key{s.key}
-	s.hosts[1].pacer.Reserve(context.Background(), targets, time.Minute) // begins the line
+	s.hosts[1].pacer.Reserve(context.Background(), targets, time.Minute, 0) // begins the line
 	h.cutSince = s.clock.Now()
-	_, wait, ok := h.pacer.Reserve(context.Background(), targets, 0)
+	_, wait, ok := h.pacer.Reserve(context.Background(), targets, 0, 0)
 	must.False(t, ok)
 	must.Greater(t, 3*time.Second, wait)
 	h.cutSince = time.Time{}
 	s.clock.Advance(3 * time.Second)
-	_, wait, ok = h.pacer.Reserve(context.Background(), targets, 0)
+	_, wait, ok = h.pacer.Reserve(context.Background(), targets, 0, 0)
 	must.True(t, ok, must.Sprint(wait))
 }
 
@@ -236,7 +239,7 @@
 	lonely := &simulatedHost{simulation: s, limits: pace.NewLimits(s.boot), cutSince: s.clock.Now()}
 	lonely.limits.Record(pace.Statement{Key: s.key, Rate: 100, At: s.boot.Now()})
 	p := pace.NewPacer(lonely.limits, lonely, func() int { return 0 }, s.clock, slog.New(slog.DiscardHandler))
-	_, wait, ok := p.Reserve(context.Background(), []pace.Key{s.key}, 0)
+	_, wait, ok := p.Reserve(context.Background(), []pace.Key{s.key}, 0, 0)
 	must.False(t, ok)
 	must.Positive(t, wait)
 }
@@ -248,7 +251,7 @@
 	asked := 0
 	s.run(time.Minute, func() {
 		s.sent = s.sent[:0]
-		if _, ok := s.hosts[0].pacer.ReserveToAsk(context.Background(), []pace.Key{s.key}); ok {
+		if _, ok := s.hosts[0].pacer.ReserveToAsk(context.Background(), []pace.Key{s.key}, 0); ok {
 			asked++
 		}
 	})
@@ -257,7 +260,7 @@
 	for range 60 {
 		quiet.clock.Advance(time.Second)
 		quiet.boot.Advance(time.Second)
-		if _, ok := quiet.hosts[0].pacer.ReserveToAsk(context.Background(), []pace.Key{quiet.key}); ok {
+		if _, ok := quiet.hosts[0].pacer.ReserveToAsk(context.Background(), []pace.Key{quiet.key}, 0); ok {
 			asked++
 		}
 	}
@@ -272,6 +275,6 @@
 	}
 	key := pace.Key{Target: "other", Start: 1}
 	for b.Loop() {
-		l.Rate(key)
+		l.Limit(key)
 	}
 }
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -100,7 +100,9 @@
 	switch {
 	case info.Replaced:
 	case info.Limit != nil:
-		p.Notice(Limited{*info.Limit})
+		p.Notice(Limited{Rate: *info.Limit, Brittle: info.Brittle})
+	case info.Brittle:
+		p.Notice(Limited{Brittle: true})
 	case info.Signed || info.NotRun:
 		p.Notice(Unlimited{})
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -102,6 +102,8 @@
 	// Limit is the number of requests a second that the target takes from all hosts, or nil
 	// if it states none.
 	Limit *pace.Rate
+	// Brittle is set if the target says that it can't bear turning many requests away.
+	Brittle bool
 }
 
 // TargetLoad is the number of requests at a target and its slots.
@@ -175,8 +177,12 @@
 // Paused means that the target wants no requests from this host for some time.
 type Paused struct{ For time.Duration }
 
-// Limited means that the target takes a number of requests a second from all hosts together.
-type Limited struct{ Rate pace.Rate }
+// Limited means that the target takes a number of requests a second from all hosts together,
+// unless Rate is zero, or that it can't bear turning many requests away, if Brittle is set.
+type Limited struct {
+	Rate    pace.Rate
+	Brittle bool
+}
 
 // Unlimited means that the target states no limit.
 type Unlimited struct{}
