gateway: a coordinator that loses most engines resigns too

What matters to a coordinator are engines: it resigns if it has reached more than half of a pool's through others only for a second, and hosts in that state report that they aren't to be preferred.

--- a/detour/paths.go
+++ b/detour/paths.go
@@ -55,13 +55,29 @@
 func (p *Paths) HeadStart(address string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	at, detoured := p.detoured[address]
-	if detoured && p.clock.Since(at) < pathTTL || !p.cutSince.IsZero() {
+	if p.isDetoured(address) || !p.cutSince.IsZero() {
 		return 0
 	}
 	return headStart
 }
 
+func (p *Paths) isDetoured(address string) bool {
+	at, detoured := p.detoured[address]
+	return detoured && p.clock.Since(at) < pathTTL
+}
+
+// Detoured counts the addresses that were last reached by a detour only.
+func (p *Paths) Detoured(addresses []string) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range addresses {
+		if p.isDetoured(address) {
+			n++
+		}
+	}
+	return n
+}
+
 // RecordDirect records that a direct connection to an address was opened. It reports whether
 // that ended a cut.
 func (p *Paths) RecordDirect(address string) (healed bool) {
@@ -96,15 +112,11 @@
 	return true
 }
 
-// CutOff returns for how long this host has reached no target directly that others reach, and
-// false if it does.
-func (p *Paths) CutOff() (since time.Duration, cut bool) {
+// CutOff reports whether this host reaches no target directly that others reach.
+func (p *Paths) CutOff() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cutSince.IsZero() {
-		return 0, false
-	}
-	return p.clock.Since(p.cutSince), true
+	return !p.cutSince.IsZero()
 }
 
 // Order returns the hosts in the order in which to ask them for a detour: those that have
--- a/detour/paths_test.go
+++ b/detour/paths_test.go
@@ -46,7 +46,7 @@
 				}
 			}
 			clock.Advance(10 * time.Millisecond)
-			_, cut := p.CutOff()
+			cut := p.CutOff()
 			must.Eq(t, tc.cut, cut)
 		})
 	}
--- a/detour/server.go
+++ b/detour/server.go
@@ -161,7 +161,7 @@
 
 // admit adds a tunnel, or returns why it is refused.
 func (s *Server) admit(address string, t *tunnel) (refusal string) {
-	_, cut := s.paths.CutOff()
+	cut := s.paths.CutOff()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/detour/tunnel_test.go
+++ b/detour/tunnel_test.go
@@ -227,7 +227,7 @@
 		dialer, paths := newDialer(newWay(t, "first"), newWay(t, "second"))
 		_, err = dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
 		must.ErrorIs(t, err, errCut)
-		_, cut := paths.CutOff()
+		cut := paths.CutOff()
 		must.False(t, cut)
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -180,7 +180,7 @@
 		coordinator.WithBootClock(g.bootClock),
 		coordinator.WithCatalogs(g.confirmedCatalog),
 		coordinator.WithNewerConfig(g.newerConfig),
-		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves), platform.WithEngineDial(g.targetDial), platform.WithReportDial(g.dialTarget))),
+		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves), platform.WithEngineDial(g.dialEngine))),
 		coordinator.WithBounds(s.Bounds),
 		coordinator.WithFirstStart(s.FirstStart),
 		coordinator.WithConfirmedAge(g.freshness.age),
@@ -193,10 +193,7 @@
 	g.paths = detour.NewPaths(g.clock)
 	usage := newUsageTracker()
 	g.screen = quarantine.NewScreen(g.clock, g.log)
-	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(func() bool {
-		_, cut := g.paths.CutOff()
-		return weak || cut
-	}), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving))
+	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(func() bool { return weak || g.cutFromEngines() }), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving))
 	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
 	g.placer = &placer{gateway: g, usage: usage, pacer: pacer}
 	g.tunnels = detour.NewServer(g.links, tunnelTargets{g}, g.targetDial, g.paths, g.log)
--- a/gateway/tunnel.go
+++ b/gateway/tunnel.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
+
+	"hawthornway/exchange"
 )
 
 // dialTarget opens a connection to a target, through another host if need be.
@@ -11,6 +14,20 @@
 	return g.dialer.DialContext(ctx, network, address)
 }
 
+var errDetoured = errors.New("engine is reached through another host only")
+
+// dialEngine opens a direct connection to an engine, for the coordinator. It learns by the
+// way whether other hosts reach the engine, so that a coordinator without callers notices
+// that it is cut off.
+func (g *gateway) dialEngine(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := g.dialTarget(ctx, network, address)
+	if _, detour := conn.(exchange.Detour); detour && err == nil {
+		_ = conn.Close() // nothing was sent
+		return nil, errDetoured
+	}
+	return conn, err
+}
+
 // detoured is called with an address of a target that is reached through another host only,
 // and whether that shows that this host reaches no target directly. Idle connections from
 // before would hang.
