relay: a target that falls silent for a moment keeps its requests

A probe whose connection was opened and whose report doesn't come now means that the target is unresponsive: it is given up once it has been silent for 1.5 s, and probed every 200 ms until then. Where no connection opens, the target is dead at once, as before. Callers of streams wait for 2 s and more.

--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 
@@ -24,17 +25,20 @@
 	return p
 }
 
-// pathKey is the context key of an atomic.Bool that is set if a connection leads through
-// another host.
-type pathKey struct{}
+// probeKey is the context key of a probe's notes.
+type probeKey struct{}
 
-// dialNoting opens a connection and notes in the context whether it is a detour.
+// notes are what is noted of the connection of a probe: whether it was opened, and whether it
+// leads through another host.
+type notes struct{ opened, detour atomic.Bool }
+
+// dialNoting opens a connection and notes that in the context.
 func (p *prober) dialNoting(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := p.dial(ctx, network, address)
-	if _, detour := conn.(exchange.Detour); detour && err == nil {
-		if noted, ok := ctx.Value(pathKey{}).(*atomic.Bool); ok {
-			noted.Store(true)
-		}
+	if noted, ok := ctx.Value(probeKey{}).(*notes); ok && err == nil {
+		_, detour := conn.(exchange.Detour)
+		noted.opened.Store(true)
+		noted.detour.Store(detour)
 	}
 	return conn, err
 }
@@ -43,9 +47,12 @@
 // no slot. To other targets it only opens a connection, since their health
 // checks wait for a slot like any request.
 func (p *prober) Probe(ctx context.Context, t roster.Target) relay.Liveness {
-	detour := new(atomic.Bool)
-	liveness := p.probe(context.WithValue(ctx, pathKey{}, detour), t)
-	if _, dead := liveness.(relay.Dead); !dead && detour.Load() {
+	noted := new(notes)
+	liveness := p.probe(context.WithValue(ctx, probeKey{}, noted), t)
+	if _, dead := liveness.(relay.Dead); dead && noted.opened.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		liveness = relay.Unresponsive{}
+	}
+	if _, dead := liveness.(relay.Dead); !dead && noted.detour.Load() {
 		return relay.Detoured{Liveness: liveness}
 	}
 	return liveness
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,12 +91,16 @@
 	Origin(ctx context.Context, pool target.Pool, id lineage.StreamID) lineage.Origin
 }
 
-// Liveness is the result of a probe: Dead, Idle, Busy or Detoured.
+// Liveness is the result of a probe: Dead, Unresponsive, Idle, Busy or Detoured.
 type Liveness interface{ liveness() }
 
 // Dead means that the target does not respond.
 type Dead struct{}
 
+// Unresponsive means that the target takes connections and doesn't respond on them. It may be
+// dead, or go on after a moment.
+type Unresponsive struct{}
+
 // Idle means that the target has no requests waiting, so a request that was
 // sent to it should be running.
 type Idle struct{}
@@ -108,10 +112,11 @@
 // Busy. Connections from before are dead unless they lead through another host.
 type Detoured struct{ Liveness Liveness }
 
-func (Dead) liveness()     {}
-func (Idle) liveness()     {}
-func (Busy) liveness()     {}
-func (Detoured) liveness() {}
+func (Dead) liveness()         {}
+func (Unresponsive) liveness() {}
+func (Idle) liveness()         {}
+func (Busy) liveness()         {}
+func (Detoured) liveness()     {}
 
 // Observer is notified when a request ends.
 type Observer interface {
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -31,6 +31,11 @@
 	// that is alive and has no requests waiting counts as having lost the
 	// request.
 	maxSilentPeriods = 3
+	// maxUnresponsive is how long a target may be silent that takes connections and doesn't
+	// respond to probes. Sound ones fall silent for about a second.
+	maxUnresponsive = 1500 * time.Millisecond
+	// unresponsiveRecheck is the interval of its probes.
+	unresponsiveRecheck = 200 * time.Millisecond
 )
 
 // watchdog cancels an attempt whose target has gone silent, if the request may
@@ -41,12 +46,15 @@
 	timer         clockwork.Timer
 	period        time.Duration
 	silentPeriods int
-	stopped       bool
-	cancel        context.CancelCauseFunc
-	prober        Prober
-	target        roster.Target
-	ctx           context.Context
-	enabled       bool
+	// lastActivity is when the target last sent something, or when the attempt began.
+	lastActivity time.Time
+	clock        clockwork.Clock
+	stopped      bool
+	cancel       context.CancelCauseFunc
+	prober       Prober
+	target       roster.Target
+	ctx          context.Context
+	enabled      bool
 	// detour is set if the attempt's connection leads through another host.
 	detour atomic.Bool
 }
@@ -54,7 +62,7 @@
 // startWatchdog starts watching an attempt. The last attempt is not watched,
 // since the request can't be sent again after it.
 func (d *dispatcher) startWatchdog(ctx context.Context, cancel context.CancelCauseFunc, t roster.Target) *watchdog {
-	w := &watchdog{cancel: cancel, prober: d.relay.prober, target: t, ctx: ctx}
+	w := &watchdog{cancel: cancel, prober: d.relay.prober, target: t, ctx: ctx, clock: d.relay.clock, lastActivity: d.relay.clock.Now()}
 	if !d.inflight.route.Repeatable() || len(d.inflight.targets) >= maxAttempts {
 		return w
 	}
@@ -78,7 +86,7 @@
 	if w.stopped {
 		return
 	}
-	w.silentPeriods = 0
+	w.silentPeriods, w.lastActivity = 0, w.clock.Now()
 	w.timer.Reset(w.period)
 }
 
@@ -100,8 +108,9 @@
 		return
 	}
 	w.silentPeriods++
-	silentPeriods := w.silentPeriods
+	silentPeriods, silence := w.silentPeriods, w.clock.Since(w.lastActivity)
 	w.mu.Unlock()
+	next := w.period
 	ctx, cancel := context.WithTimeout(w.ctx, probeTimeout)
 	defer cancel()
 	switch w.pathLiveness(w.prober.Probe(ctx, w.target)).(type) {
@@ -110,6 +119,12 @@
 			w.cancel(errTargetSilent)
 		}
 		return
+	case Unresponsive:
+		if silence >= maxUnresponsive {
+			w.cancel(errTargetSilent)
+			return
+		}
+		next = min(next, unresponsiveRecheck)
 	case Idle:
 		if silentPeriods >= maxSilentPeriods {
 			w.cancel(errTargetSilent)
@@ -120,7 +135,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped {
-		w.timer.Reset(w.period)
+		w.timer.Reset(next)
 	}
 }
 
