--- a/lineage/book.go
+++ b/lineage/book.go
@@ -81,8 +81,8 @@
 
 // The timing of a Book.
 const (
-	// Retention is how long streams are remembered. Callers wait for a stream for half of it
-	// at most.
+	// Retention is how long streams are remembered from their beginning. One that lasts longer
+	// can't be taken up while versions are mixed.
 	Retention = time.Minute
 	// pageTime is the span of time of one page. Shorter pages make smaller writes, and longer
 	// ones fewer entries.
