Tests of streams: the model is loaded on the versioned engines only

Traced: the hosts were started before the engines of two versions, and prefetch had loaded the test's model on one of the fleet's other engines, whose events state none. The engines now come before the hosts, so that the model's weights are on their disks and nobody prefetches it. The checks are the same.

The same flaw let TestStreamsOutlastASilentEngine fail for the wrong reason on the code before its change.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -12,8 +12,7 @@
 func TestStreamsOutlastASilentEngine(t *testing.T) {
 	const streams = 8
 	t.Parallel()
-	f := newFleet(t, config(1), 1)
-	engines := f.addVersions()
+	f, engines := newVersionedFleet(t, 1)
 	runs := func() (n int) {
 		for _, e := range engines {
 			for _, count := range e.Runs() {
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -13,12 +13,14 @@
 	"hawthornway/platform/platformtest"
 )
 
-// versionedModel is a model that only the engines of addVersions hold.
+// versionedModel is a model that only the engines of newVersionedFleet hold.
 const versionedModel = "m11"
 
-// addVersions starts engines of two software versions, two of each, that hold versionedModel.
-func (f *fleet) addVersions() (engines []*platformtest.Engine) {
-	f.t.Helper()
+// newVersionedFleet returns a fleet with engines of two software versions, two of each, that
+// hold versionedModel. They come before the hosts, which would load the model elsewhere.
+func newVersionedFleet(t *testing.T, hosts int) (f *fleet, engines []*platformtest.Engine) {
+	t.Helper()
+	f = newFleet(t, config(1), 0)
 	for i, version := range []string{"v1", "v2", "v1", "v2"} {
 		e := platformtest.NewEngine(f.store, fmt.Sprintf("i-version-%d", i), platformtest.EngineSpec{
 			Service: platformtest.ModelService, Zone: "zone-0", Models: []string{versionedModel}, Capacity: 1,
@@ -27,8 +29,11 @@
 		f.t.Cleanup(e.Close)
 		engines = append(engines, e)
 	}
+	for i := range hosts {
+		f.start(fmt.Sprintf("host-%d", i), true)
+	}
 	f.waitUntil("the engines are in use", func() bool { return f.call(f.hosts[0], "secret", versionedModel).status == http.StatusOK })
-	return engines
+	return f, engines
 }
 
 // stream is what a caller has received of a stream, over all its tries.
@@ -79,8 +84,7 @@
 func TestStreamGoesOnAtTheVersionThatBeganIt(t *testing.T) {
 	const streams = 12
 	t.Parallel()
-	f := newFleet(t, config(1), 2)
-	engines := f.addVersions()
+	f, engines := newVersionedFleet(t, 2)
 	cases := []struct {
 		name string
 		// next returns the host at which the caller goes on. It is nil if the stream breaks
@@ -134,8 +138,7 @@
 // left, or because nobody knows which it was: the caller is told at once that nothing ran.
 func TestStreamIsRefusedWithoutItsVersion(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, config(1), 2)
-	engines := f.addVersions()
+	f, engines := newVersionedFleet(t, 2)
 	byVersion := map[string]*stream{}
 	for len(byVersion) < 2 {
 		var s stream
