detour, coordinator: findings of a re-reading

- A failed detour was dropped without a log line: the caller saw the direct connection's error only.
It is logged at debug level now.
- "Release" meant both the version of a target's software in messages and the giving back of room.
- detour.Conn.Through was used by nobody.

Left as it is: lineage.Retention is a constant, though the routes' timeouts bound how long streams last; a stream of over a minute is refused when it is taken up while versions are mixed.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -404,7 +404,7 @@
 	leader := c.leader
 	c.mu.Unlock()
 	request := wireLoadRequest{
-		Pool: need.Pool, Model: need.Model, Adapter: need.Adapter, Release: need.Version,
+		Pool: need.Pool, Model: need.Model, Adapter: need.Adapter, TargetVersion: need.Version,
 		Waiting: waiting.Total, OnTime: waiting.OnTime, Priority: priority,
 	}
 	if leader.Host == c.mesh.Self().Host {
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -196,7 +196,7 @@
 	if !c.leading {
 		return
 	}
-	key := Need{request.Pool, request.Model, request.Adapter, request.Release}
+	key := Need{request.Pool, request.Model, request.Adapter, request.TargetVersion}
 	entry, ok := c.loadRequests[key]
 	if !ok {
 		entry = &loadRequest{since: c.clock.Now(), byHost: map[fleet.HostID]hostLoadRequest{}, priority: request.Priority}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -52,11 +52,11 @@
 	Pool    target.Pool `cbor:"pool"`
 	Model   model.Name  `cbor:"model"`
 	Adapter model.Name  `cbor:"adapter"`
-	// Release is the version of the engines that can serve the requests, or empty.
-	Release  target.Version `cbor:"release,omitempty"`
-	Waiting  int            `cbor:"waiting"`
-	OnTime   int            `cbor:"on-time"`
-	Priority int            `cbor:"priority"`
+	// TargetVersion is the version of the engines that can serve the requests, or empty.
+	TargetVersion target.Version `cbor:"target-version,omitempty"`
+	Waiting       int            `cbor:"waiting"`
+	OnTime        int            `cbor:"on-time"`
+	Priority      int            `cbor:"priority"`
 }
 
 // wireRenew asks another host to renew a lease in the store.
@@ -239,15 +239,16 @@
 	Revision int64          `cbor:"9,keyasint"`
 	// Models are the models that the engine registered. A wireEngine of the
 	// same target takes precedence.
-	Models  []wireResident `cbor:"10,keyasint"`
-	Release target.Version `cbor:"11,keyasint,omitempty"`
+	Models []wireResident `cbor:"10,keyasint"`
+	// TargetVersion is the version of the target's software.
+	TargetVersion target.Version `cbor:"11,keyasint,omitempty"`
 }
 
 func newWireTarget(t roster.Target) wireTarget {
 	return wireTarget{
 		ID: t.ID, Start: t.Start, Pool: t.Pool, Address: t.Address, Domain: t.Domain,
 		Slots: t.Slots, Draining: t.Draining, Revision: t.Revision, Models: newWireResidents(t.Holdings),
-		Release: t.Version,
+		TargetVersion: t.Version,
 	}
 }
 
@@ -255,7 +256,7 @@
 	return roster.Target{
 		ID: w.ID, Start: w.Start, Pool: w.Pool, Address: w.Address, Domain: w.Domain,
 		Slots: w.Slots, Draining: w.Draining, Revision: w.Revision, Holdings: roster.Holdings{Models: residents(w.Models)},
-		Version: w.Release,
+		Version: w.TargetVersion,
 	}
 }
 
@@ -263,7 +264,7 @@
 // revisions, versions and models.
 func (w wireTarget) sameRegistration(other wireTarget) bool {
 	return w.ID == other.ID && w.Start == other.Start && w.Pool == other.Pool && w.Address == other.Address &&
-		w.Domain == other.Domain && w.Slots == other.Slots && w.Draining == other.Draining && w.Release == other.Release
+		w.Domain == other.Domain && w.Slots == other.Slots && w.Draining == other.Draining && w.TargetVersion == other.TargetVersion
 }
 
 // wireForecast is when a model that only the weight store has is expected to be loaded.
--- a/detour/dialer.go
+++ b/detour/dialer.go
@@ -89,7 +89,9 @@
 				go discard(results, pending)
 				return r.conn, nil
 			}
-			if !r.detour {
+			if r.detour {
+				d.log.Debug("detour: target not reached through another host", "address", address, "error", r.err)
+			} else {
 				directErr = r.err
 				if start != nil && ctx.Err() == nil {
 					detour()
--- a/detour/tunnel.go
+++ b/detour/tunnel.go
@@ -179,9 +179,6 @@
 	return trace.Wrap(ws.Write(ctx, websocket.MessageBinary, append([]byte{kindNotice}, body...)))
 }
 
-// Through returns the host through which the connection leads.
-func (c *Conn) Through() fleet.Member { return c.through }
-
 // Close implements net.Conn. It makes the other host reset its connection to the target.
 func (c *Conn) Close() error {
 	c.cancel()
