--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -208,46 +208,41 @@
 	}
 }
 
-// Running reports whether the process runs.
-func (h *Host) Running() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.process != nil
-}
-
-// Starts returns how often the host was started.
-func (h *Host) Starts() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.starts
-}
-
 // Restart stops the process as the platform does, with SIGTERM, and with SIGKILL after the
 // grace. It then starts the host again.
 func (h *Host) Restart() error {
-	h.stop(syscall.SIGTERM, Grace)
+	h.stop()
 	time.Sleep(restartDelay)
 	return h.Start(false)
 }
 
 // Kill ends the process at once.
-func (h *Host) Kill() { h.stop(syscall.SIGKILL, 0) }
+func (h *Host) Kill() {
+	if exited, running := h.running(); running {
+		h.Signal(syscall.SIGKILL)
+		<-exited
+	}
+}
 
-func (h *Host) stop(s syscall.Signal, grace time.Duration) {
-	h.mu.Lock()
-	exited, running := h.exited, h.process != nil
-	h.mu.Unlock()
+// stop sends SIGTERM, and SIGKILL after the grace.
+func (h *Host) stop() {
+	exited, running := h.running()
 	if !running {
 		return
 	}
-	h.Signal(s)
+	h.Signal(syscall.SIGTERM)
 	select {
 	case <-exited:
-		return
-	case <-time.After(grace):
+	case <-time.After(Grace):
+		h.Kill()
 	}
-	h.Signal(syscall.SIGKILL)
-	<-exited
+}
+
+// running returns the channel that is closed when the process ends, and whether it runs.
+func (h *Host) running() (exited <-chan struct{}, running bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.exited, h.process != nil
 }
 
 // Ready reports whether the host answers the platform's question that it is ready.
