--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+# With TROUBLE=0, the program leaves the disruption out.
+export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")/../.." || exit 2
 [[ -x target/review-3 && -x target/hawthornway ]] || exit 2
 exec target/review-3
