--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,9 @@
 // WithClock sets the clock.
 func WithClock(clock clockwork.Clock) Option { return func(g *gateway) { g.clock = clock } }
 
+// withBootClock sets the clock for times that include suspension.
+func withBootClock(clock boottime.Clock) Option { return func(g *gateway) { g.bootClock = clock } }
+
 // WithReload sets a channel that receives a signal when the settings may have
 // changed, and the function that reads them.
 func WithReload(changed <-chan os.Signal, load func() (platform.Settings, error)) Option {
@@ -114,6 +117,22 @@
 // New returns a new Gateway with its listeners bound. It fails if an address
 // can't be bound.
 func New(s platform.Settings, opts ...Option) (Gateway, error) {
+	g := newGateway(s, opts...)
+	self := fleet.Member{
+		Host:        s.Host,
+		Domain:      s.Domain,
+		Incarnation: fleet.Incarnation(g.clock.Now().UnixNano()),
+		PeerAddress: s.Listen.Peers,
+	}
+	g.buildComponents(self)
+	if err := g.listen(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return g, nil
+}
+
+// newGateway returns a host without components.
+func newGateway(s platform.Settings, opts ...Option) *gateway {
 	g := &gateway{
 		settings: s, clock: clockwork.NewRealClock(), bootClock: boottime.SystemClock{}, log: slog.Default(), catalogKnown: make(chan struct{}), newest: newNewestConfig(),
 		targetDial: tcp.Dialer{Timeout: exchange.DialTimeout}.DialContext,
@@ -127,17 +146,7 @@
 	g.freshness.clock = g.bootClock
 	g.freshness.setMaxAge(s.Bounds.MaxWithdrawalDelay - withdrawalMargin)
 	g.stopTimeoutNanos.Store(int64(s.Bounds.StopTimeout))
-	self := fleet.Member{
-		Host:        s.Host,
-		Domain:      s.Domain,
-		Incarnation: fleet.Incarnation(g.clock.Now().UnixNano()),
-		PeerAddress: s.Listen.Peers,
-	}
-	g.buildComponents(self)
-	if err := g.listen(); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return g, nil
+	return g
 }
 
 // withdrawalMargin is how much earlier than Bounds.MaxWithdrawalDelay a host
