exchange, relay: a repeated answer never counts for another attempt

Cause: a target that writes a refusal once more makes the copy arrive where the answer to the next attempt is expected. Answers name the caller's request only, and the next attempt of the same request was often made on the same connection. An answer that names no request was taken for any.

Now the attempts of one request are each made on a connection of their own, and an answer that names no request counts only on a connection that was opened for it. A connection is kept only after an answer that names its request.

Ruled out: closing the connection of each refusal, which opens a connection for each refusal of a full target; an ID for each attempt, which targets don't echo.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,15 +38,45 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether response headers belong to this request. A target
-	// may first send a late response to another request. If Matches is nil,
-	// every response matches.
-	Matches func(http.Header) bool
+	// Belonging tells whether response headers belong to this request. A target
+	// may first send a late response to another request. If Belonging is nil,
+	// every response is this request's own.
+	Belonging func(http.Header) Belonging
+	// Attempts, unless it is nil, holds the connections of earlier attempts of this request,
+	// and is shared by all of them.
+	Attempts *Attempts
 	// Chosen, unless it is nil, is called with whether the connection that the request is
 	// sent on leads through another host.
 	Chosen func(detour bool)
 }
 
+// Belonging is what the headers of a response tell of the request that it answers.
+type Belonging int
+
+const (
+	// Unnamed responses don't tell. They are taken for the answer to the first request on a
+	// connection only.
+	Unnamed Belonging = iota
+	// Own responses name the request.
+	Own
+	// Foreign responses name another request.
+	Foreign
+)
+
+// Attempts remembers the connections that the attempts of one request were made on. A target
+// may send an answer once more, and the copy names the same request, so that it would pass for
+// the answer to a later attempt on the same connection. The zero value has no attempts. It must
+// not be used concurrently.
+type Attempts struct{ conns []*conn }
+
+func (a *Attempts) add(c *conn) {
+	if a != nil {
+		a.conns = append(a.conns, c)
+	}
+}
+
+func (a *Attempts) include(c *conn) bool { return a != nil && slices.Contains(a.conns, c) }
+
 // Detour is a connection that leads through another host.
 type Detour interface {
 	net.Conn
@@ -136,23 +167,23 @@
 	keepAlive time.Duration
 }
 
-// takeIdle returns a reusable idle connection, or nil.
-func (c *client) takeIdle(address string, maxIdle MaxIdleTime) *conn {
+// takeIdle returns a reusable idle connection on which none of the attempts was made, or nil.
+func (c *client) takeIdle(address string, maxIdle MaxIdleTime, attempts *Attempts) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for {
-		list := c.idle[address]
-		if len(list) == 0 {
-			return nil
+	for i := len(c.idle[address]) - 1; i >= 0; i-- {
+		candidate := c.idle[address][i]
+		if attempts.include(candidate) {
+			continue
 		}
-		last := list[len(list)-1]
-		c.idle[address] = list[:len(list)-1]
-		age := c.clock.Since(last.idleSince)
-		if age < min(last.keepAlive, time.Duration(maxIdle)) && last.reader.Buffered() == 0 && isReusable(last.Conn) {
-			return last
+		c.idle[address] = slices.Delete(c.idle[address], i, i+1)
+		age := c.clock.Since(candidate.idleSince)
+		if age < min(candidate.keepAlive, time.Duration(maxIdle)) && candidate.reader.Buffered() == 0 && isReusable(candidate.Conn) {
+			return candidate
 		}
-		_ = last.Close() // no request is in progress
+		_ = candidate.Close() // no request is in progress
 	}
+	return nil
 }
 
 // putIdle keeps a connection for later requests.
--- a/exchange/client_test.go
+++ b/exchange/client_test.go
@@ -95,7 +95,21 @@
 func request(id string) exchange.Request {
 	return exchange.Request{
 		Method: http.MethodPost, URI: "/a%2Fb?c", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+		Belonging: ownIf("X-Id", id),
+	}
+}
+
+// ownIf tells that responses belong to the request that a header names.
+func ownIf(header, id string) func(http.Header) exchange.Belonging {
+	return func(h http.Header) exchange.Belonging {
+		switch h.Get(header) {
+		case "":
+			return exchange.Unnamed
+		case id:
+			return exchange.Own
+		default:
+			return exchange.Foreign
+		}
 	}
 }
 
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -14,14 +14,16 @@
 
 // Do implements Client.
 func (c *client) Do(ctx context.Context, address string, req Request, maxIdle MaxIdleTime) (*Response, error) {
-	conn := c.takeIdle(address, maxIdle)
-	if conn == nil {
+	conn := c.takeIdle(address, maxIdle, req.Attempts)
+	fresh := conn == nil
+	if fresh {
 		newConn, err := c.openConn(ctx, address)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 		conn = newConn
 	}
+	req.Attempts.add(conn)
 	if req.Chosen != nil {
 		_, detour := conn.Conn.(Detour)
 		req.Chosen(detour)
@@ -29,7 +31,7 @@
 	// Closing the connection of a cancelled request stops the target's work on it.
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	writeResult := c.writeRequest(conn, req)
-	resp, err := c.readResponse(conn, req)
+	resp, err := c.readResponse(conn, req, fresh)
 	if err != nil {
 		stopCancel()
 		_ = conn.Close() // has failed already
@@ -76,18 +78,29 @@
 // reused.
 const maxSkippedBytes = 64 << 10
 
-var errStrayResponses = errors.New("answers on the connection belong to other requests")
+var (
+	errStrayResponses  = errors.New("answers on the connection belong to other requests")
+	errUnnamedResponse = errors.New("answer on a connection that was used before doesn't say which request it belongs to")
+)
 
-// readResponse reads the headers of the response to the request.
-func (c *client) readResponse(conn *conn, req Request) (*Response, error) {
+// readResponse reads the headers of the response to the request. Fresh is set if the
+// connection was opened for it.
+func (c *client) readResponse(conn *conn, req Request, fresh bool) (*Response, error) {
 	httpRequest := &http.Request{Method: req.Method}
 	for range maxStrayResponses + 1 {
 		response, err := readFinalResponse(conn, httpRequest)
 		if err != nil {
 			return nil, err
 		}
-		if req.Matches == nil || req.Matches(response.Header) {
-			return &Response{Status: response.StatusCode, Header: response.Header, client: c, conn: conn, response: response}, nil
+		belonging := Own
+		if req.Belonging != nil {
+			belonging = req.Belonging(response.Header)
+		}
+		switch {
+		case belonging == Own || belonging == Unnamed && fresh:
+			return &Response{Status: response.StatusCode, Header: response.Header, client: c, conn: conn, response: response, named: belonging == Own}, nil
+		case belonging == Unnamed:
+			return nil, errUnnamedResponse
 		}
 		switch _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); err {
 		case io.EOF:
@@ -126,6 +139,9 @@
 	stopCancel   func() bool
 	writeResult  <-chan error
 	bodyComplete bool
+	// named is set if the response names its request, so that a copy of it can't be taken
+	// for the answer to another one.
+	named bool
 }
 
 // Read reads the body. It returns io.EOF only after a complete body.
@@ -158,11 +174,11 @@
 }
 
 // Close ends the exchange. The connection is kept if the response was read to
-// its end and both sides support reuse. Otherwise it is closed, which cancels a
-// request in progress.
+// its end, names its request, and both sides support reuse. Otherwise it is closed, which
+// cancels a request in progress.
 func (r *Response) Close() {
 	cancelled := !r.stopCancel()
-	if cancelled || !r.bodyComplete || r.response.Close || !r.Delimited() || r.conn.reader.Buffered() > 0 || !r.requestWritten() {
+	if cancelled || !r.named || !r.bodyComplete || r.response.Close || !r.Delimited() || r.conn.reader.Buffered() > 0 || !r.requestWritten() {
 		_ = r.conn.Close() // discards the rest of the response
 		return
 	}
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -75,7 +75,7 @@
 			for i := range 2 {
 				_, err := client.Do(ctx, "10.0.0.1:1", exchange.Request{
 					Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{},
-					Matches: func(h http.Header) bool { return h.Get("Id") == "1" },
+					Belonging: ownIf("Id", "1"),
 				}, exchange.MaxIdleTime(time.Minute))
 				must.ErrorIs(t, err, exchange.ErrNoResponse)
 				must.NoError(t, ctx.Err())
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -386,6 +386,7 @@
 	// possibleRuns counts the attempts in which the target may have run the
 	// request.
 	attempts, possibleRuns int
+	connections            exchange.Attempts
 	// reachedTarget is set once an attempt has reached a target, and mayHaveRun
 	// once a target may have run the request.
 	reachedTarget, mayHaveRun bool
@@ -420,9 +421,10 @@
 			Priority:    priority,
 			LastEventID: d.lastEventID,
 		}),
-		Body:    f.req.Body,
-		Matches: func(h http.Header) bool { return r.dialect.IsResponseTo(f.req, h) },
-		Chosen:  w.detour.Store,
+		Body:      f.req.Body,
+		Belonging: func(h http.Header) exchange.Belonging { return r.dialect.Belonging(f.req, h) },
+		Attempts:  &d.connections,
+		Chosen:    w.detour.Store,
 	}, maxIdle)
 	if err != nil {
 		if errors.Is(err, exchange.ErrNotSent) {
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -17,6 +17,7 @@
 	"github.com/shoenig/test/must"
 
 	"hawthornway/catalog"
+	"hawthornway/exchange"
 	"hawthornway/outcome"
 	"hawthornway/pace"
 	"hawthornway/quarantine"
@@ -58,8 +59,15 @@
 	return h
 }
 
-func (dialect) IsResponseTo(req relay.Request, header http.Header) bool {
-	return header.Get("Id") == string(req.ID)
+func (dialect) Belonging(req relay.Request, header http.Header) exchange.Belonging {
+	switch header.Get("Id") {
+	case "":
+		return exchange.Unnamed
+	case string(req.ID):
+		return exchange.Own
+	default:
+		return exchange.Foreign
+	}
 }
 
 func (dialect) ParseResponse(_ target.ID, _ int, header http.Header) relay.ResponseInfo {
--- a/relay/request.go
+++ b/relay/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornway/catalog"
+	"hawthornway/exchange"
 	"hawthornway/model"
 	"hawthornway/outcome"
 	"hawthornway/pace"
@@ -120,9 +121,8 @@
 	ParseRequest(r *http.Request) (Request, error)
 	// TargetHeader returns the headers to send to a target.
 	TargetHeader(req Request, attempt Attempt) http.Header
-	// IsResponseTo reports whether a response with these headers belongs to the
-	// request.
-	IsResponseTo(req Request, header http.Header) bool
+	// Belonging tells whether a response with these headers belongs to the request.
+	Belonging(req Request, header http.Header) exchange.Belonging
 	// ParseResponse reads the response headers of a target.
 	ParseResponse(id target.ID, status int, header http.Header) ResponseInfo
 	// CallerHeader returns the headers of a target's response that the caller
