lineage: a host that is out of step doesn't guess the versions of streams

Cause: a stream without a record counts as one of the only version that the host knows, also if the records couldn't be read, and however old the host's list of targets is. A host that is cut off or stands still for some seconds doesn't know of the new version.

Now the conclusion needs a read of the records and targets that are complete as of a moment ago; otherwise the take-up waits for up to a second and is refused with a time to return.

Price: take-ups of unrecorded streams are refused while the store is away.

Ruled out: asking other hosts, which may be out of step too; a fixed age, which doesn't fit fleets that report less often.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -247,6 +247,9 @@
 	return reportInterval(c.hosts)
 }
 
+// ReportInterval returns the interval between this host's reports.
+func (c *Client) ReportInterval() time.Duration { return reportInterval(c.Hosts()) }
+
 // reportInterval returns the interval between a host's reports in a fleet of the
 // given size.
 func reportInterval(hosts int) time.Duration {
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"hawthornway/boottime"
+	"hawthornway/platform"
+	"hawthornway/roster"
 )
 
 // freshness tracks whether the configuration was confirmed recently enough.
@@ -35,3 +37,19 @@
 	at := f.confirmedAt.Load()
 	return at != 0 && f.clock.Now().Sub(boottime.Instant(at)) < f.maxAge()
 }
+
+// serviceVersions are the versions of the targets in service, for a lineage.Book.
+type serviceVersions struct {
+	*roster.Roster
+	// age returns the time since the targets were last known to be complete, and maxAge the
+	// age that it has at most while the store is followed, mostly.
+	age, maxAge func() time.Duration
+}
+
+// Complete implements lineage.Versions.
+func (v serviceVersions) Complete() bool { return v.age() <= v.maxAge() }
+
+// relayedStateAge returns the age that the relayed state of the store mostly has at most.
+func (g *gateway) relayedStateAge() time.Duration {
+	return platform.WatchWait(g.settings.Bounds.MaxWithdrawalDelay) + g.coordinatorClient.ReportInterval()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -219,7 +219,7 @@
 			return leads
 		}),
 		platform.WithRandom(rand.Float64))
-	g.lineage = lineage.NewBook(platform.NewStreamArchive(g.store, self, g.clock, g.log), g.roster, g.clock, g.log)
+	g.lineage = lineage.NewBook(platform.NewStreamArchive(g.store, self, g.clock, g.log), serviceVersions{g.roster, g.freshness.age, g.relayedStateAge}, g.clock, g.log)
 	g.relay = relay.New(
 		relay.WithDialect(platform.Dialect{}),
 		relay.WithCatalog(g.catalog.Load),
--- a/lineage/book.go
+++ b/lineage/book.go
@@ -77,6 +77,9 @@
 	Versions() map[target.Pool][]target.Version
 	// VersionsChanged returns a channel that is closed at the next change of the versions.
 	VersionsChanged() <-chan struct{}
+	// Complete reports whether the versions are those of a moment ago. Otherwise targets of
+	// another version may have joined since, whose streams other hosts have begun.
+	Complete() bool
 }
 
 // The timing of a Book.
@@ -389,31 +392,36 @@
 
 // Origin returns the build at which a stream began. It reads the archive unless this host
 // knows the stream. One that no host has recorded began while the given pool had a single
-// version.
+// version, if this host knows of all.
 func (b *Book) Origin(ctx context.Context, pool target.Pool, id StreamID) Origin {
 	s := StreamOf(id)
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	build, known, err := b.find(ctx, s)
-	for err != nil && b.sleep(ctx, readRetryDelay) {
-		build, known, err = b.find(ctx, s)
-	}
-	if known {
-		return Known{build}
+	for {
+		build, known, err := b.find(ctx, s)
+		switch {
+		case known:
+			return Known{build}
+		case err == nil && b.versions.Complete():
+			return b.unrecorded(pool)
+		}
+		if !b.sleep(ctx, readRetryDelay) {
+			b.log.Warn("lineage: versions of streams not read, or those in service not known", "request", id, "error", err)
+			return Unavailable{}
+		}
 	}
+}
+
+// unrecorded returns the origin of a stream that no host has recorded.
+func (b *Book) unrecorded(pool target.Pool) Origin {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.observe(b.clock.Now())
-	versions := b.recent(pool, b.clock.Now())
-	switch {
-	case len(versions) == 1 && b.complete > 0:
+	now := b.clock.Now()
+	b.observe(now)
+	if versions := b.recent(pool, now); len(versions) == 1 {
 		return Known{Build{pool, versions[0]}}
-	case err != nil:
-		b.log.Warn("lineage: versions of streams not read", "request", id, "error", err)
-		return Unavailable{}
-	default:
-		return Unknown{}
 	}
+	return Unknown{}
 }
 
 // find looks a stream up in memory and, unless it is there, in the archive as of now.
--- a/lineage/book_test.go
+++ b/lineage/book_test.go
@@ -24,14 +24,15 @@
 type shelf struct {
 	mu    sync.Mutex
 	pages map[string]map[lineage.PageNumber]lineage.Page
-	// down makes all calls fail, and lost the next write of each host.
+	// down makes all calls fail, cut those of some hosts, and lost the next write of each host.
 	down          bool
+	cut           map[string]bool
 	lost          map[string]bool
 	writes, reads int
 }
 
 func newShelf() *shelf {
-	return &shelf{pages: map[string]map[lineage.PageNumber]lineage.Page{}, lost: map[string]bool{}}
+	return &shelf{pages: map[string]map[lineage.PageNumber]lineage.Page{}, cut: map[string]bool{}, lost: map[string]bool{}}
 }
 
 // archive is a shelf as one start of a host sees it.
@@ -51,7 +52,7 @@
 	defer a.shelf.mu.Unlock()
 	a.shelf.writes++
 	switch {
-	case a.shelf.down:
+	case a.shelf.down || a.shelf.cut[a.host]:
 		return errDown
 	case a.shelf.lost[a.host]:
 		delete(a.shelf.lost, a.host)
@@ -72,7 +73,7 @@
 	a.shelf.mu.Lock()
 	defer a.shelf.mu.Unlock()
 	a.shelf.reads++
-	if a.shelf.down {
+	if a.shelf.down || a.shelf.cut[a.host] {
 		return nil, errDown
 	}
 	var pages []lineage.Page
@@ -88,6 +89,13 @@
 	s.down = down
 }
 
+// setCut cuts a host off from the archive.
+func (s *shelf) setCut(host string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[host] = cut
+}
+
 // losePages makes the archive lose a host's pages with its next write.
 func (s *shelf) losePages(host string) {
 	s.mu.Lock()
@@ -99,7 +107,9 @@
 type service struct {
 	mu       sync.Mutex
 	versions []target.Version
-	changed  chan struct{}
+	// outOfStep is set while the host isn't told of changes.
+	outOfStep bool
+	changed   chan struct{}
 }
 
 func newService(versions ...target.Version) *service {
@@ -126,6 +136,19 @@
 	return s.changed
 }
 
+func (s *service) setOutOfStep(outOfStep bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outOfStep = outOfStep
+}
+
+// Complete implements lineage.Versions.
+func (s *service) Complete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.outOfStep
+}
+
 // startBook starts a host's book. The returned function ends it, with all that it knows.
 func startBook(t *testing.T, shelf *shelf, service *service, host string) (book *lineage.Book, kill func()) {
 	t.Helper()
@@ -223,6 +246,53 @@
 	}
 }
 
+// Guards against a host that is out of step for some seconds as targets of another version
+// join, and takes their streams for those of the only version that it knows.
+func TestHostOutOfStepDoesNotGuessVersions(t *testing.T) {
+	cases := []struct {
+		name string
+		// during plays while the host is out of step, and back as it is asked, which may
+		// take a second.
+		during, back func(own *service, sh *shelf)
+		want         lineage.Origin
+	}{
+		{"cut off from the archive", func(_ *service, sh *shelf) { sh.setCut("out", true) }, func(*service, *shelf) {}, lineage.Unavailable{}},
+		{"other hosts cut off from the archive", func(_ *service, sh *shelf) { sh.setCut("in", true) }, func(*service, *shelf) {}, lineage.Unavailable{}},
+		{"told a moment later", func(_ *service, sh *shelf) { sh.setCut("in", true) }, func(own *service, _ *shelf) {
+			time.Sleep(500 * time.Millisecond)
+			own.set("v1", "v2")
+			own.setOutOfStep(false)
+		}, lineage.Unknown{}},
+		{"back and told a moment later", func(_ *service, sh *shelf) { sh.setCut("out", true) }, func(own *service, sh *shelf) {
+			time.Sleep(500 * time.Millisecond)
+			sh.setCut("out", false)
+			own.set("v1", "v2")
+			own.setOutOfStep(false)
+		}, known("v2")},
+		{"in step", func(own *service, _ *shelf) { own.setOutOfStep(false) }, func(*service, *shelf) {}, known("v2")},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				shelf, inStep, outOfStep := newShelf(), newService("v1"), newService("v1")
+				book, kill := startBook(t, shelf, inStep, "in")
+				defer kill()
+				out, killOut := startBook(t, shelf, outOfStep, "out")
+				defer killOut()
+				time.Sleep(5 * time.Second)
+				outOfStep.setOutOfStep(true)
+				tc.during(outOfStep, shelf)
+				inStep.set("v1", "v2")
+				book.Began("stream", lineage.Build{Pool: "p", Version: "v2"})
+				time.Sleep(3 * time.Second)
+				go tc.back(outOfStep, shelf)
+				must.Eq(t, tc.want, out.Origin(t.Context(), "p", "stream"))
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // Guards against records that nobody needs: the store is paid for by the call.
 func TestSingleVersionIsNotArchived(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -281,21 +351,31 @@
 	const hosts, steps = 4, 120
 	random := rand.New(rand.NewPCG(seed, 1))
 	var log []string
-	shelf, service := newShelf(), newService("v1")
+	shelf, serving := newShelf(), []target.Version{"v1"}
 	defer func() {
 		if t.Failed() {
 			t.Log(log)
 		}
 	}()
-	books, kills := make([]*lineage.Book, hosts), make([]func(), hosts)
+	books, kills, services := make([]*lineage.Book, hosts), make([]func(), hosts), make([]*service, hosts)
 	starts := 0
 	start := func(i int) {
 		starts++
-		books[i], kills[i] = startBook(t, shelf, service, fmt.Sprint(i, "-", starts))
+		books[i], kills[i] = startBook(t, shelf, services[i], fmt.Sprint(i, "-", starts))
 	}
 	for i := range hosts {
+		services[i] = newService(serving...)
 		start(i)
 	}
+	// release changes the versions that serve, of which hosts out of step aren't told.
+	release := func(versions []target.Version) {
+		serving = versions
+		for _, s := range services {
+			if s.Complete() {
+				s.set(versions...)
+			}
+		}
+	}
 	defer func() {
 		for _, kill := range kills {
 			kill()
@@ -305,19 +385,18 @@
 	newest, down := 1, false
 	for step := range steps {
 		time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
-		serving := service.Versions()["p"]
 		log = append(log, fmt.Sprint("\n", step, " ", serving, " down ", down, " starts ", starts))
-		switch random.IntN(12) {
+		switch random.IntN(13) {
 		case 0: // a release begins
 			if down {
 				continue // hosts learn of targets from the same store
 			}
 			newest++
-			service.set(append(slices.Clone(serving), target.Version(fmt.Sprint("v", newest)))...)
+			release(append(slices.Clone(serving), target.Version(fmt.Sprint("v", newest))))
 		case 1: // a version leaves
 			if len(serving) > 1 && !down {
 				i := random.IntN(len(serving))
-				service.set(slices.Delete(slices.Clone(serving), i, i+1)...)
+				release(slices.Delete(slices.Clone(serving), i, i+1))
 			}
 		case 2: // a host is killed
 			i := random.IntN(hosts)
@@ -331,10 +410,18 @@
 		case 4:
 			down = !down
 			shelf.setDown(down)
+		case 12: // a host falls out of step, or is told of all changes again
+			s := services[random.IntN(hosts)]
+			s.setOutOfStep(s.Complete())
+			if s.Complete() {
+				s.set(serving...)
+			}
 		case 5, 6, 7, 8: // streams begin
 			for n := range 1 + random.IntN(5) {
-				s := begun{lineage.StreamID(fmt.Sprint(step, "-", n)), serving[random.IntN(len(serving))], time.Now()}
-				books[random.IntN(hosts)].Began(s.id, lineage.Build{Pool: "p", Version: s.version})
+				i := random.IntN(hosts)
+				known := services[i].Versions()["p"]
+				s := begun{lineage.StreamID(fmt.Sprint(step, "-", n)), known[random.IntN(len(known))], time.Now()}
+				books[i].Began(s.id, lineage.Build{Pool: "p", Version: s.version})
 				streams = append(streams, s)
 			}
 		default: // a stream is taken up
