quota: hosts without a ledger stay within the limit with long requests too

Cause: a reserve held a whole request at least and was full at first, also after idle time in which the ledger had lent the same tokens: with eight hosts, eight requests.

Now a reserve starts with the host's part of what the users concede, grows only while there is no ledger, and is overdrawn at random where requests are short enough for the deviations to stay within the concession. Grants name the three bounds; hosts of older builds ignore them, and without them a host spends nothing ahead.

Tried and dropped: returning what a reserve has gained and not spent to the next ledger, which counts it twice while the former one still lends.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -440,7 +440,7 @@
 	if err != nil {
 		return quota.Grant{}, trace.Wrap(err)
 	}
-	return quota.Grant{Tokens: grant.Tokens, Wait: time.Duration(grant.Wait) * time.Millisecond, ReserveShare: grant.ReserveShare, MaxCached: grant.MaxCached}, nil
+	return quota.Grant{Tokens: grant.Tokens, Wait: time.Duration(grant.Wait) * time.Millisecond, ReserveShare: grant.ReserveShare, ReserveStart: grant.ReserveStart, MaxReserve: grant.MaxReserve, MaxOverdraft: grant.MaxOverdraft, MaxCached: grant.MaxCached}, nil
 }
 
 // Hosts returns the number of hosts that the coordinator last announced.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -356,5 +356,5 @@
 		Need: request.Need, MaxWait: time.Duration(request.MaxWait) * time.Millisecond, Queued: request.Queued,
 		Extra: request.Extra, ReserveSpent: request.ReserveSpent, Returned: request.Returned,
 	})
-	return wireGrant{Tokens: grant.Tokens, Wait: grant.Wait.Milliseconds(), ReserveShare: grant.ReserveShare, MaxCached: grant.MaxCached}, nil
+	return wireGrant{Tokens: grant.Tokens, Wait: grant.Wait.Milliseconds(), ReserveShare: grant.ReserveShare, ReserveStart: grant.ReserveStart, MaxReserve: grant.MaxReserve, MaxOverdraft: grant.MaxOverdraft, MaxCached: grant.MaxCached}, nil
 }
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -42,8 +42,12 @@
 type wireGrant struct {
 	Tokens team.Tokens `cbor:"granted"`
 	// Wait is the time in milliseconds until tokens are available if none were granted.
-	Wait         int64       `cbor:"wait-ms"`
-	ReserveShare float64     `cbor:"aside"`
+	Wait         int64   `cbor:"wait-ms"`
+	ReserveShare float64 `cbor:"aside"`
+	// ReserveStart, MaxReserve and MaxOverdraft are missing in grants of older builds.
+	ReserveStart team.Tokens `cbor:"reserve-start"`
+	MaxReserve   team.Tokens `cbor:"reserve-max"`
+	MaxOverdraft team.Tokens `cbor:"reserve-overdraft"`
 	MaxCached    team.Tokens `cbor:"keep"`
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -226,7 +226,7 @@
 		relay.WithCatalogKnown(g.catalogKnown),
 		relay.WithKeysConfirmed(g.freshness.current),
 		relay.WithConfigState(g.known.state),
-		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime)),
+		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime, quota.WithRandom(rand.Float64))),
 		relay.WithPlacer(g.placer),
 		relay.WithProber(newProber(g.dialTarget, platform.WithLeaving(g.targetLeaves))),
 		relay.WithClient(g.targetClient),
--- a/quota/cache.go
+++ b/quota/cache.go
@@ -30,11 +30,10 @@
 	// minBorrowInterval is the minimum time between two borrow requests of a waiting
 	// request.
 	minBorrowInterval = 10 * time.Millisecond
-	// reserveBurst is the time for which the reserve accumulates.
-	reserveBurst = 500 * time.Millisecond
-	// minReserveRequests is the number of requests for which the reserve can always
-	// accumulate, so that a host with a small share can eventually serve large requests.
-	minReserveRequests = 1
+	// reserveRecovery is the time in which the part of a reserve that may be spent at once is
+	// there again. It is longer than the windows of the users' bounds, so that a series of
+	// lost ledgers doesn't multiply it.
+	reserveRecovery = 30 * time.Second
 	// unavailableRetryDelay is the retry delay for callers of a host that can't reach the
 	// ledger. Another host is likely to take the next connection.
 	unavailableRetryDelay = 300 * time.Millisecond
@@ -50,6 +49,8 @@
 	clock        clockwork.Clock
 	lender       Lender
 	takeoverTime time.Duration
+	// random returns numbers from zero to one.
+	random func() float64
 	// background runs a function without waiting for it.
 	background func(func())
 	// probing is set while probeLedger asks the ledger.
@@ -75,12 +76,20 @@
 }
 
 // reserve is a token bucket for what this host may spend of a team's rate without the
-// ledger.
+// ledger. It grows by that part of the rate only while there is no ledger, which would lend it
+// to others.
 type reserve struct {
 	level     float64
 	updatedAt time.Time
-	// share is the fraction of the team's rate that the ledger last assigned.
-	share float64
+	// share is the fraction of the team's rate that the ledger last assigned, start the level
+	// that the reserve recovers to while there is a ledger, and most its highest level.
+	share       float64
+	start, most float64
+	// overdraft is the length of the longest requests that may overdraw the reserve. One may
+	// once the level is the part of its tokens that was drawn, so that all hosts together
+	// spend what they have, although few of them have enough for a whole request.
+	overdraft team.Tokens
+	drawn     float64
 	// spent is what hasn't been reported to the ledger.
 	spent team.Tokens
 }
@@ -94,12 +103,18 @@
 	return func(c *TokenCache) { c.background = run }
 }
 
+// WithRandom sets the source of random numbers from zero to one. Without it, the reserve isn't
+// overdrawn.
+func WithRandom(random func() float64) TokenCacheOption {
+	return func(c *TokenCache) { c.random = random }
+}
+
 // NewTokenCache returns a new TokenCache that borrows from a lender. Requests wait for
 // the ledger up to takeoverTime after it became unavailable, since the next coordinator
 // may be about to take over.
 func NewTokenCache(lender Lender, clock clockwork.Clock, takeoverTime time.Duration, opts ...TokenCacheOption) *TokenCache {
 	c := &TokenCache{
-		clock: clock, lender: lender, takeoverTime: takeoverTime, background: func(f func()) { go f() }, cached: map[team.ID]team.Tokens{}, maxCached: map[team.ID]team.Tokens{},
+		clock: clock, lender: lender, takeoverTime: takeoverTime, random: func() float64 { return 1 }, background: func(f func()) { go f() }, cached: map[team.ID]team.Tokens{}, maxCached: map[team.ID]team.Tokens{},
 		returned: map[team.ID]returnedTokens{}, reserves: map[team.ID]*reserve{},
 	}
 	for _, opt := range opts {
@@ -257,25 +272,48 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	grant, err := c.lender.Borrow(ctx, t.ID, request)
+	c.settle(t, request, grant, err)
+	return grant, err
+}
+
+// settle records the result of a call to the ledger.
+func (c *TokenCache) settle(t catalog.Team, request BorrowRequest, grant Grant, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.clock.Now()
 	if err != nil {
-		c.retryAt = c.clock.Now().Add(failedLedgerDelay)
+		c.retryAt = now.Add(failedLedgerDelay)
 		if c.lostAt.IsZero() {
-			c.lostAt = c.clock.Now()
+			c.lostAt = now
 		}
-		return grant, err
+		return
 	}
-	c.lostAt = time.Time{}
 	r, ok := c.reserves[t.ID]
 	if !ok {
-		r = &reserve{}
+		r = &reserve{level: float64(grant.ReserveStart), updatedAt: now, drawn: c.random()}
 		c.reserves[t.ID] = r
 	}
+	c.lostAt = time.Time{}
 	c.maxCached[t.ID] = grant.MaxCached
-	r.share = grant.ReserveShare
+	r.share, r.start, r.most, r.overdraft = grant.ReserveShare, float64(grant.ReserveStart), float64(grant.MaxReserve), grant.MaxOverdraft
+	r.recover(now)
 	r.spent -= request.ReserveSpent
-	return grant, nil
+}
+
+// recover brings a reserve up to date, while there was a ledger.
+func (r *reserve) recover(now time.Time) {
+	grown := r.start * min(1, now.Sub(r.updatedAt).Seconds()/reserveRecovery.Seconds())
+	r.level = min(r.start, r.level+grown)
+	r.updatedAt = now
+}
+
+// grow brings a reserve up to date of a team with a rate, whose ledger was lost at a time.
+func (r *reserve) grow(now, lostAt time.Time, rate team.TokensPerSecond) {
+	if r.updatedAt.Before(lostAt) {
+		r.recover(lostAt)
+	}
+	r.level = min(r.most, r.level+float64(rate)*r.share*now.Sub(r.updatedAt).Seconds())
+	r.updatedAt = now
 }
 
 // takeReserve takes tokens from this host's reserve, and reports whether it had them.
@@ -286,18 +324,16 @@
 	if !ok {
 		return false // the ledger has never assigned a reserve for this team
 	}
-	now := c.clock.Now()
-	rate := float64(t.Limit.Rate) * r.share
-	capacity := max(rate*reserveBurst.Seconds(), minReserveRequests*float64(tokens))
-	if r.updatedAt.IsZero() {
-		r.updatedAt, r.level = now, capacity
+	r.grow(c.clock.Now(), c.lostAt, t.Limit.Rate)
+	needed := float64(tokens)
+	if tokens <= r.overdraft {
+		needed *= r.drawn
 	}
-	r.level = min(capacity, r.level+rate*now.Sub(r.updatedAt).Seconds())
-	r.updatedAt = now
-	if r.level < float64(tokens) {
+	if r.level < needed {
 		return false
 	}
 	r.level -= float64(tokens)
+	r.drawn = c.random()
 	r.spent += tokens
 	return true
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -190,6 +190,12 @@
 	// ReserveShare is the fraction of the team's rate that the host may spend from its
 	// reserve while it can't reach the ledger.
 	ReserveShare float64
+	// ReserveStart is the part of the reserve that the host may spend as soon as it can't
+	// reach the ledger, and MaxReserve what it may save up from then on.
+	ReserveStart, MaxReserve team.Tokens
+	// MaxOverdraft is the length of the longest requests for which the host may overdraw its
+	// reserve.
+	MaxOverdraft team.Tokens
 	// MaxCached is the maximum number of tokens that the host may cache for later requests.
 	MaxCached team.Tokens
 }
@@ -225,7 +231,14 @@
 	l.hosts[host] = now
 	b, rate := l.refill(id, limit, now)
 	known, _ := l.countHosts(now)
-	grant := Grant{ReserveShare: TotalReserveShare * b.hostShare(host, known), MaxCached: l.tolerance.maxCached(limit, known)}
+	fraction := b.hostShare(host, known)
+	grant := Grant{
+		ReserveShare: TotalReserveShare * fraction,
+		ReserveStart: l.tolerance.reserveStart(limit, fraction),
+		MaxReserve:   l.tolerance.maxReserve(limit, fraction),
+		MaxOverdraft: l.tolerance.maxOverdraft(limit, known),
+		MaxCached:    l.tolerance.maxCached(limit, known),
+	}
 	b.settle(host, request)
 	b.level = min(float64(limit.Burst), b.level+float64(request.Returned))
 	extra = min(extra, grant.MaxCached)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -46,10 +46,13 @@
 	l.ledger = ledger
 }
 
-func (l *hostLender) restore() {
+func (l *hostLender) restore() { l.setCut(false) }
+
+// setCut cuts the host off from the ledger.
+func (l *hostLender) setCut(cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cut = false
+	l.cut = cut
 }
 
 func (l *hostLender) Borrow(_ context.Context, id team.ID, request quota.BorrowRequest) (quota.Grant, error) {
@@ -295,6 +298,17 @@
 	}
 }
 
+// The same bound applies to requests that are longer than what a host's part of the rate yields
+// in a takeover: each host could spend one that the ledger has lent to another.
+func TestLongRequestsStayWithinTheLimit(t *testing.T) {
+	for _, takeovers := range []bool{false, true} {
+		w := workload{limit: catalog.Limit{ByTokens: true, Rate: 1400, Burst: 1400}, maxRequest: 1200, minRequest: 600, hosts: 8, slack: 1100, takeovers: takeovers}
+		t.Run(fmt.Sprint("takeovers ", takeovers), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { checkWindows(t, w) })
+		})
+	}
+}
+
 // The same bound applies to a hundred hosts, each of which may cache tokens that its team
 // can spend at once: those borrowed ahead, and refunds of requests that did not run. One
 // team sends little for a while, and then several times its rate.
@@ -310,10 +324,10 @@
 	// requests give their tokens back.
 	bursts, refunds bool
 
-	limit      catalog.Limit
-	maxRequest int // tokens of a request
-	slack      team.Tokens
-	takeovers  bool
+	limit                  catalog.Limit
+	minRequest, maxRequest int // tokens of a request
+	slack                  team.Tokens
+	takeovers              bool
 }
 
 // minTerm is the minimum time between two coordinators: the lease of the first, and the
@@ -341,7 +355,7 @@
 	for i := range count {
 		lender := &hostLender{ledger: ledger, host: fleet.HostID(fmt.Sprint("host", i))}
 		lenders = append(lenders, lender)
-		caches = append(caches, quota.NewTokenCache(lender, clock, takeoverTime, quota.WithBackground(func(f func()) { f() })))
+		caches = append(caches, quota.NewTokenCache(lender, clock, takeoverTime, quota.WithRandom(rng.Float64), quota.WithBackground(func(f func()) { f() })))
 		ledger.Borrow(lender.host, "one", quota.BorrowRequest{Need: 1})
 	}
 	var spent []float64
@@ -384,7 +398,7 @@
 			if !lenders[i].cut {
 				ledger.RecordReport(lenders[i].host, count)
 			}
-			tokens := team.Tokens(rapid.IntRange(1, w.maxRequest).Draw(t, "tokens"))
+			tokens := team.Tokens(rapid.IntRange(max(1, w.minRequest), w.maxRequest).Draw(t, "tokens"))
 			// The context is cancelled, since waiting would need the clock to advance.
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel()
--- a/quota/tolerance.go
+++ b/quota/tolerance.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"hawthornway/catalog"
@@ -26,6 +27,46 @@
 // cache of a team's tokens: the team can spend it after its burst has been refilled.
 const cachedToleranceShare = 1.0 / 4
 
+// reserveToleranceShare is the fraction of the tolerance that all hosts together may spend as
+// soon as they lose the ledger.
+const reserveToleranceShare = 0.3
+
+// overdraftDeviations is the number of standard deviations by which the overdrafts of all hosts
+// may differ from their mean within overdraftToleranceShare of the tolerance.
+const (
+	overdraftDeviations     = 3
+	overdraftToleranceShare = 0.3
+)
+
+// reserveStart returns what a host that loses the ledger may spend at once, by the fraction of
+// all reserves that it has.
+func (t Tolerance) reserveStart(limit catalog.Limit, fraction float64) team.Tokens {
+	if t.Window == 0 {
+		return limit.Burst
+	}
+	return team.Tokens(reserveToleranceShare * t.extra(limit) * fraction)
+}
+
+// maxOverdraft returns the length of the longest requests for which a host may overdraw its
+// reserve at random, in tokens. Each host's overdraft deviates by half of a request at most.
+func (t Tolerance) maxOverdraft(limit catalog.Limit, hosts int) team.Tokens {
+	if t.Window == 0 {
+		return 0
+	}
+	deviations := overdraftDeviations * math.Sqrt(float64(max(1, hosts))) / 2
+	return team.Tokens(overdraftToleranceShare * t.extra(limit) / deviations)
+}
+
+// maxReserve returns what a host may save up while it has no ledger. All hosts may spend what
+// they have saved within a window in which their reserves go on growing.
+func (t Tolerance) maxReserve(limit catalog.Limit, fraction float64) team.Tokens {
+	if t.Window == 0 {
+		return limit.Burst
+	}
+	spare := (1-TotalReserveShare)*float64(limit.Rate)*t.Window.Seconds() + float64(limit.Burst)
+	return team.Tokens(spare * fraction)
+}
+
 // maxCached returns the maximum number of a team's tokens that each host may cache.
 func (t Tolerance) maxCached(limit catalog.Limit, hosts int) team.Tokens {
 	if t.Window == 0 {
