election, coordinator: full buckets in the store's first term only

Cause: each process of the first start began its own first term with full buckets, and forgot that only when it had led itself. Now the election says whether its term is the store's first, by the key that the first one writes.

Evidence: TestOnlyOneTermIsTheFirst.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -73,6 +73,8 @@
 	Term() (fence target.Fence, mayOrder, leads bool)
 	// OrderDelay returns the time until this host may give orders in its term, or zero.
 	OrderDelay() time.Duration
+	// FirstTerm reports whether no host has had a term before this host's present one.
+	FirstTerm() bool
 }
 
 // Coordinator manages the fleet while this host is the elected coordinator.
@@ -225,9 +227,8 @@
 	defer c.mu.Unlock()
 	c.reset()
 	opts := []quota.LedgerOption{quota.WithTolerance(c.bounds.LimitTolerance, election.LeaseMargin)}
-	if c.firstStart {
+	if c.terms.FirstTerm() {
 		opts = append(opts, quota.WithFullBuckets())
-		c.firstStart = false
 	} else {
 		c.lines = pace.NewSchedule(c.clock.Now().Add(pace.MaxWait), nil)
 	}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -290,6 +290,7 @@
 func (loneMesh) Learn(election.Leader)     {}
 func (loneMesh) Prefer(fleet.HostID)       {}
 func (loneMesh) OrderDelay() time.Duration { return 0 }
+func (loneMesh) FirstTerm() bool           { return false }
 
 func (loneMesh) Term() (target.Fence, bool, bool)                                         { return 1, true, true }
 func (loneMesh) UpdateTargets([]roster.Target, []target.ID, []target.ID, []roster.Bucket) {}
--- a/coordinator/large_fleet_test.go
+++ b/coordinator/large_fleet_test.go
@@ -35,6 +35,7 @@
 
 func (endlessTerm) Term() (target.Fence, bool, bool) { return 1, true, true }
 func (endlessTerm) OrderDelay() time.Duration        { return 0 }
+func (endlessTerm) FirstTerm() bool                  { return false }
 
 // newLargeCoordinator returns a coordinator with many engines, each published in a
 // version of its own.
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -17,15 +17,14 @@
 )
 
 type options struct {
-	self       fleet.Member
-	terms      Terms
-	mesh       peer.Mesh
-	roster     *roster.Roster
-	limits     *pace.Limits
-	catalogs   func() *catalog.Catalog
-	engineAPI  platform.Engines
-	bounds     platform.Bounds
-	firstStart bool
+	self      fleet.Member
+	terms     Terms
+	mesh      peer.Mesh
+	roster    *roster.Roster
+	limits    *pace.Limits
+	catalogs  func() *catalog.Catalog
+	engineAPI platform.Engines
+	bounds    platform.Bounds
 	// deliverLocal passes broadcast views to this host's own client.
 	deliverLocal func(wireView)
 	// confirmedAge returns the time since the store confirmed this host's configuration
@@ -76,10 +75,6 @@
 // WithBounds sets the limits that were agreed with the platform's users.
 func WithBounds(b platform.Bounds) Option { return func(o *options) { o.bounds = b } }
 
-// WithFirstStart sets whether this is the fleet's first start. The first ledger then
-// starts with full buckets, since no team has used any tokens yet.
-func WithFirstStart(first bool) Option { return func(o *options) { o.firstStart = first } }
-
 // WithConfirmedAge sets the function that returns the time since the store confirmed
 // this host's configuration and targets.
 func WithConfirmedAge(age func() time.Duration) Option {
--- a/coordinator/suspended_test.go
+++ b/coordinator/suspended_test.go
@@ -22,6 +22,7 @@
 
 func (t *changingTerms) Term() (target.Fence, bool, bool) { return t.fence, t.mayOrder, t.leads }
 func (*changingTerms) OrderDelay() time.Duration          { return 0 }
+func (*changingTerms) FirstTerm() bool                    { return false }
 
 // The coordinator's process is suspended during a plan and runs again after its lease has
 // ended. It must notice soon, tell hosts that it no longer leads, and give no orders in a
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -186,6 +186,7 @@
 func (noTerm) Term() (target.Fence, bool, bool) { return 0, false, false }
 
 func (noTerm) OrderDelay() time.Duration { return 0 }
+func (noTerm) FirstTerm() bool           { return false }
 
 // A view that follows a missed view must not advance the client's version, so that the
 // next report asks for the missing changes.
--- a/election/election.go
+++ b/election/election.go
@@ -140,6 +140,8 @@
 	// host may give the first order.
 	until      boottime.Instant
 	ordersFrom boottime.Instant
+	// first is set if no host has had a term before.
+	first bool
 }
 
 // Renewer renews leases.
@@ -316,6 +318,13 @@
 	return e.term.fence, !now.Before(e.term.ordersFrom), true
 }
 
+// FirstTerm reports whether this host has a term, and no host has had one before.
+func (e *Election) FirstTerm() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term != nil && e.term.first
+}
+
 // OrderDelay returns the time until this host may give the first order of its term.
 // It is zero if that time has passed or this host has no term.
 func (e *Election) OrderDelay() time.Duration {
@@ -450,7 +459,7 @@
 		return trace.Wrap(err)
 	}
 	now := e.bootClock.Now()
-	t := &term{lease: lease, fence: target.Fence(revision), until: sentAt.Add(leaseTTL - LeaseMargin), ordersFrom: orderTime(now)}
+	t := &term{lease: lease, fence: target.Fence(revision), until: sentAt.Add(leaseTTL - LeaseMargin), ordersFrom: orderTime(now), first: first}
 	e.mu.Lock()
 	e.term = t
 	e.mu.Unlock()
--- a/election/first_start_test.go
+++ b/election/first_start_test.go
@@ -44,6 +44,31 @@
 	}
 }
 
+// Guards against a ledger that grants each team's whole burst once more, because its host has
+// not led before: only the store's first term is the first.
+func TestOnlyOneTermIsTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		go s.expireAndNotify(t.Context())
+		hosts := start(t.Context(), s, threeHosts(), election.WithFirstStart())
+		firsts := 0
+		for range hosts {
+			time.Sleep(6 * time.Second)
+			for i, h := range hosts {
+				if _, _, leads := h.election.Term(); !leads {
+					continue
+				}
+				if h.election.FirstTerm() {
+					firsts++
+				}
+				h.stop()
+				hosts[i] = start(t.Context(), s, []fleet.HostID{h.name}, election.WithFirstStart())[0]
+			}
+		}
+		must.Eq(t, 1, firsts)
+	})
+}
+
 // From the first start on, hosts are cut off, stopped and started in any order. The
 // handover delay passes between the orders of two hosts, and one host leads in the end.
 func TestElectionFromFirstStartAtRandom(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,7 +194,6 @@
 		coordinator.WithNewerConfig(g.newerConfig),
 		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves), platform.WithEngineDial(g.dialEngine))),
 		coordinator.WithBounds(s.Bounds),
-		coordinator.WithFirstStart(s.FirstStart),
 		coordinator.WithConfirmedAge(g.freshness.age),
 		coordinator.WithConfigEntry(func() (keyvalue.Entry, bool) { return g.follower.ConfigEntry() }),
 		coordinator.WithReadRevision(func() keyvalue.Revision { return g.follower.ReadRevision() }),
