coordinator: hosts confirm a new term's targets only after comparing all of them

Cause: hosts connected to the new process before its term began. Its first broadcast lists all that it knows, and hosts took its version over, so that their next report asked for changes since then and had no digests. The new process never knew the target, and reports no removal. Answers to reports without digests, which hold nothing, also counted as a confirmation of all targets, and of the store's revision to resume from.

Now a host takes no version from the first broadcasts of a term; its next report has digests, and only an answer that leaves it with a version confirms anything.

--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -41,7 +41,8 @@
 func (c *Client) applyView(view wireView, sent boottime.Instant) {
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
-	if !c.applyEngines(view) || view.Fence == target.Fence(0) {
+	current, complete := c.applyEngines(view)
+	if !current || view.Fence == target.Fence(0) {
 		return
 	}
 	if view.Successor != "" {
@@ -54,7 +55,7 @@
 		changed, removed, all := c.newerTargets(view)
 		c.receiver.UpdateTargets(changed, removed, all, view.CompleteBuckets)
 	}
-	if !view.Answer || sent == 0 {
+	if !view.Answer || sent == 0 || !complete {
 		if !leads {
 			c.receiver.ConfirmCurrent(view.Config, 0, 0)
 		}
@@ -109,14 +110,16 @@
 	return c.boot.Now().Sub(c.confirmedAt), ok
 }
 
-// applyEngines applies a view's engines and coordinator state. It reports false if
-// the view is from a former coordinator. A view that leaves a gap to the known
-// version doesn't advance it, so that the answer to the next report fills the gap.
-func (c *Client) applyEngines(view wireView) bool {
+// applyEngines applies a view's engines and coordinator state. It reports whether the view is
+// of the newest coordinator, and whether this host has all changes up to its version. A view
+// that leaves a gap to the known version doesn't advance it, so that the answer to the next
+// report fills the gap. Nor does the first broadcast of a term: it lacks what the coordinator
+// never knew and this host still has, which only an answer to digests shows.
+func (c *Client) applyEngines(view wireView) (current, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if view.Fence < c.fence {
-		return false
+		return false, false
 	}
 	if view.Fence > c.fence {
 		c.fence, c.version = view.Fence, 0
@@ -125,7 +128,7 @@
 		c.forecasts = map[model.Name]time.Time{}
 		c.targetVersions = map[target.ID]uint64{}
 	}
-	gap := view.Since > c.version
+	gap := view.Since > c.version || c.version == 0 && !view.Answer
 	c.lastContact = c.clock.Now()
 	c.hosts = view.Hosts
 	c.ordersAllowedAt = c.lastContact.Add(time.Duration(view.OrdersIn) * time.Millisecond)
@@ -161,7 +164,7 @@
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
-	return true
+	return true, c.version > 0
 }
 
 // applyForecasts records forecasts, and drops those that have passed.
