memory, relay: what requests hold together is bounded

Cause: bodies are kept until the request ends, and were copied once more to be sent; nothing limited the bytes of all requests. The limit of the garbage collector doesn't hold for what is in use.

Now all requests share two fifths of the host's memory. One without room is refused before its body is read, with a time to return that follows how long requests hold theirs. Answers are buffered only while there is room. A body must arrive within its caller's time, or a caller that never finishes would hold memory for ever. Bodies are sent without a copy.

Ruled out: a limit on the number of requests, which the largest bodies would set for all; waiting for room.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,17 +57,18 @@
 		fmt.Fprintf(&message, "Content-Length: %d\r\n", len(req.Body))
 	}
 	message.WriteString("\r\n")
-	message.Write(req.Body)
 	done := make(chan error, 1)
-	write := func() {
+	if message.Len()+len(req.Body) <= maxInlineBytes {
+		message.Write(req.Body)
 		_, err := conn.Write(message.Bytes())
 		done <- err
+		return done
 	}
-	if message.Len() <= maxInlineBytes {
-		write()
-	} else {
-		go write()
-	}
+	go func() {
+		buffers := net.Buffers{message.Bytes(), req.Body} // the body isn't copied
+		_, err := buffers.WriteTo(conn.Conn)
+		done <- err
+	}()
 	return done
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"hawthornway/keyvalue"
 	"hawthornway/lineage"
 	"hawthornway/listener"
+	"hawthornway/memory"
 	"hawthornway/metric"
 	"hawthornway/pace"
 	"hawthornway/peer"
@@ -225,6 +226,7 @@
 		relay.WithCatalogKnown(g.catalogKnown),
 		relay.WithKeysConfirmed(g.freshness.current),
 		relay.WithConfigState(g.known.state),
+		relay.WithMemory(memory.NewBudget(memory.Bytes(requestMemoryShare*float64(s.MemoryLimit)), g.clock)),
 		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime, quota.WithRandom(rand.Float64))),
 		relay.WithPlacer(g.placer),
 		relay.WithProber(newProber(g.dialTarget, platform.WithLeaving(g.targetLeaves))),
@@ -239,6 +241,11 @@
 	)
 }
 
+// requestMemoryShare is the fraction of the host's memory that requests in progress may hold. The
+// rest is for the host's own state, for what the garbage collector has yet to free, and for
+// buffers of the kernel.
+const requestMemoryShare = 0.4
+
 // Hosts with less than minCoordinatorCores, if their share of cores is known,
 // stand for election weakHostElectionDelay later than others, since
 // coordinating a large fleet takes more of a core. In large fleets, the others
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -452,15 +452,15 @@
 	}
 }
 
-// maxBufferedBytes limits what is read of a response before it is passed on. A hundred
-// responses of this size take a tenth of the memory of a small host.
+// maxBufferedBytes limits what is read of a response before it is passed on, while there is
+// memory for it.
 const maxBufferedBytes = 256 << 10
 
 // relayBuffered passes a response on after reading all of it, so that another target can
 // be tried if it breaks off. A longer one is passed on as it arrives.
 func (d *dispatcher) relayBuffered(ctx context.Context, resp *exchange.Response, info ResponseInfo, w *watchdog) attemptResult {
 	r, f := d.relay, d.inflight
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
+	body, long, err := readResponse(resp, f.loan)
 	if err != nil {
 		return interrupted{err: err, abandoned: w.abandoned(ctx), silent: w.silent(ctx), began: true}
 	}
@@ -468,7 +468,6 @@
 	if !info.Signed {
 		return interrupted{err: fmt.Errorf("answer with status %d is unsigned", resp.Status)}
 	}
-	long := len(body) > maxBufferedBytes
 	if resp.Status >= http.StatusInternalServerError {
 		if long {
 			return interrupted{err: fmt.Errorf("answer with status %d exceeds the size limit", resp.Status)}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"hawthornway/catalog"
 	"hawthornway/exchange"
 	"hawthornway/lineage"
+	"hawthornway/memory"
 	"hawthornway/outcome"
 	"hawthornway/quarantine"
 	"hawthornway/retry"
@@ -37,6 +38,7 @@
 	catalogKnown   <-chan struct{}
 	keysConfirmed  func() bool
 	configState    func() ConfigState
+	memory         *memory.Budget
 	limiter        Limiter
 	placer         Placer
 	prober         Prober
@@ -191,6 +193,10 @@
 	return func(o *options) { o.configState = state }
 }
 
+// WithMemory sets the memory that all requests in progress may hold. Without it, there is no
+// limit.
+func WithMemory(budget *memory.Budget) Option { return func(o *options) { o.memory = budget } }
+
 // WithLimiter sets the limiter. Required.
 func WithLimiter(l Limiter) Option { return func(o *options) { o.limiter = l } }
 
@@ -268,6 +274,9 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
+	if o.memory == nil {
+		o.memory = memory.NewBudget(0, o.clock)
+	}
 	r := &Relay{options: o, startedAt: o.clock.Now()}
 	r.budgets = newPoolBudgets(func() retry.Budget { return o.newBudget(o.clock) })
 	r.steps = []step{r.readRequest, r.resolveRoute, r.authenticate, r.screen, r.findVersion, r.charge, r.dispatch}
@@ -291,6 +300,8 @@
 	received    time.Time
 	deadline    time.Time
 	refund      func()
+	// loan is the memory that the request holds.
+	loan *memory.Loan
 
 	// requestSuspect identifies the request when its caller sends it again.
 	requestSuspect quarantine.Suspect
@@ -318,6 +329,8 @@
 	f := &inflight{httpRequest: httpRequest, w: w, received: r.clock.Now(), avoid: map[target.ID]bool{}, refund: func() {}}
 	ctx := httpRequest.Context()
 	var result outcome.Outcome
+	f.loan, _ = r.memory.Take(0)
+	defer f.loan.Release()
 	for _, s := range r.steps {
 		if result = s(ctx, f); result != nil {
 			break
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"slices"
 	"time"
 
@@ -51,17 +48,8 @@
 	if r.configState() == ConfigOverdue {
 		return staleConfiguration
 	}
-	body := f.httpRequest.Body
-	if maxBytes := f.catalog.Bounds.BodyBytes; maxBytes > 0 {
-		body = http.MaxBytesReader(f.w, body, maxBytes)
-	}
-	f.req.Body, err = io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return outcome.NotRun{Reason: outcome.ReasonTooLarge, Detail: "the body is over the bound"}
-	case err != nil:
-		return outcome.NotRun{Reason: outcome.ReasonCallerLeft, Detail: "the body was not sent whole"}
+	if refusal := r.readBody(f); refusal != nil {
+		return refusal
 	}
 	f.requestSuspect = quarantine.RequestSuspect(f.req.Host, f.req.URI, string(f.req.Key), f.req.Body)
 	return nil
