relay: streams that go on are sent first

Now a stream of which the caller has a part is sent with the first priority, whether its caller takes it up or its host sends it on. Evidence: TestStreamsThatGoOnAreSentFirst, which failed in two of its three cases.

--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -406,10 +406,6 @@
 	if f.route.Repeatable() {
 		maxIdle = maxIdleRepeatable
 	}
-	priority := f.priority
-	if f.req.Model == "" {
-		priority = -1
-	}
 	resp, err := r.client.Do(ctx, t.Address, exchange.Request{
 		Method: f.req.Method,
 		URI:    f.req.URI,
@@ -418,7 +414,7 @@
 			Target:      t.ID,
 			TimeLeft:    f.deadline.Sub(r.clock.Now()),
 			Team:        f.team.ID,
-			Priority:    priority,
+			Priority:    d.priority(),
 			LastEventID: d.lastEventID,
 		}),
 		Body:      f.req.Body,
@@ -452,6 +448,19 @@
 	}
 }
 
+// priority returns the priority that the target is told, or -1 for none. A stream of which the
+// caller has a part goes first: it is lost if the caller waits too long for the next event.
+func (d *dispatcher) priority() int {
+	switch {
+	case d.inflight.req.Model == "":
+		return -1
+	case d.lastEventID > 0:
+		return 0
+	default:
+		return d.inflight.priority
+	}
+}
+
 // maxBufferedBytes limits what is read of a response before it is passed on, while there is
 // memory for it.
 const maxBufferedBytes = 256 << 10
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -56,6 +56,7 @@
 	h.Del("Key")
 	h.Set("Team", string(attempt.Team))
 	h.Set("After", strconv.Itoa(int(attempt.LastEventID)))
+	h.Set("Priority", strconv.Itoa(attempt.Priority))
 	return h
 }
 
