quota: a new ledger doesn't take what grew while there was none

Cause: what hosts spent from their reserves is taken from the next ledger's bucket, also what had grown while no ledger lent it; reserves that save up more made that more.

Now hosts tell for how long they had no ledger, and a ledger that hears from a host for the first time takes only what is beyond the growth of that time, less the time after which a former ledger withheld it. Older builds tell nothing, and are treated as before.

The bounds of TestLongRequestsStayWithinTheLimit and TestLaterLedgersStayWithinTheLimit hold.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -36,6 +36,8 @@
 	Extra        team.Tokens `cbor:"spare"`
 	ReserveSpent team.Tokens `cbor:"aside"`
 	Returned     team.Tokens `cbor:"back"`
+	// Ledgerless is in milliseconds.
+	Ledgerless int64 `cbor:"ledgerless-ms"`
 }
 
 // wireGrant is the answer to a wireBorrow.
--- a/quota/cache.go
+++ b/quota/cache.go
@@ -262,6 +262,9 @@
 	if r, ok := c.reserves[t.ID]; ok {
 		request.ReserveSpent = r.spent
 	}
+	if !c.lostAt.IsZero() {
+		request.Ledgerless = c.clock.Since(c.lostAt)
+	}
 	// A request without an answer may have reached the ledger, so the tokens that it
 	// returned are not returned again.
 	if r := c.returned[t.ID]; c.clock.Since(r.at) <= maxReturnAge {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -212,6 +212,8 @@
 	// ReserveSpent is what the host has spent from its reserve since it last reached the
 	// ledger.
 	ReserveSpent team.Tokens
+	// Ledgerless is how long the host could reach no ledger until now.
+	Ledgerless time.Duration
 	// Returned is the number of tokens that the host returns: refunds of requests that did
 	// not run, beyond what the host may cache.
 	Returned team.Tokens
@@ -239,7 +241,7 @@
 		MaxOverdraft: l.tolerance.maxOverdraft(limit, known),
 		MaxCached:    l.tolerance.maxCached(limit, known),
 	}
-	b.settle(host, request)
+	b.settle(host, request, grant.ReserveShare*float64(limit.Rate))
 	b.level = min(float64(limit.Burst), b.level+float64(request.Returned))
 	extra = min(extra, grant.MaxCached)
 	b.assignedShare[host] = grant.ReserveShare
@@ -279,14 +281,17 @@
 }
 
 // settle takes from the bucket what a host has spent from its reserve, except for tokens
-// that were withheld meanwhile.
-func (b *bucket) settle(host fleet.HostID, request BorrowRequest) {
+// that were withheld meanwhile. A host that reaches this ledger for the first time has a
+// reserve that grew at the given number of tokens a second while its former ledger withheld it
+// or had ended.
+func (b *bucket) settle(host fleet.HostID, request BorrowRequest, growth float64) {
 	excess := max(0, float64(request.ReserveSpent)-b.withheld[host])
 	delete(b.withheld, host)
 	if _, assigned := b.assignedShare[host]; !assigned {
 		covered := min(excess, b.withheldForUnseen)
 		b.withheldForUnseen -= covered
-		excess -= covered
+		grown := growth * max(0, request.Ledgerless-silentHostDelay).Seconds()
+		excess = max(0, excess-covered-grown)
 	}
 	b.level -= excess
 }
