election: a candidate whose condition failed reads the entry

What callers saw: loads of models paused for up to a second longer after the store's return, since the former coordinator's host repeated its election three times on condition of an entry that was gone.

Cause: candidates know the entry from the changes of the store that their host reads, and after an outage these come with a delay that grows up to a second. Evidence: TestCandidateReadsEntryAfterLostElection, which failed before.

--- a/election/election.go
+++ b/election/election.go
@@ -394,11 +394,33 @@
 	}
 	if err := e.acquire(ctx); err != nil && ctx.Err() == nil {
 		e.log.Info("election: not won", "error", err)
+		if errors.Is(err, platform.ErrConditionFailed) {
+			e.readEntry(ctx)
+		}
 		return retryDelay
 	}
 	return renewInterval
 }
 
+// readEntry reads the election's entry, since the one that this host knows is out of date, and
+// it may be long until it reads the store's changes again.
+func (e *Election) readEntry(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, retryDelay)
+	defer cancel()
+	entries, _, err := e.store.Range(ctx, platform.KeyCoordinator)
+	if err != nil {
+		e.log.Info("election: the present entry can't be read", "error", err)
+		return
+	}
+	present := keyvalue.Entry{Key: platform.KeyCoordinator}
+	for _, entry := range entries {
+		if entry.Key == platform.KeyCoordinator {
+			present = entry
+		}
+	}
+	e.Observe(present)
+}
+
 // contested reports whether the store's entry names a coordinator that may still be there.
 func (e *Election) contested() bool {
 	e.mu.Lock()
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -78,7 +78,7 @@
 		watchers := slices.Clone(s.watchers)
 		s.mu.Unlock()
 		for _, w := range watchers {
-			if w.store.err() == nil {
+			if w.store.observes() {
 				w.election.Observe(entry)
 			}
 		}
@@ -98,7 +98,12 @@
 }
 
 func (s *store) Range(context.Context, string) ([]keyvalue.Entry, keyvalue.Revision, error) {
-	return nil, 0, errors.New("not used")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entry == nil {
+		return nil, s.era.Position(s.revision), nil
+	}
+	return []keyvalue.Entry{*s.entry}, s.era.Position(s.revision), nil
 }
 
 func (s *store) RangeStale(context.Context, string) ([]keyvalue.Entry, error) {
@@ -168,6 +173,20 @@
 	platform.Metadata
 	mu  sync.Mutex
 	cut bool
+	// blind is set while calls reach the store, and its changes don't reach the host.
+	blind bool
+}
+
+func (c *hostStore) setBlind(blind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blind = blind
+}
+
+func (c *hostStore) observes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.cut && !c.blind
 }
 
 func (c *hostStore) setCut(cut bool) {
