--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -19,7 +18,6 @@
 	"hawthornway/fleet"
 	"hawthornway/platform"
 	"hawthornway/platform/platformtest"
-	"hawthornway/relay"
 	"hawthornway/roster"
 	"hawthornway/team"
 )
@@ -152,51 +150,3 @@
 
 // settingsConfigDelay is the bound of platformtest's settings for a change to be in force.
 const settingsConfigDelay = 2 * time.Second
-
-// Hosts are told of changes at random times within changeNoticeTime and have them in force at
-// random times after that, or never. None may use its configuration once a later one has to be
-// in force.
-func TestKnownConfigsAtRandom(t *testing.T) {
-	const maxDelay = 3 * time.Second
-	for seed := range uint64(2000) {
-		random := rand.New(rand.NewPCG(seed, 1))
-		clock := boottime.NewFakeClock(1)
-		known := knownConfigs{clock: clock, maxPending: maxPendingConfig(maxDelay)}
-		known.apply(1)
-		type change struct {
-			version           catalog.Version
-			at, told, inForce boottime.Instant
-		}
-		var changes []change
-		at := clock.Now()
-		for version := catalog.Version(2); version < 8; version++ {
-			at = at.Add(time.Duration(random.Int64N(int64(2 * time.Second))))
-			told := at.Add(time.Duration(random.Int64N(int64(changeNoticeTime))))
-			changes = append(changes, change{version, at, told, told.Add(time.Duration(random.Int64N(int64(4 * time.Second))))})
-		}
-		version := catalog.Version(1)
-		for range 400 {
-			clock.Advance(50 * time.Millisecond)
-			now := clock.Now()
-			due := catalog.Version(1)
-			for _, c := range changes {
-				if !now.Before(c.told) {
-					known.learn(c.version)
-				}
-				if !now.Before(c.inForce) && c.version > version {
-					version = c.version
-					known.apply(version)
-				}
-				if now.Sub(c.at) > maxDelay {
-					due = c.version
-				}
-			}
-			if version < due {
-				must.Eq(t, relay.ConfigOverdue, known.state(), must.Sprintf("seed %d, %s: version %d, due %d", seed, time.Duration(now), version, due))
-			}
-			if version == changes[len(changes)-1].version {
-				must.Eq(t, relay.ConfigNewest, known.state(), must.Sprintf("seed %d", seed))
-			}
-		}
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"hawthornway/listener"
 	"hawthornway/memory"
 	"hawthornway/metric"
+	"hawthornway/outdated"
 	"hawthornway/pace"
 	"hawthornway/peer"
 	"hawthornway/platform"
@@ -88,7 +89,7 @@
 	limits        *pace.Limits
 	catalog       atomic.Pointer[catalog.Catalog]
 	newest        *newestConfig
-	known         knownConfigs
+	known         *outdated.Tracker[catalog.Version]
 	catalogKnown  chan struct{}
 	closeKnown    sync.Once
 	targetsListed atomic.Bool
@@ -146,8 +147,7 @@
 	g.roster = roster.New(g.bootClock)
 	g.limits = pace.NewLimits(g.bootClock)
 	g.freshness.clock = g.bootClock
-	g.known.clock = g.bootClock
-	g.known.maxPending = maxPendingConfig(s.Bounds.MaxConfigDelay)
+	g.known = outdated.NewTracker[catalog.Version](g.bootClock, s.Bounds.MaxConfigDelay)
 	g.freshness.setMaxAge(s.Bounds.MaxWithdrawalDelay - withdrawalMargin)
 	g.stopTimeoutNanos.Store(int64(s.Bounds.StopTimeout))
 	return g
@@ -225,7 +225,7 @@
 		relay.WithCatalog(g.catalog.Load),
 		relay.WithCatalogKnown(g.catalogKnown),
 		relay.WithKeysConfirmed(g.freshness.current),
-		relay.WithConfigState(g.known.state),
+		relay.WithConfigState(g.known.State),
 		relay.WithMemory(memory.NewBudget(memory.Bytes(requestMemoryShare*float64(s.MemoryLimit)), g.clock)),
 		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime, quota.WithRandom(rand.Float64))),
 		relay.WithPlacer(g.placer),
@@ -320,7 +320,7 @@
 // host.
 func (g *gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	status := http.StatusOK
-	if g.draining.Load() || !g.targetsListed.Load() || g.catalog.Load() == nil || !g.freshness.current() || g.known.state() == relay.ConfigOverdue {
+	if g.draining.Load() || !g.targetsListed.Load() || g.catalog.Load() == nil || !g.freshness.current() || g.known.State() == outdated.Overdue {
 		status = http.StatusServiceUnavailable
 	}
 	w.WriteHeader(status)
@@ -448,8 +448,8 @@
 // Configured implements platform.Listener.
 func (g *gateway) Configured(c *catalog.Catalog) {
 	g.catalog.Store(c)
-	if known := g.known.apply(c.Version); g.known.maxPending > 0 && known >= g.known.maxPending {
-		g.log.Warn("gateway: configuration in force late; requests were refused", "version", c.Version, "known-for", known)
+	if age, late := g.known.Apply(c.Version); late {
+		g.log.Warn("gateway: configuration in force late; requests were refused", "version", c.Version, "known-for", age)
 	}
 	g.closeKnown.Do(func() { close(g.catalogKnown) })
 }
@@ -558,7 +558,7 @@
 // learnVersion records that a version of the configuration exists.
 func (g *gateway) learnVersion(version catalog.Version) {
 	g.newest.learn(version)
-	if g.known.learn(version) {
+	if g.known.Learn(version) {
 		g.log.Info("gateway: told of a newer configuration", "version", version)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"hawthornway/lineage"
 	"hawthornway/memory"
 	"hawthornway/outcome"
+	"hawthornway/outdated"
 	"hawthornway/quarantine"
 	"hawthornway/retry"
 	"hawthornway/roster"
@@ -37,7 +38,7 @@
 	currentCatalog func() *catalog.Catalog
 	catalogKnown   <-chan struct{}
 	keysConfirmed  func() bool
-	configState    func() ConfigState
+	configState    func() outdated.State
 	memory         *memory.Budget
 	limiter        Limiter
 	placer         Placer
@@ -173,23 +174,9 @@
 	return func(o *options) { o.keysConfirmed = confirmed }
 }
 
-// ConfigState is how a host's configuration compares to the newest one that the host knows of.
-type ConfigState int
-
-// The states of a configuration.
-const (
-	// ConfigNewest means that no newer configuration is known.
-	ConfigNewest ConfigState = iota
-	// ConfigPending means that a newer one is known. The host's own may be used for a
-	// little longer, but what it lacks may exist.
-	ConfigPending
-	// ConfigOverdue means that a newer one should be in force by now.
-	ConfigOverdue
-)
-
 // WithConfigState sets the function that returns the state of the configuration. Without
 // it, the configuration counts as the newest.
-func WithConfigState(state func() ConfigState) Option {
+func WithConfigState(state func() outdated.State) Option {
 	return func(o *options) { o.configState = state }
 }
 
@@ -260,7 +247,7 @@
 func New(opts ...Option) *Relay {
 	o := options{
 		keysConfirmed: func() bool { return true },
-		configState:   func() ConfigState { return ConfigNewest },
+		configState:   func() outdated.State { return outdated.Newest },
 		client:        exchange.New(),
 		observer:      noObserver{},
 		clock:         clockwork.NewRealClock(),
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -9,6 +9,7 @@
 	"hawthornway/catalog"
 	"hawthornway/lineage"
 	"hawthornway/outcome"
+	"hawthornway/outdated"
 	"hawthornway/quarantine"
 	"hawthornway/team"
 )
@@ -45,7 +46,7 @@
 	if f.catalog = r.awaitCatalog(ctx, req.Timeout); f.catalog == nil {
 		return outcome.NotRun{Reason: outcome.ReasonStarting, RetryAfter: startingRetryAfter, Detail: "no configuration is known yet"}
 	}
-	if r.configState() == ConfigOverdue {
+	if r.configState() == outdated.Overdue {
 		return staleConfiguration
 	}
 	if refusal := r.readBody(f); refusal != nil {
@@ -81,7 +82,7 @@
 // resolveRoute finds the route, the pool and the deadline.
 func (r *Relay) resolveRoute(_ context.Context, f *inflight) outcome.Outcome {
 	route, ok := f.catalog.Route(f.req.Host, f.req.Path)
-	if !ok && r.configState() != ConfigNewest {
+	if !ok && r.configState() != outdated.Newest {
 		return staleConfiguration
 	}
 	if !ok {
@@ -116,7 +117,7 @@
 		return outcome.NotRun{Reason: outcome.ReasonCutOff, RetryAfter: keysUnconfirmedRetryAfter, Detail: "the host can't tell whether the key was withdrawn"}
 	}
 	owner, ok := f.catalog.TeamByKey(f.req.Key)
-	if !ok && r.configState() != ConfigNewest {
+	if !ok && r.configState() != outdated.Newest {
 		return staleConfiguration
 	}
 	if !ok {
