config, caller: hosts don't outstay a revision that they know to be superseded

A host whose peers had told it of a newer revision went on with its own for as long as the parts couldn't be fetched, and answered 401 and 404 for what may be new.

--- a/components.go
+++ b/components.go
@@ -23,6 +23,7 @@
 	"hawthornway/member"
 	"hawthornway/metric"
 	"hawthornway/openai"
+	"hawthornway/outdated"
 	"hawthornway/peer"
 	"hawthornway/replica"
 	"hawthornway/retry"
@@ -230,6 +231,7 @@
 	forwarder := service.NewForwarder(&servicePlacer{router: c.router, expectedSlotWait: c.expectedSlotWait}, budget, o.clock)
 	entries := []call.Entry{
 		{Priority: call.PriorityHost, Filter: caller.HostConcurrencyFilter(s.Limits.Streams, o.clock)},
+		{Priority: call.PriorityHost, Filter: caller.ConfigurationFilter(c.configs.State)},
 		{Priority: call.PriorityPath, Filter: caller.PathFilter(directory)},
 		{Priority: call.PriorityKey, Filter: caller.KeyFilter(c.keys)},
 		{Priority: call.PriorityConcurrency, Filter: caller.ConcurrencyFilter(directory, o.clock)},
@@ -301,6 +303,9 @@
 	if c.configs.Current() == nil {
 		reasons = append(reasons, "no configuration is known")
 	}
+	if c.configs.State() == outdated.Overdue {
+		reasons = append(reasons, "a newer configuration is known and could not be read")
+	}
 	select {
 	case <-c.keys.Loaded():
 	default:
--- a/config/follow.go
+++ b/config/follow.go
@@ -143,6 +143,7 @@
 	if current, _ := s.installed(); h.Revision <= current.Revision {
 		return nil
 	}
+	s.learn(h.Revision)
 	parts := make([][]byte, len(h.Parts))
 	for i, hash := range h.Parts {
 		part, err := s.fetchPart(ctx, hash, from)
@@ -154,6 +155,13 @@
 	return s.install(h, parts)
 }
 
+// learn records that a revision exists.
+func (s *Store) learn(revision Revision) {
+	if s.known.Learn(revision) {
+		s.log.Info("config: told of a newer revision", "revision", revision)
+	}
+}
+
 // fetchPart returns a part from the current head if it has it, else from the
 // peer or the key-value service.
 func (s *Store) fetchPart(ctx context.Context, hash Hash, from fleet.HostID) ([]byte, error) {
--- a/config/gossip.go
+++ b/config/gossip.go
@@ -61,6 +61,7 @@
 	current, _ := s.installed()
 	switch {
 	case notice.Revision > current.Revision:
+		s.learn(notice.Revision)
 		s.requestPull(from.Host)
 		return nil, nil
 	case notice.Revision < current.Revision:
--- a/config/store.go
+++ b/config/store.go
@@ -12,8 +12,10 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"hawthornway/boottime"
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
+	"hawthornway/outdated"
 	"hawthornway/peer"
 )
 
@@ -37,6 +39,9 @@
 	watchTimeout = 90 * time.Second
 	// watchersPerDomain is the number of hosts of a domain that watch the head.
 	watchersPerDomain = 2
+	// MaxActivationDelay is the time within which an accepted revision has to be in force
+	// at every host that can be told of it.
+	MaxActivationDelay = 5 * time.Second
 )
 
 // ErrUnknown reports that a change may have been accepted. Applying it again
@@ -52,6 +57,9 @@
 	log   *slog.Logger
 
 	current atomic.Pointer[Snapshot]
+	// known tracks the revisions that this host has been told of.
+	known     *outdated.Tracker[Revision]
+	bootClock boottime.Clock
 
 	mu          sync.Mutex
 	head        head
@@ -79,12 +87,18 @@
 	return func(s *Store) { s.log = log }
 }
 
+// WithBootClock sets the clock for times that include suspension.
+func WithBootClock(clock boottime.Clock) Option {
+	return func(s *Store) { s.bootClock = clock }
+}
+
 // NewStore returns a Store without a configuration. Run loads one.
 func NewStore(kv keyvalue.Store, mesh peer.Mesh, opts ...Option) *Store {
 	s := &Store{
 		kv:           kv,
 		mesh:         mesh,
 		clock:        clockwork.NewRealClock(),
+		bootClock:    boottime.SystemClock{},
 		log:          slog.Default(),
 		parts:        map[Hash][]byte{},
 		subscribers:  map[chan *Snapshot]struct{}{},
@@ -94,10 +108,14 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.known = outdated.NewTracker[Revision](s.bootClock, MaxActivationDelay)
 	s.handlePeers()
 	return s
 }
 
+// State compares the current configuration to the newest one that this host has been told of.
+func (s *Store) State() outdated.State { return s.known.State() }
+
 // Current returns the current configuration, or nil if none is loaded yet.
 func (s *Store) Current() *Snapshot { return s.current.Load() }
 
@@ -174,6 +192,9 @@
 		return nil
 	}
 	s.replace(h, parts, next)
+	if age, late := s.known.Apply(h.Revision); late {
+		s.log.Warn("config: revision in force late; calls were refused", "revision", h.Revision, "known-for", age)
+	}
 	s.log.Info("config: installed a new revision", "revision", h.Revision, "author", h.Author)
 	return nil
 }
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -17,8 +17,11 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/shoenig/test/must"
 
+	"hawthornway/boottime"
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
+	"hawthornway/outdated"
+	"hawthornway/peer"
 	"hawthornway/peer/peertest"
 	"hawthornway/standin/kvstore"
 )
@@ -40,7 +43,7 @@
 
 func (f *fixture) start(domain fleet.DomainID, host fleet.HostID) *Store {
 	mesh := f.network.Join(fleet.Member{Host: host, Domain: domain, Incarnation: 1})
-	s := NewStore(f.kv, mesh, WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	s := NewStore(f.kv, mesh, WithBootClock(bubbleClock{}), WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))))
 	ctx, cancel := context.WithCancel(f.t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { _ = s.Run(ctx) })
@@ -341,3 +344,33 @@
 		must.Eq(t, newest.Current().files, host.Current().files)
 	}
 }
+
+// bubbleClock is the boot clock of a synctest bubble.
+type bubbleClock struct{}
+
+func (bubbleClock) Now() boottime.Instant { return boottime.Instant(time.Now().UnixNano()) }
+
+// Guards against a host that goes on with its revision for ever although its peers have told it
+// of a newer one, whose parts it can't fetch.
+func TestHostKnowsThatItsRevisionIsOutdated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		first := f.start("d1", "h1")
+		advance(time.Second)
+		_, err := first.Apply(t.Context(), submission(0, "c1", "a"))
+		must.NoError(t, err)
+		advance(time.Second)
+		must.Eq(t, outdated.Newest, first.State())
+		other := fleet.Member{Host: "h2", Domain: "d1"}
+		notice, err := peer.Encode(headNotice{Revision: 2, ConfirmedAgeMS: 0})
+		must.NoError(t, err)
+		_, err = first.handleNotice(t.Context(), other, notice)
+		must.NoError(t, err)
+		must.Eq(t, outdated.Pending, first.State())
+		advance(MaxActivationDelay)
+		must.Eq(t, outdated.Overdue, first.State())
+		_, err = first.Apply(t.Context(), submission(1, "c2", "a", "b"))
+		must.NoError(t, err)
+		must.Eq(t, outdated.Newest, first.State())
+	})
+}
