--- a/election/first_start_test.go
+++ b/election/first_start_test.go
@@ -81,8 +81,9 @@
 			defer cancel()
 			go s.expireAndNotify(ctx)
 			var running []*host
-			for _, name := range threeHosts() {
-				h := start(ctx, s, []fleet.HostID{name}, election.WithFirstStart(), election.WithRandom(random.Float64))[0]
+			for i, name := range threeHosts() {
+				jitter := rand.New(rand.NewPCG(seed, uint64(3+i)))
+				h := start(ctx, s, []fleet.HostID{name}, election.WithFirstStart(), election.WithRandom(jitter.Float64))[0]
 				h.store.setCut(random.IntN(2) == 0)
 				running = append(running, h)
 			}
--- a/quota/takeover_test.go
+++ b/quota/takeover_test.go
@@ -53,7 +53,7 @@
 				var caches []*quota.TokenCache
 				for i := range tc.hosts {
 					lenders = append(lenders, &hostLender{ledger: ledger, host: fleet.HostID(fmt.Sprint("host", i))})
-					caches = append(caches, quota.NewTokenCache(lenders[i], clock, takeoverTime+leaseMargin, quota.WithRandom(random.Float64)))
+					caches = append(caches, quota.NewTokenCache(lenders[i], clock, takeoverTime+leaseMargin, quota.WithRandom(rand.New(rand.NewPCG(2, uint64(i))).Float64)))
 				}
 				var wg sync.WaitGroup
 				var mu sync.Mutex
