quota: the reserves of all hosts together stay within their share

What callers saw: a team passes its limit in random sequences of cuts and takeovers (QUOTA).

Cause: a ledger assigned each host a part of the team's reserve by its recent borrowing alone. A host keeps its part while it is cut off, and the next busiest host got most of the reserve again: six hosts that are lost in turn held 1.2 times the rate with one coordinator, and 3.0 times with one for each. 0.6 is intended.

Now a ledger assigns what the other hosts leave, and hosts tell a new one the part that they have. A host whose answer may have been lost counts with the larger of two parts. What a new ledger forgives a host for the time before it counts that time only; its own was counted twice. Requests of older builds don't tell the part; grants are as before.

checkWindows takes its decisions from an interface, so that seeds can choose them too; the kept cases of rapid draw the same as before.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -428,7 +428,7 @@
 	}
 	request := wireBorrow{
 		Team: id, Need: borrow.Need, MaxWait: borrow.MaxWait.Milliseconds(), Queued: borrow.Queued,
-		Extra: borrow.Extra, ReserveSpent: borrow.ReserveSpent, Returned: borrow.Returned, Ledgerless: borrow.Ledgerless.Milliseconds(),
+		Extra: borrow.Extra, ReserveSpent: borrow.ReserveSpent, ReserveShare: borrow.ReserveShare, Returned: borrow.Returned, Ledgerless: borrow.Ledgerless.Milliseconds(),
 	}
 	var grant wireGrant
 	var err error
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -355,7 +355,7 @@
 	}
 	grant := ledger.Borrow(host, request.Team, quota.BorrowRequest{
 		Need: request.Need, MaxWait: time.Duration(request.MaxWait) * time.Millisecond, Queued: request.Queued,
-		Extra: request.Extra, ReserveSpent: request.ReserveSpent, Returned: request.Returned, Ledgerless: time.Duration(request.Ledgerless) * time.Millisecond,
+		Extra: request.Extra, ReserveSpent: request.ReserveSpent, ReserveShare: request.ReserveShare, Returned: request.Returned, Ledgerless: time.Duration(request.Ledgerless) * time.Millisecond,
 	})
 	return wireGrant{Tokens: grant.Tokens, Wait: grant.Wait.Milliseconds(), ReserveShare: grant.ReserveShare, ReserveStart: grant.ReserveStart, MaxReserve: grant.MaxReserve, MaxOverdraft: grant.MaxOverdraft, MaxCached: grant.MaxCached}, nil
 }
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -36,6 +36,8 @@
 	Extra        team.Tokens `cbor:"spare"`
 	ReserveSpent team.Tokens `cbor:"aside"`
 	Returned     team.Tokens `cbor:"back"`
+	// ReserveShare is missing in requests of older builds.
+	ReserveShare *float64 `cbor:"reserve-share"`
 	// Ledgerless is in milliseconds.
 	Ledgerless int64 `cbor:"ledgerless-ms"`
 }
--- a/quota/cache.go
+++ b/quota/cache.go
@@ -259,8 +259,9 @@
 	if request.Need > 0 {
 		request.Extra = team.Tokens(float64(t.Limit.Rate) * borrowAheadTime.Seconds())
 	}
+	request.ReserveShare = new(float64)
 	if r, ok := c.reserves[t.ID]; ok {
-		request.ReserveSpent = r.spent
+		request.ReserveSpent, *request.ReserveShare = r.spent, r.share
 	}
 	if !c.lostAt.IsZero() {
 		request.Ledgerless = c.clock.Since(c.lostAt)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -45,6 +45,8 @@
 	clock        clockwork.Clock
 	limits       func(team.ID) (catalog.Limit, bool)
 	initialLevel func(catalog.Limit) team.Tokens
+	// formerShare is the fraction of each team's rate that former ledgers may have assigned.
+	formerShare float64
 	// tolerance limits what hosts may cache; a window of zero means no limit.
 	tolerance Tolerance
 
@@ -66,22 +68,27 @@
 	// of the team's rate that the host was last allowed to spend from its reserve.
 	used          map[fleet.HostID]float64
 	assignedShare map[fleet.HostID]float64
+	// formerShare is the fraction of the team's rate that hosts may spend from reserves that
+	// former ledgers assigned.
+	formerShare float64
 	// withheld counts the tokens that weren't lent because a host was silent, and
 	// withheldForUnseen those for hosts that have not reported to this ledger yet.
 	withheld          map[fleet.HostID]float64
 	withheldForUnseen float64
 }
 
-func newBucket(now time.Time) *bucket {
+func newBucket(now time.Time, level team.Tokens, formerShare float64) *bucket {
 	return &bucket{
+		level:         float64(level),
 		updatedAt:     now,
+		formerShare:   formerShare,
 		used:          map[fleet.HostID]float64{},
 		assignedShare: map[fleet.HostID]float64{},
 		withheld:      map[fleet.HostID]float64{},
 	}
 }
 
-// hostShare returns the fraction of the reserve that a host may spend.
+// hostShare returns the fraction of the reserve that a host needs, by its recent borrowing.
 func (b *bucket) hostShare(host fleet.HostID, hosts int) float64 {
 	sum := 0.0
 	for _, used := range b.used {
@@ -94,13 +101,47 @@
 	return evenReserveShare*even + (1-evenReserveShare)*b.used[host]/sum
 }
 
+// assignReserve assigns a part of the reserve to a host that holds another one, and returns it
+// as a fraction of the team's rate. A host keeps its part while it is cut off, so the host that
+// borrows gets no more than the others leave. Until its next request shows that it got the
+// answer, it may have either part.
+func (l *Ledger) assignReserve(b *bucket, host fleet.HostID, held, wanted float64, now time.Time) float64 {
+	left := TotalReserveShare
+	if now.Sub(l.startedAt) <= hostTTL {
+		left -= b.formerShare
+	}
+	for other, share := range b.assignedShare {
+		if _, counts := l.hosts[other]; counts && other != host {
+			left -= share
+		}
+	}
+	share := max(0, min(wanted, left))
+	b.assignedShare[host] = max(share, held)
+	return share
+}
+
+// heldShare returns the fraction of a team's rate that a host may spend from its reserve as it
+// sends a request. Hosts of older builds don't tell it, and count with an even part at first.
+func (l *Ledger) heldShare(b *bucket, host fleet.HostID, request BorrowRequest) float64 {
+	if request.ReserveShare != nil {
+		return *request.ReserveShare
+	}
+	if _, assigned := b.assignedShare[host]; assigned {
+		return 0
+	}
+	return min(b.formerShare, TotalReserveShare/float64(max(1, l.previousHosts)))
+}
+
 // LedgerOption sets an option of a Ledger.
 type LedgerOption func(*Ledger)
 
 // WithFullBuckets makes the ledger start with each team's whole burst. It is safe only
 // if nothing has been spent before.
 func WithFullBuckets() LedgerOption {
-	return func(l *Ledger) { l.initialLevel = func(limit catalog.Limit) team.Tokens { return limit.Burst } }
+	return func(l *Ledger) {
+		l.initialLevel = func(limit catalog.Limit) team.Tokens { return limit.Burst }
+		l.formerShare = 0
+	}
 }
 
 // WithTolerance limits what hosts may cache, and makes the ledger start with a part of
@@ -119,6 +160,7 @@
 		clock:        clock,
 		limits:       limits,
 		initialLevel: func(catalog.Limit) team.Tokens { return 0 },
+		formerShare:  TotalReserveShare,
 		startedAt:    clock.Now(),
 		buckets:      map[team.ID]*bucket{},
 		hosts:        map[fleet.HostID]time.Time{},
@@ -212,6 +254,9 @@
 	// ReserveSpent is what the host has spent from its reserve since it last reached the
 	// ledger.
 	ReserveSpent team.Tokens
+	// ReserveShare is the fraction of the team's rate that the last grant let the host spend from
+	// its reserve. It is nil if a host of an older build doesn't tell.
+	ReserveShare *float64
 	// Ledgerless is how long the host could reach no ledger until now.
 	Ledgerless time.Duration
 	// Returned is the number of tokens that the host returns: refunds of requests that did
@@ -233,18 +278,26 @@
 	l.hosts[host] = now
 	b, rate := l.refill(id, limit, now)
 	known, _ := l.countHosts(now)
-	fraction := b.hostShare(host, known)
+	held := l.heldShare(b, host, request)
+	wanted := held
+	if _, assigned := b.assignedShare[host]; assigned {
+		b.settle(host, request.ReserveSpent)
+		wanted = TotalReserveShare * b.hostShare(host, known)
+	} else {
+		b.formerShare = max(0, b.formerShare-held)
+		l.settleFirst(b, host, request, held*float64(limit.Rate), now)
+	}
+	share := l.assignReserve(b, host, held, wanted, now)
+	fraction := share / TotalReserveShare
 	grant := Grant{
-		ReserveShare: TotalReserveShare * fraction,
+		ReserveShare: share,
 		ReserveStart: l.tolerance.reserveStart(limit, fraction),
 		MaxReserve:   l.tolerance.maxReserve(limit, fraction),
 		MaxOverdraft: l.tolerance.maxOverdraft(limit, known),
 		MaxCached:    l.tolerance.maxCached(limit, known),
 	}
-	b.settle(host, request, grant.ReserveShare*float64(limit.Rate))
 	b.level = min(float64(limit.Burst), b.level+float64(request.Returned))
 	extra = min(extra, grant.MaxCached)
-	b.assignedShare[host] = grant.ReserveShare
 	switch {
 	case b.level >= float64(need):
 		grant.Tokens = need
@@ -281,19 +334,23 @@
 }
 
 // settle takes from the bucket what a host has spent from its reserve, except for tokens
-// that were withheld meanwhile. A host that reaches this ledger for the first time has a
-// reserve that grew at the given number of tokens a second while its former ledger withheld it
-// or had ended.
-func (b *bucket) settle(host fleet.HostID, request BorrowRequest, growth float64) {
-	excess := max(0, float64(request.ReserveSpent)-b.withheld[host])
+// that were withheld meanwhile.
+func (b *bucket) settle(host fleet.HostID, spent team.Tokens) {
+	b.level -= max(0, float64(spent)-b.withheld[host])
 	delete(b.withheld, host)
-	if _, assigned := b.assignedShare[host]; !assigned {
-		covered := min(excess, b.withheldForUnseen)
-		b.withheldForUnseen -= covered
-		grown := growth * max(0, request.Ledgerless-silentHostDelay).Seconds()
-		excess = max(0, excess-covered-grown)
-	}
-	b.level -= excess
+}
+
+// settleFirst settles what a host that reaches this ledger for the first time has spent from
+// a reserve that a former ledger assigned. Until this ledger began, the reserve grew by tokens
+// that the former one withheld, unless the host had been silent for too short a time, or that
+// no ledger lent. Growth is in tokens a second.
+func (l *Ledger) settleFirst(b *bucket, host fleet.HostID, request BorrowRequest, growth float64, now time.Time) {
+	spent := float64(request.ReserveSpent)
+	covered := min(b.withheldForUnseen, max(0, spent-b.withheld[host]))
+	b.withheldForUnseen -= covered
+	before := request.Ledgerless - now.Sub(l.startedAt) - silentHostDelay
+	grown := growth * max(0, before).Seconds()
+	b.settle(host, team.Tokens(max(0, spent-covered-grown)))
 }
 
 // reserveShare returns the fraction of a team's rate that a silent host may be spending.
@@ -312,8 +369,7 @@
 func (l *Ledger) refill(id team.ID, limit catalog.Limit, now time.Time) (*bucket, float64) {
 	b, ok := l.buckets[id]
 	if !ok {
-		b = newBucket(now)
-		b.level = float64(l.initialLevel(limit))
+		b = newBucket(now, l.initialLevel(limit), l.formerShare)
 		l.buckets[id] = b
 	}
 	elapsed := now.Sub(b.updatedAt).Seconds()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -279,7 +280,9 @@
 // any window of eight seconds than rate and burst allow, plus the tenth and the slack that the
 // users accept.
 func TestHostsTogetherStayWithinTheLimit(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { checkWindows(t, workload{limit: limit, maxRequest: 300, slack: 333}) })
+	rapid.Check(t, func(t *rapid.T) {
+		checkWindows(t, rapidChoices{t}, workload{limit: limit, maxRequest: 300, slack: 333})
+	})
 }
 
 // The same bound applies while coordinators replace each other, each after the lease of
@@ -293,7 +296,7 @@
 	}
 	for _, w := range mixes {
 		t.Run(fmt.Sprint("rate ", w.limit.Rate), func(t *testing.T) {
-			rapid.Check(t, func(t *rapid.T) { checkWindows(t, w) })
+			rapid.Check(t, func(t *rapid.T) { checkWindows(t, rapidChoices{t}, w) })
 		})
 	}
 }
@@ -304,7 +307,7 @@
 	for _, takeovers := range []bool{false, true} {
 		w := workload{limit: catalog.Limit{ByTokens: true, Rate: 1400, Burst: 1400}, maxRequest: 1200, minRequest: 600, hosts: 8, slack: 1100, takeovers: takeovers}
 		t.Run(fmt.Sprint("takeovers ", takeovers), func(t *testing.T) {
-			rapid.Check(t, func(t *rapid.T) { checkWindows(t, w) })
+			rapid.Check(t, func(t *rapid.T) { checkWindows(t, rapidChoices{t}, w) })
 		})
 	}
 }
@@ -314,7 +317,7 @@
 // team sends little for a while, and then several times its rate.
 func TestManyHostsStayWithinTheLimit(t *testing.T) {
 	w := workload{limit: catalog.Limit{ByTokens: true, Rate: 7300, Burst: 7300}, maxRequest: 400, slack: 1100, hosts: 100, bursts: true, refunds: true}
-	rapid.Check(t, func(t *rapid.T) { checkWindows(t, w) })
+	rapid.Check(t, func(t *rapid.T) { checkWindows(t, rapidChoices{t}, w) })
 }
 
 // workload describes what the hosts of a property test do.
@@ -328,14 +331,53 @@
 	minRequest, maxRequest int // tokens of a request
 	slack                  team.Tokens
 	takeovers              bool
+	// cutRarity and takeoverRarity are the most steps between two changes of a host's
+	// connection, and between two coordinators, on average. They default to the constants.
+	cutRarity, takeoverRarity int
+	// idle is the part of the steps in which a host has no request, in percent.
+	idle int
+}
+
+// The defaults of a workload.
+const (
+	defaultCutRarity      = 60
+	defaultTakeoverRarity = 30
+)
+
+// choices makes the random decisions of checkWindows.
+type choices interface {
+	// number returns a number from a range that includes both ends.
+	number(label string, from, to int) int
+	seed() uint64
+}
+
+type rapidChoices struct{ t *rapid.T }
+
+func (c rapidChoices) number(label string, from, to int) int {
+	return rapid.IntRange(from, to).Draw(c.t, label)
 }
 
+func (c rapidChoices) seed() uint64 { return rapid.Uint64().Draw(c.t, "seed") }
+
+type seededChoices struct{ rng *rand.Rand }
+
+func (c seededChoices) number(_ string, from, to int) int { return from + c.rng.IntN(to-from+1) }
+
+func (c seededChoices) seed() uint64 { return c.rng.Uint64() }
+
 // minTerm is the minimum time between two coordinators: the lease of the first, and the
 // time to elect the next.
 const minTerm = 2 * time.Second
 
+// failer is the part of a test's T that checkWindows needs.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
 // checkWindows runs a workload, and checks the bound in each window of eight seconds.
-func checkWindows(t *rapid.T, w workload) {
+func checkWindows(t failer, c choices, w workload) {
+	t.Helper()
 	const step = 100 * time.Millisecond
 	const window = int(8 * time.Second / step)
 	clock := clockwork.NewFakeClock()
@@ -346,9 +388,10 @@
 	start := clock.Now()
 	count := w.hosts
 	if count == 0 {
-		count = rapid.IntRange(1, 8).Draw(t, "hosts")
+		count = c.number("hosts", 1, 8)
 	}
-	rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+	cutRarity, takeoverRarity := cmp.Or(w.cutRarity, defaultCutRarity), cmp.Or(w.takeoverRarity, defaultTakeoverRarity)
+	rng := rand.New(rand.NewPCG(c.seed(), 0))
 	quiet := w.bursts
 	var lenders []*hostLender
 	var caches []*quota.TokenCache
@@ -360,7 +403,7 @@
 	}
 	var spent []float64
 	for range 300 {
-		if w.takeovers && clock.Since(start) > minTerm && rapid.IntRange(0, 30).Draw(t, "takeover") == 0 {
+		if w.takeovers && clock.Since(start) > minTerm && c.number("takeover", 0, takeoverRarity) == 0 {
 			clock.Advance(2 * step) // the previous ledger ends before its lease does
 			spent = append(spent, 0, 0)
 			start = clock.Now()
@@ -392,13 +435,16 @@
 				}
 				continue
 			}
-			if rapid.IntRange(0, 60).Draw(t, "turn") == 0 {
+			if c.number("turn", 0, cutRarity) == 0 {
 				lenders[i].cut = !lenders[i].cut
 			}
 			if !lenders[i].cut {
 				ledger.RecordReport(lenders[i].host, count)
 			}
-			tokens := team.Tokens(rapid.IntRange(max(1, w.minRequest), w.maxRequest).Draw(t, "tokens"))
+			if w.idle > 0 && rng.IntN(100) < w.idle {
+				continue
+			}
+			tokens := team.Tokens(c.number("tokens", max(1, w.minRequest), w.maxRequest))
 			// The context is cancelled, since waiting would need the clock to advance.
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel()
