coordinator, roster: lapsed registrations are compared with the coordinator

Cause: a host that reads the removals from the store keeps the targets for two seconds, so that they can renew their registrations. Once it relies on the coordinator it doesn't read the renewals; the coordinator sends none, since in its list nothing has changed, and the digests of both are the same, as the host's included what had lapsed. Then it expires.

Now digests leave out what has lapsed, and a host compares its targets again after any lapse.

Evidence: TestLapsedTargetsAreComparedWithTheCoordinator and TestLapsedTargetsAreNotInDigests, which failed before.

Roster.Update is the code of the gateway's UpdateTargets, moved.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -100,8 +100,10 @@
 	// UpdateTargets applies changes of the registered targets. All lists every
 	// registered target of the given buckets.
 	UpdateTargets(changed []roster.Target, removed, all []target.ID, buckets []roster.Bucket)
-	// Digests returns the digests of the targets that this host knows.
+	// Digests returns the digests of the targets that this host knows, without those that
+	// have lapsed. Lapses returns how often any have lapsed so far.
 	Digests() roster.Digests
+	Lapses() int
 	// SetModels records the models that an engine holds since the given start.
 	SetModels(id target.ID, start roster.StartID, models []roster.Resident)
 	// ConfirmCurrent confirms, as of an instant of this host's clock, that the
@@ -157,6 +159,9 @@
 	connected bool
 	// fleetLimits is the digest of the limits of targets that the coordinator knows.
 	fleetLimits uint64
+	// comparedLapses is the number of lapses that the last comparison of targets covered. It is
+	// only used by the goroutine that reports.
+	comparedLapses int
 	// incomplete is set while the last view left out some of the changed engines.
 	incomplete bool
 	// confirmedAt is the instant up to which the relayed state of the store is
@@ -312,10 +317,7 @@
 	if leader.Host == "" {
 		return
 	}
-	if report.Since == 0 {
-		digests := c.receiver.Digests()
-		report.Targets = digests[:]
-	}
+	lapses := c.addDigests(&report)
 	usage := c.usage()
 	for _, demand := range usage.Demand {
 		report.Demand = append(report.Demand, wireDemand(demand))
@@ -347,8 +349,31 @@
 	case err != nil:
 		c.reportFailed(err)
 	default:
-		c.applyView(view, sent)
+		c.applyAnswer(view, sent, lapses)
+	}
+}
+
+// applyAnswer applies the answer to a report that was sent at an instant, with digests that
+// cover a number of lapses if it had any.
+func (c *Client) applyAnswer(view wireView, sent boottime.Instant, lapses int) {
+	c.applyView(view, sent)
+	if view.Version > 0 {
+		c.comparedLapses = lapses
+	}
+}
+
+// addDigests adds the digests of the known targets to a report, if a list of changes would not
+// be enough: this host has no view of the term yet, or registrations have lapsed here, as it
+// read the store itself, that the coordinator may know to be renewed. It returns the number of
+// lapses that the digests cover.
+func (c *Client) addDigests(report *wireReport) (lapses int) {
+	lapses = c.receiver.Lapses()
+	if report.Since > 0 && lapses == c.comparedLapses {
+		return lapses
 	}
+	digests := c.receiver.Digests()
+	report.Since, report.Targets = 0, digests[:]
+	return lapses
 }
 
 func (c *Client) send(ctx context.Context, leader election.Leader, report wireReport) (wireView, error) {
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -113,8 +113,9 @@
 	// Since and Fence are the version and fence of the newest view that the host has.
 	Since uint64       `cbor:"since"`
 	Fence target.Fence `cbor:"fence"`
-	// Targets holds the roster.Digests of the targets that the host knows. It is only
-	// sent if the host has no view of the coordinator's term yet.
+	// Targets holds the roster.Digests of the targets that the host knows. It is only sent
+	// without Since: if the host has no view of the coordinator's term yet, or can't tell
+	// whether it has what came before.
 	Targets []uint64 `cbor:"targets"`
 	// Hosts is the fleet size in the last view that the host received.
 	Hosts int `cbor:"hosts"`
--- a/coordinator/neighbour_test.go
+++ b/coordinator/neighbour_test.go
@@ -62,9 +62,11 @@
 }
 
 func (*partialMesh) UpdateTargets([]roster.Target, []target.ID, []target.ID, []roster.Bucket) {}
-func (*partialMesh) Digests() roster.Digests                                                  { return roster.Digests{} }
-func (*partialMesh) SetModels(target.ID, roster.StartID, []roster.Resident)                   {}
-func (*partialMesh) ConfirmCurrent(catalog.Version, keyvalue.Revision, boottime.Instant)      {}
+func (*partialMesh) Digests() roster.Digests { return roster.Digests{} }
+
+func (*partialMesh) Lapses() int                                                         { return 0 }
+func (*partialMesh) SetModels(target.ID, roster.StartID, []roster.Resident)              {}
+func (*partialMesh) ConfirmCurrent(catalog.Version, keyvalue.Revision, boottime.Instant) {}
 
 // answerAsCoordinator returns a handler that answers reports as the coordinator with
 // the given fence.
--- a/coordinator/new_term_test.go
+++ b/coordinator/new_term_test.go
@@ -88,13 +88,10 @@
 // report sends a report of the host and applies the answer.
 func (f *followed) report(t *testing.T) {
 	report := wireReport{Since: f.client.version, Fence: f.client.fence}
-	if report.Since == 0 {
-		digests := f.receiver.Digests()
-		report.Targets = digests[:]
-	}
+	lapses := f.client.addDigests(&report)
 	view, err := f.coordinator.report("h", report)
 	must.NoError(t, err)
-	f.client.applyView(view, 1)
+	f.client.applyAnswer(view, 1, lapses)
 }
 
 func newRegistered(number int, start roster.StartID) roster.Target {
@@ -151,6 +148,69 @@
 	}
 }
 
+// rosterReceiver is the receiver of a host that keeps its targets in a roster, in which
+// registrations lapse after an outage of the store.
+type rosterReceiver struct {
+	*followingReceiver
+	*roster.Roster
+}
+
+func (r rosterReceiver) UpdateTargets(changed []roster.Target, removed, all []target.ID, buckets []roster.Bucket) {
+	r.Update(changed, removed, all, buckets)
+}
+
+func (r rosterReceiver) Digests() roster.Digests { return r.Roster.Digests() }
+func (r rosterReceiver) Lapses() int             { return r.Roster.Lapses() }
+
+func (r rosterReceiver) SetModels(id target.ID, start roster.StartID, models []roster.Resident) {
+	r.Roster.SetModels(id, start, models)
+}
+
+// Guards against a host that reads an outage's removals from the store, and then relies on a
+// coordinator that knows of renewals: what lapsed at the host expired there although it was
+// registered again.
+func TestLapsedTargetsAreComparedWithTheCoordinator(t *testing.T) {
+	for _, newTerm := range []bool{false, true} {
+		t.Run(fmt.Sprint("new term ", newTerm), func(t *testing.T) {
+			lost := false
+			delivered := func() bool { return !lost }
+			f := newFollowed()
+			clock := boottime.NewFakeClock(boottime.Instant(time.Hour))
+			host := rosterReceiver{f.receiver, roster.New(clock)}
+			f.client.receiver = host
+			stored := map[target.ID]roster.Target{}
+			for i := range 10 {
+				stored[newRegistered(i, 1).ID] = newRegistered(i, 1)
+			}
+			f.elect(stored, delivered)
+			f.announce()
+			f.report(t)
+			must.SliceLen(t, 10, host.All())
+
+			host.StoreLost()
+			host.StoreRegained()
+			for _, id := range []target.ID{"i-2", "i-3", "i-4"} {
+				host.Remove(id)
+			}
+			delete(stored, "i-4")
+			if newTerm {
+				lost = true
+				f.elect(stored, delivered)
+			} else {
+				f.roster.Drop("i-4")
+			}
+			f.announce()
+			f.report(t)
+			clock.Advance(10 * time.Second)
+			known := map[target.ID]roster.Target{}
+			for _, t := range host.All() {
+				known[t.ID] = t
+			}
+			must.Eq(t, starts(stored), starts(known))
+		})
+	}
+}
+
 // Targets come, leave and start again at any moment, coordinators replace each other, and
 // broadcasts are lost. Whenever a host confirms that its targets are complete, they are those
 // that the coordinator has announced.
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -56,6 +56,7 @@
 }
 
 func (*recordingReceiver) Digests() roster.Digests { return roster.Digests{} }
+func (*recordingReceiver) Lapses() int             { return 0 }
 
 func (r *recordingReceiver) SetModels(id target.ID, _ roster.StartID, models []roster.Resident) {
 	r.saved[id] = models
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -588,33 +587,16 @@
 // UpdateTargets implements coordinator.Host. It applies the coordinator's
 // changes to the registrations.
 func (g *gateway) UpdateTargets(changed []roster.Target, removed, all []target.ID, buckets []roster.Bucket) {
-	for _, t := range changed {
-		if previous, ok := g.roster.Get(t.ID); ok && previous.Start == t.Start {
-			t.Holdings.InMemory, t.Holdings.OnDisk, t.Sequence = previous.Holdings.InMemory, previous.Holdings.OnDisk, previous.Sequence
-		}
-		g.roster.Put(t)
-	}
-	for _, id := range removed {
-		g.roster.Drop(id)
-	}
-	if len(buckets) == 0 {
-		return
-	}
-	registered := make(map[target.ID]bool, len(all))
-	for _, id := range all {
-		registered[id] = true
-	}
-	for _, t := range g.roster.All() {
-		if !registered[t.ID] && slices.Contains(buckets, roster.BucketOf(t.ID)) {
-			g.roster.Drop(t.ID)
-		}
-	}
+	g.roster.Update(changed, removed, all, buckets)
 }
 
 // Digests implements coordinator.Host. It returns the digests of the known
 // registrations.
 func (g *gateway) Digests() roster.Digests { return g.roster.Digests() }
 
+// Lapses implements coordinator.Host.
+func (g *gateway) Lapses() int { return g.roster.Lapses() }
+
 // SetModels implements coordinator.Host. It records the models that an engine
 // holds.
 func (g *gateway) SetModels(id target.ID, start roster.StartID, models []roster.Resident) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -133,6 +133,7 @@
 	// storeRegainedAt is when the last outage of the store ended, or zero.
 	storeRegainedAt boottime.Instant
 	storeLost       bool
+	lapses          int
 	// leaving holds when targets have said that they leave, and pausedUntil until when
 	// targets want no requests from this host.
 	leaving     map[startKey]boottime.Instant
@@ -214,6 +215,7 @@
 		r.notify()
 		return
 	}
+	r.lapses++
 	e.lapsed, e.expiresAt = true, r.storeRegainedAt.Add(lapseGrace)
 	r.targets[id] = e
 	r.invalidateLists()
@@ -243,6 +245,32 @@
 	}
 }
 
+// Update applies changes that another host relays. All lists every registered target of the
+// given buckets. Caches of weights and sequences aren't relayed, and stay.
+func (r *Roster) Update(changed []Target, removed, all []target.ID, buckets []Bucket) {
+	for _, t := range changed {
+		if previous, ok := r.Get(t.ID); ok && previous.Start == t.Start {
+			t.Holdings.InMemory, t.Holdings.OnDisk, t.Sequence = previous.Holdings.InMemory, previous.Holdings.OnDisk, previous.Sequence
+		}
+		r.Put(t)
+	}
+	for _, id := range removed {
+		r.Drop(id)
+	}
+	if len(buckets) == 0 {
+		return
+	}
+	registered := make(map[target.ID]bool, len(all))
+	for _, id := range all {
+		registered[id] = true
+	}
+	for _, t := range r.All() {
+		if !registered[t.ID] && slices.Contains(buckets, BucketOf(t.ID)) {
+			r.Drop(t.ID)
+		}
+	}
+}
+
 func (r *Roster) ids() []target.ID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -287,20 +315,30 @@
 	return r.all
 }
 
-// Digests returns the digests of all known targets.
+// Digests returns the digests of all known targets, without those that have lapsed: a roster
+// that has their renewal differs.
 func (r *Roster) Digests() Digests {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refreshLists()
 	if r.digests == nil {
 		r.digests = &Digests{}
-		for _, t := range r.all {
-			r.digests[BucketOf(t.ID)] ^= t.Digest()
+		for id, e := range r.targets {
+			if !e.lapsed {
+				r.digests[BucketOf(id)] ^= e.target.Digest()
+			}
 		}
 	}
 	return *r.digests
 }
 
+// Lapses returns how often registrations have lapsed so far.
+func (r *Roster) Lapses() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lapses
+}
+
 // SetModels sets the models of a target from a source newer than its registration. It does
 // nothing if the target has another start.
 func (r *Roster) SetModels(id target.ID, start StartID, models []Resident) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -149,3 +149,21 @@
 	r.Put(roster.Target{ID: "a", Pool: "p", Address: "10.0.0.1:1", Start: 6})
 	must.False(t, r.Ready("p")[0].Holdings.Has("m", ""))
 }
+
+// Guards against rosters that count as equal although the target that both know is about to
+// expire in one of them.
+func TestLapsedTargetsAreNotInDigests(t *testing.T) {
+	r := roster.New(boottime.NewFakeClock(boottime.Instant(time.Hour)))
+	r.Put(roster.Target{ID: "a", Pool: "p", Address: "10.0.0.1:1"})
+	without := r.Digests()
+	b := roster.Target{ID: "b", Pool: "p", Address: "10.0.0.2:1"}
+	r.Put(b)
+	with := r.Digests()
+	r.StoreLost()
+	r.StoreRegained()
+	r.Remove("b")
+	must.Eq(t, 1, r.Lapses())
+	must.Eq(t, without, r.Digests())
+	r.Put(b)
+	must.Eq(t, with, r.Digests())
+}
