coordinator: a host takes no targets from its own broadcasts

Cause: a host that had just won the election still followed the host that had resigned, for 0.3 to 0.8 s. It applied its own first broadcast like another host's. In the same time the host relied on itself for the store's state, and read nothing.

Evidence: TestOwnBroadcastTellsNothingAboutTargets, which failed before.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -131,8 +131,10 @@
 	leader  election.Leader
 	// fence is that of the newest view, and version the one up to which this host has
 	// received all changes.
-	fence       target.Fence
-	version     uint64
+	fence   target.Fence
+	version uint64
+	// ownFence is the fence of this host's last own term, or zero.
+	ownFence    target.Fence
 	lastContact time.Time
 	startedAt   time.Time
 	// ordersAllowedAt is when the coordinator may give its first order of the term.
@@ -220,7 +222,7 @@
 	}
 	mesh.Handle(kindView, c.handleView)
 	mesh.Handle(kindLeader, c.handleLeader)
-	local.deliverLocal = func(view wireView) { c.applyView(view, 0) }
+	local.deliverLocal = c.applyOwnView
 	return c
 }
 
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -39,6 +39,21 @@
 // applyView applies a view from the coordinator. Sent is when the report that it
 // answers was sent, or zero. Views from former coordinators are ignored.
 func (c *Client) applyView(view wireView, sent boottime.Instant) {
+	c.apply(view, sent, c.isLeader())
+}
+
+// applyOwnView applies a broadcast of this host's own coordinator, which may lead before this
+// host has found out that it follows itself.
+func (c *Client) applyOwnView(view wireView) {
+	c.mu.Lock()
+	c.ownFence = view.Fence
+	c.mu.Unlock()
+	c.apply(view, 0, true)
+}
+
+// apply applies a view. If this host leads, it tells nothing about targets: they were read from
+// this host's roster, and may be older than that.
+func (c *Client) apply(view wireView, sent boottime.Instant, leads bool) {
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
 	current, complete := c.applyEngines(view)
@@ -50,7 +65,6 @@
 	}
 	c.adoptQuarantined(view)
 	c.adoptLimits(view)
-	leads := c.isLeader()
 	if !leads {
 		changed, removed, all := c.newerTargets(view)
 		c.receiver.UpdateTargets(changed, removed, all, view.CompleteBuckets)
@@ -106,7 +120,7 @@
 func (c *Client) RelayedStateAge() (age time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ok = c.leader.Host != c.mesh.Self().Host && c.connected && c.confirmedAt != 0
+	ok = c.leader.Host != c.mesh.Self().Host && c.fence != c.ownFence && c.connected && c.confirmedAt != 0
 	return c.boot.Now().Sub(c.confirmedAt), ok
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -296,8 +296,9 @@
 func (loneMesh) UpdateTargets([]roster.Target, []target.ID, []target.ID, []roster.Bucket) {}
 func (loneMesh) ConfirmCurrent(catalog.Version, keyvalue.Revision, boottime.Instant)      {}
 func (loneMesh) Digests() roster.Digests                                                  { return roster.Digests{} }
-func (loneMesh) Lapses() int                                                              { return 0 }
-func (loneMesh) SetModels(target.ID, roster.StartID, []roster.Resident)                   {}
+
+func (loneMesh) Lapses() int                                            { return 0 }
+func (loneMesh) SetModels(target.ID, roster.StartID, []roster.Resident) {}
 
 // fixture is a coordinator and the client of the same host.
 type fixture struct {
--- a/coordinator/neighbour_test.go
+++ b/coordinator/neighbour_test.go
@@ -62,7 +62,7 @@
 }
 
 func (*partialMesh) UpdateTargets([]roster.Target, []target.ID, []target.ID, []roster.Bucket) {}
-func (*partialMesh) Digests() roster.Digests { return roster.Digests{} }
+func (*partialMesh) Digests() roster.Digests                                                  { return roster.Digests{} }
 
 func (*partialMesh) Lapses() int                                                         { return 0 }
 func (*partialMesh) SetModels(target.ID, roster.StartID, []roster.Resident)              {}
--- a/coordinator/new_term_test.go
+++ b/coordinator/new_term_test.go
@@ -211,6 +211,22 @@
 	}
 }
 
+// Guards against a host that leads, still takes another host for the coordinator, and applies
+// its own broadcast: targets that had left since then were registered again, for good, and the
+// host stopped reading the store.
+func TestOwnBroadcastTellsNothingAboutTargets(t *testing.T) {
+	receiver, client := newRecordingClient()
+	client.followCoordinator()
+	client.applyView(wireView{Fence: 1, Version: 1, Answer: true}, 1)
+	client.applyView(wireView{Fence: 1, Version: 2, Answer: true, Since: 1}, 2)
+	_, relayed := client.RelayedStateAge()
+	must.True(t, relayed)
+	client.local.deliverLocal(wireView{Fence: 2, Version: 1, Targets: []wireTarget{newWireTarget(newRegistered(3, 1))}, CompleteBuckets: allBuckets()})
+	must.MapLen(t, 0, receiver.targets)
+	_, relayed = client.RelayedStateAge()
+	must.False(t, relayed)
+}
+
 // Targets come, leave and start again at any moment, coordinators replace each other, and
 // broadcasts are lost. Whenever a host confirms that its targets are complete, they are those
 // that the coordinator has announced.
