roster: relayed state ends an outage of the store

Cause: a host that relies on the coordinator for the store's state doesn't call the store, so that for it the outage went on until it did, here for 6.8 s. The removals that it read then were taken for registrations that couldn't be renewed, and kept for two seconds.

Now the outage ends when the coordinator confirms a state from after its beginning.

Evidence: TestRelayedStateEndsAnOutage; before, a host had no way to record this.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -611,6 +611,7 @@
 // configuration version and store revision that the coordinator knows.
 func (g *gateway) ConfirmCurrent(version catalog.Version, read keyvalue.Revision, at boottime.Instant) {
 	g.follower.SetRelayedRevision(read)
+	g.roster.StoreRelayed(at)
 	g.learnVersion(version)
 	if version > 0 {
 		g.newest.named(g.bootClock.Now())
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -130,10 +130,11 @@
 	listsValidUntil boottime.Instant
 	// digests caches the digests of all, or is nil.
 	digests *Digests
-	// storeRegainedAt is when the last outage of the store ended, or zero.
-	storeRegainedAt boottime.Instant
-	storeLost       bool
-	lapses          int
+	// storeRegainedAt is when the last outage of the store ended, or zero. StoreLostAt is when
+	// the present one began while storeLost is set.
+	storeRegainedAt, storeLostAt boottime.Instant
+	storeLost                    bool
+	lapses                       int
 	// leaving holds when targets have said that they leave, and pausedUntil until when
 	// targets want no requests from this host.
 	leaving     map[startKey]boottime.Instant
@@ -285,7 +286,9 @@
 func (r *Roster) StoreLost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.storeLost = true
+	if !r.storeLost {
+		r.storeLost, r.storeLostAt = true, r.clock.Now()
+	}
 }
 
 // StoreRegained records that the store can be reached.
@@ -297,6 +300,16 @@
 	}
 }
 
+// StoreRelayed records that another host, which relays the store's state, had reached the
+// store at an instant.
+func (r *Roster) StoreRelayed(at boottime.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.storeLost && r.storeLostAt < at {
+		r.storeLost, r.storeRegainedAt = false, r.clock.Now()
+	}
+}
+
 // Ready returns the targets of a pool that may get requests, ordered by ID. Callers must
 // not modify the slice.
 func (r *Roster) Ready(pool target.Pool) []Target {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -167,3 +167,33 @@
 	r.Put(b)
 	must.Eq(t, with, r.Digests())
 }
+
+// Guards against a host that relies on another one for the store's state after an outage, and
+// takes what is removed long after that for a lapse.
+func TestRelayedStateEndsAnOutage(t *testing.T) {
+	const lostAt = boottime.Instant(time.Hour)
+	cases := []struct {
+		name string
+		// confirmed is the instant as of which the state was relayed.
+		confirmed boottime.Instant
+		left      int
+	}{
+		{"relayed after the outage", lostAt.Add(time.Second), 0},
+		{"relayed before the outage", lostAt.Add(-time.Second), 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := boottime.NewFakeClock(lostAt)
+			r := roster.New(clock)
+			r.Put(roster.Target{ID: "a", Pool: "p", Address: "10.0.0.1:1"})
+			r.StoreLost()
+			clock.Advance(2 * time.Second)
+			r.StoreLost() // each failed call
+			r.StoreRelayed(tc.confirmed)
+			clock.Advance(5 * time.Second)
+			r.StoreRegained()
+			r.Remove("a")
+			must.SliceLen(t, tc.left, r.All())
+		})
+	}
+}
