quota, coordinator: hosts tell a new ledger all their reserves at once

What callers would see: after a rolling restart, a coordinator that is lost within half a minute leaves hosts without any reserve, and they refuse what their teams may use.

Cause: since reserves are bounded together, a new ledger learnt of a host's part only as the host borrowed, and took the parts of processes that had ended for held. Restarted hosts got none until half a minute had passed.

Now the first report of a host in a term tells its parts of all reserves. Once all hosts that the former ledger knew have told theirs, no other part is held. Reports of older builds don't tell, and coordinators of older builds ignore the field.

Evidence: TestRestartedHostsFreeTheirReserves, which failed before.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -155,8 +155,11 @@
 	download      configDownload
 	screen        *quarantine.Screen
 	// leaving returns the targets that have told this host that they leave.
-	leaving    func() []roster.Target
-	updateLoad func(id target.ID, work int)
+	leaving func() []roster.Target
+	// reserveShares returns the fractions of teams' rates that this host may spend while it
+	// can't reach the coordinator.
+	reserveShares func() map[team.ID]float64
+	updateLoad    func(id target.ID, work int)
 	// connected is set by each view of the coordinator and cleared by a failed report.
 	connected bool
 	// fleetLimits is the digest of the limits of targets that the coordinator knows.
@@ -178,6 +181,12 @@
 // the coordinator.
 func WithWeakHost(weak func() bool) ClientOption { return func(c *Client) { c.weak = weak } }
 
+// WithReserveShares sets the function that returns the fractions of teams' rates that this host
+// may spend while it can't reach the coordinator.
+func WithReserveShares(shares func() map[team.ID]float64) ClientOption {
+	return func(c *Client) { c.reserveShares = shares }
+}
+
 // WithScreen sets the quarantined suspects that this host keeps from targets, and
 // its evidence for the coordinator.
 func WithScreen(screen *quarantine.Screen) ClientOption {
@@ -213,6 +222,7 @@
 		changed:        make(chan struct{}),
 		leaderChanged:  make(chan struct{}, 1),
 		leaving:        func() []roster.Target { return nil },
+		reserveShares:  func() map[team.ID]float64 { return nil },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -366,8 +376,8 @@
 
 // addDigests adds the digests of the known targets to a report, if a list of changes would not
 // be enough: this host has no view of the term yet, or registrations have lapsed here, as it
-// read the store itself, that the coordinator may know to be renewed. It returns the number of
-// lapses that the digests cover.
+// read the store itself, that the coordinator may know to be renewed. A new term's ledger also
+// needs the reserves that this host has. It returns the number of lapses that the digests cover.
 func (c *Client) addDigests(report *wireReport) (lapses int) {
 	lapses = c.receiver.Lapses()
 	if report.Since > 0 && lapses == c.comparedLapses {
@@ -375,6 +385,7 @@
 	}
 	digests := c.receiver.Digests()
 	report.Since, report.Targets = 0, digests[:]
+	report.ReserveShares = &wireReserveShares{c.reserveShares()}
 	return lapses
 }
 
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -95,7 +95,7 @@
 	if fence, _, leads := c.terms.Term(); !c.leading || !leads || fence != c.fence {
 		return wireView{}, errNotLeading
 	}
-	c.ledger.RecordReport(host, report.Hosts)
+	c.ledger.RecordReport(host, report.Hosts, report.ReserveShares.list())
 	c.recordConfig(host, report.Config)
 	now := c.clock.Now()
 	c.hosts[host] = hostReport{receivedAt: now, running: report.Running, weak: report.Weak}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -119,6 +119,8 @@
 	Targets []uint64 `cbor:"targets"`
 	// Hosts is the fleet size in the last view that the host received.
 	Hosts int `cbor:"hosts"`
+	// ReserveShares is sent with Targets. Hosts of older builds don't send it.
+	ReserveShares *wireReserveShares `cbor:"reserve-shares,omitempty"`
 	// Weak is set by a host that is not to be preferred as the coordinator: it has too little
 	// processor time, or is cut off from the targets.
 	Weak bool `cbor:"weak"`
@@ -142,6 +144,22 @@
 	Running []wireRunning `cbor:"running"`
 }
 
+// wireReserveShares holds the fractions of teams' rates that a host may spend from its reserves.
+type wireReserveShares struct {
+	Shares map[team.ID]float64 `cbor:"shares"`
+}
+
+// list returns the shares, or nil if they weren't sent.
+func (w *wireReserveShares) list() map[team.ID]float64 {
+	if w == nil {
+		return nil
+	}
+	if w.Shares == nil {
+		return map[team.ID]float64{}
+	}
+	return w.Shares
+}
+
 // wireLeaving is a target that leaves.
 type wireLeaving struct {
 	Target target.ID      `cbor:"target"`
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	"hawthornway/roster"
 	"hawthornway/target"
 	"hawthornway/tcp"
+	"hawthornway/team"
 )
 
 // Gateway is one host of the fleet.
@@ -100,6 +101,7 @@
 	election          *election.Election
 	coordinator       *coordinator.Coordinator
 	coordinatorClient *coordinator.Client
+	tokens            *quota.TokenCache
 	balancer          *balance.Balancer
 	screen            *quarantine.Screen
 	placer            *placer
@@ -204,7 +206,9 @@
 	g.paths = detour.NewPaths(g.clock)
 	usage := newUsageTracker()
 	g.screen = quarantine.NewScreen(g.clock, g.log)
-	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(func() bool { return weak || g.cutFromEngines() }), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving))
+	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(func() bool { return weak || g.cutFromEngines() }), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving),
+		coordinator.WithReserveShares(func() map[team.ID]float64 { return g.tokens.ReserveShares() }))
+	g.tokens = quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime, quota.WithRandom(rand.Float64))
 	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
 	g.placer = &placer{gateway: g, usage: usage, pacer: pacer}
 	g.tunnels = detour.NewServer(g.links, tunnelTargets{g}, g.targetDial, g.paths, g.log)
@@ -226,7 +230,7 @@
 		relay.WithKeysConfirmed(g.freshness.current),
 		relay.WithConfigState(g.known.State),
 		relay.WithMemory(memory.NewBudget(memory.Bytes(requestMemoryShare*float64(s.MemoryLimit)), g.clock)),
-		relay.WithLimiter(quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime, quota.WithRandom(rand.Float64))),
+		relay.WithLimiter(g.tokens),
 		relay.WithPlacer(g.placer),
 		relay.WithProber(newProber(g.dialTarget, platform.WithLeaving(g.targetLeaves))),
 		relay.WithClient(g.targetClient),
--- a/quota/cache.go
+++ b/quota/cache.go
@@ -177,6 +177,17 @@
 	}
 }
 
+// ReserveShares returns the fractions of rates that this host may spend from its reserves.
+func (c *TokenCache) ReserveShares() map[team.ID]float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shares := make(map[team.ID]float64, len(c.reserves))
+	for id, r := range c.reserves {
+		shares[id] = r.share
+	}
+	return shares
+}
+
 // ledgerLost reports whether the last call to the ledger failed.
 func (c *TokenCache) ledgerLost() bool {
 	c.mu.Lock()
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -45,16 +45,18 @@
 	clock        clockwork.Clock
 	limits       func(team.ID) (catalog.Limit, bool)
 	initialLevel func(catalog.Limit) team.Tokens
-	// formerShare is the fraction of each team's rate that former ledgers may have assigned.
-	formerShare float64
+	// first is set if there was no ledger before.
+	first bool
 	// tolerance limits what hosts may cache; a window of zero means no limit.
 	tolerance Tolerance
 
 	startedAt time.Time
 	mu        sync.Mutex
 	buckets   map[team.ID]*bucket
-	// hosts holds the time of the last report of each host.
+	// hosts holds the time of the last report of each host, and told the parts of reserves that
+	// hosts had when they first reported to this ledger.
 	hosts map[fleet.HostID]time.Time
+	told  map[fleet.HostID]map[team.ID]float64
 	// previousHosts is the number of hosts that the previous ledger knew.
 	previousHosts int
 }
@@ -68,20 +70,20 @@
 	// of the team's rate that the host was last allowed to spend from its reserve.
 	used          map[fleet.HostID]float64
 	assignedShare map[fleet.HostID]float64
-	// formerShare is the fraction of the team's rate that hosts may spend from reserves that
-	// former ledgers assigned.
-	formerShare float64
+	// formerShare holds the fraction of the team's rate that hosts may spend from reserves that
+	// former ledgers assigned, as the hosts told.
+	formerShare map[fleet.HostID]float64
 	// withheld counts the tokens that weren't lent because a host was silent, and
 	// withheldForUnseen those for hosts that have not reported to this ledger yet.
 	withheld          map[fleet.HostID]float64
 	withheldForUnseen float64
 }
 
-func newBucket(now time.Time, level team.Tokens, formerShare float64) *bucket {
+func newBucket(now time.Time, level team.Tokens) *bucket {
 	return &bucket{
 		level:         float64(level),
 		updatedAt:     now,
-		formerShare:   formerShare,
+		formerShare:   map[fleet.HostID]float64{},
 		used:          map[fleet.HostID]float64{},
 		assignedShare: map[fleet.HostID]float64{},
 		withheld:      map[fleet.HostID]float64{},
@@ -106,10 +108,7 @@
 // borrows gets no more than the others leave. Until its next request shows that it got the
 // answer, it may have either part.
 func (l *Ledger) assignReserve(b *bucket, host fleet.HostID, held, wanted float64, now time.Time) float64 {
-	left := TotalReserveShare
-	if now.Sub(l.startedAt) <= hostTTL {
-		left -= b.formerShare
-	}
+	left := TotalReserveShare - l.formerShare(b, host, now)
 	for other, share := range b.assignedShare {
 		if _, counts := l.hosts[other]; counts && other != host {
 			left -= share
@@ -120,16 +119,36 @@
 	return share
 }
 
+// formerShare returns the fraction of a team's rate that hosts other than the given one may
+// spend from reserves that former ledgers assigned. Until all hosts have told their parts, it
+// includes what none has told.
+func (l *Ledger) formerShare(b *bucket, host fleet.HostID, now time.Time) float64 {
+	if l.first || now.Sub(l.startedAt) > hostTTL {
+		return 0
+	}
+	told, held := 0.0, 0.0
+	for other, share := range b.formerShare {
+		told += share
+		if _, assigned := b.assignedShare[other]; !assigned && other != host {
+			held += share
+		}
+	}
+	if l.previousHosts == 0 || len(l.told) < l.previousHosts {
+		held += max(0, TotalReserveShare-told)
+	}
+	return held
+}
+
 // heldShare returns the fraction of a team's rate that a host may spend from its reserve as it
 // sends a request. Hosts of older builds don't tell it, and count with an even part at first.
 func (l *Ledger) heldShare(b *bucket, host fleet.HostID, request BorrowRequest) float64 {
 	if request.ReserveShare != nil {
 		return *request.ReserveShare
 	}
-	if _, assigned := b.assignedShare[host]; assigned {
+	if _, assigned := b.assignedShare[host]; assigned || l.first {
 		return 0
 	}
-	return min(b.formerShare, TotalReserveShare/float64(max(1, l.previousHosts)))
+	return TotalReserveShare / float64(max(1, l.previousHosts))
 }
 
 // LedgerOption sets an option of a Ledger.
@@ -140,7 +159,7 @@
 func WithFullBuckets() LedgerOption {
 	return func(l *Ledger) {
 		l.initialLevel = func(limit catalog.Limit) team.Tokens { return limit.Burst }
-		l.formerShare = 0
+		l.first = true
 	}
 }
 
@@ -160,10 +179,10 @@
 		clock:        clock,
 		limits:       limits,
 		initialLevel: func(catalog.Limit) team.Tokens { return 0 },
-		formerShare:  TotalReserveShare,
 		startedAt:    clock.Now(),
 		buckets:      map[team.ID]*bucket{},
 		hosts:        map[fleet.HostID]time.Time{},
+		told:         map[fleet.HostID]map[team.ID]float64{},
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -172,12 +191,28 @@
 }
 
 // RecordReport records a report of a host, with the number of hosts that the previous
-// ledger had announced to it.
-func (l *Ledger) RecordReport(host fleet.HostID, previousHosts int) {
+// ledger had announced to it. Shares holds the fractions of rates that the host may spend from
+// its reserves, or is nil if the report doesn't tell them.
+func (l *Ledger) RecordReport(host fleet.HostID, previousHosts int, shares map[team.ID]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts[host] = l.clock.Now()
 	l.previousHosts = max(l.previousHosts, previousHosts)
+	if _, known := l.told[host]; known || shares == nil {
+		return
+	}
+	l.told[host] = shares
+	for id, b := range l.buckets {
+		b.tell(host, shares[id])
+	}
+}
+
+// tell records the part of the reserve that a former ledger assigned to a host, unless it is
+// known already.
+func (b *bucket) tell(host fleet.HostID, share float64) {
+	if _, known := b.formerShare[host]; !known {
+		b.formerShare[host] = share
+	}
 }
 
 // unseenShare returns the fraction of each rate that may be spent by hosts that reached
@@ -284,7 +319,7 @@
 		b.settle(host, request.ReserveSpent)
 		wanted = TotalReserveShare * b.hostShare(host, known)
 	} else {
-		b.formerShare = max(0, b.formerShare-held)
+		b.tell(host, held)
 		l.settleFirst(b, host, request, held*float64(limit.Rate), now)
 	}
 	share := l.assignReserve(b, host, held, wanted, now)
@@ -369,7 +404,10 @@
 func (l *Ledger) refill(id team.ID, limit catalog.Limit, now time.Time) (*bucket, float64) {
 	b, ok := l.buckets[id]
 	if !ok {
-		b = newBucket(now, l.initialLevel(limit), l.formerShare)
+		b = newBucket(now, l.initialLevel(limit))
+		for host, shares := range l.told {
+			b.tell(host, shares[id])
+		}
 		l.buckets[id] = b
 	}
 	elapsed := now.Sub(b.updatedAt).Seconds()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -98,7 +98,7 @@
 	tolerance := quota.Tolerance{Window: 8 * time.Second, Share: 0.1}
 	ledger := quota.NewLedger(clock, limits, quota.WithTolerance(tolerance, 0), quota.WithFullBuckets())
 	for i := range 200 {
-		ledger.RecordReport(fleet.HostID(fmt.Sprint("host", i)), 200)
+		ledger.RecordReport(fleet.HostID(fmt.Sprint("host", i)), 200, nil)
 	}
 	cache := quota.NewTokenCache(&hostLender{ledger: ledger, host: "host1"}, clock, takeoverTime, quota.WithBackground(func(f func()) { f() }))
 	refund, refusal := cache.Charge(t.Context(), limited, 900, 0)
@@ -418,7 +418,7 @@
 		}
 		for i, cache := range caches {
 			if w.bursts {
-				ledger.RecordReport(lenders[i].host, count)
+				ledger.RecordReport(lenders[i].host, count, caches[i].ReserveShares())
 				if quiet && rng.IntN(60) != 0 {
 					continue
 				}
@@ -439,7 +439,7 @@
 				lenders[i].cut = !lenders[i].cut
 			}
 			if !lenders[i].cut {
-				ledger.RecordReport(lenders[i].host, count)
+				ledger.RecordReport(lenders[i].host, count, caches[i].ReserveShares())
 			}
 			if w.idle > 0 && rng.IntN(100) < w.idle {
 				continue
--- a/quota/reserve_test.go
+++ b/quota/reserve_test.go
@@ -38,7 +38,7 @@
 			shares := make([]float64, hosts)
 			borrow := func(i int, need team.Tokens, lost bool) {
 				id := fleet.HostID(fmt.Sprint("host", i))
-				ledger.RecordReport(id, hosts)
+				ledger.RecordReport(id, hosts, map[team.ID]float64{"one": shares[i]})
 				grant := ledger.Borrow(id, "one", quota.BorrowRequest{Need: need, ReserveShare: &shares[i]})
 				if !lost {
 					shares[i] = grant.ReserveShare
@@ -70,6 +70,28 @@
 	}
 }
 
+// Guards against hosts that have no reserve for half a minute after a rolling restart, since the
+// next ledger takes the parts of the former processes for held.
+func TestRestartedHostsFreeTheirReserves(t *testing.T) {
+	const hosts = 6
+	clock := clockwork.NewFakeClock()
+	ledger := quota.NewLedger(clock, limits, quota.WithTolerance(tolerance, 0))
+	shares := make([]float64, hosts)
+	for range 2 {
+		for i := range hosts {
+			clock.Advance(100 * time.Millisecond)
+			id := fleet.HostID(fmt.Sprint("host", i))
+			ledger.RecordReport(id, hosts, map[team.ID]float64{})
+			shares[i] = ledger.Borrow(id, "one", quota.BorrowRequest{Need: 1, ReserveShare: &shares[i]}).ReserveShare
+		}
+	}
+	sum := 0.0
+	for _, share := range shares {
+		sum += share
+	}
+	test.Between(t, 0.7*quota.TotalReserveShare, sum, quota.TotalReserveShare+1e-9)
+}
+
 // A host of an older build doesn't tell its part of the reserve to a new ledger.
 func TestHostOfOlderBuildHoldsAnEvenPartOfTheReserve(t *testing.T) {
 	const hosts = 4
@@ -78,7 +100,7 @@
 	sum := 0.0
 	for i := range hosts {
 		id := fleet.HostID(fmt.Sprint("host", i))
-		ledger.RecordReport(id, hosts)
+		ledger.RecordReport(id, hosts, nil)
 		sum += ledger.Borrow(id, "one", quota.BorrowRequest{Need: 1}).ReserveShare
 	}
 	test.LessEq(t, quota.TotalReserveShare+1e-9, sum)
--- a/quota/takeover_test.go
+++ b/quota/takeover_test.go
@@ -66,9 +66,9 @@
 					if before && !lost {
 						ledger = quota.NewLedger(clock, limits, quota.WithTolerance(tolerance, leaseMargin))
 					}
-					for _, l := range lenders {
+					for i, l := range lenders {
 						if !lost {
-							ledger.RecordReport(l.host, tc.hosts)
+							ledger.RecordReport(l.host, tc.hosts, caches[i].ReserveShares())
 							l.useLedger(ledger)
 						}
 						l.setCut(lost)
