--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -18,6 +18,7 @@
 	"hawthornway/peer"
 	"hawthornway/roster"
 	"hawthornway/target"
+	"hawthornway/team"
 )
 
 // recordingReceiver is a ViewReceiver that records targets and models. It is also the
@@ -229,3 +230,28 @@
 		})
 	}
 }
+
+// A coordinator has to tell a host that holds no reserve from one of an older build, which
+// doesn't say.
+func TestReserveSharesOnTheWire(t *testing.T) {
+	cases := []struct {
+		name  string
+		sent  *wireReserveShares
+		heard map[team.ID]float64
+	}{
+		{"older build", nil, nil},
+		{"none held", &wireReserveShares{}, map[team.ID]float64{}},
+		{"one held", &wireReserveShares{map[team.ID]float64{"one": 0.25}}, map[team.ID]float64{"one": 0.25}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			encoded, err := peer.Encode(wireReport{ReserveShares: tc.sent})
+			must.NoError(t, err)
+			var report wireReport
+			must.NoError(t, peer.Decode(encoded, &report))
+			heard := report.ReserveShares.list()
+			must.Eq(t, tc.heard == nil, heard == nil)
+			must.MapEq(t, tc.heard, heard)
+		})
+	}
+}
