soak, platformtest: shapes of deployments, faulty answers, checks of repeats and lost answers

The soak checked neither repeats nor requests that end without an answer, and its engines sent each answer once and well formed.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -18,8 +18,10 @@
 	Binary  string        `long:"binary" required:"true" value-name:"FILE" description:"binary that the hosts run"`
 	Seed    uint64        `long:"seed" description:"first seed; derived from the current time if zero"`
 	Runs    int           `long:"runs" default:"1" description:"number of seeds, one after another"`
-	Hosts   int           `long:"hosts" default:"4" description:"number of host processes"`
+	Shape   string        `long:"shape" default:"small" description:"deployment that is played: small, desk or shop"`
+	Hosts   int           `long:"hosts" description:"number of host processes; that of the shape if zero"`
 	Length  time.Duration `long:"length" default:"20s" description:"duration of the fault injection"`
+	Faults  []string      `long:"fault" value-name:"NAME" description:"fault that is injected, may be given several times; all if there is none"`
 	Planned bool          `long:"planned" description:"inject only planned events: stops, reloads and configuration changes"`
 }
 
@@ -42,6 +44,11 @@
 	if o.Seed == 0 {
 		o.Seed = uint64(time.Now().UnixNano())
 	}
+	shape, err := soak.ShapeNamed(o.Shape)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return false
+	}
 	passed := true
 	for i := range o.Runs {
 		folder, err := soak.TempDir()
@@ -51,7 +58,7 @@
 		}
 		seed := o.Seed + uint64(i)
 		report, err := soak.Run(ctx, soak.Options{
-			Binary: o.Binary, Folder: folder, Seed: seed, Hosts: o.Hosts, Duration: o.Length, PlannedOnly: o.Planned,
+			Binary: o.Binary, Folder: folder, Seed: seed, Shape: shape, Hosts: o.Hosts, Duration: o.Length, PlannedOnly: o.Planned, Faults: o.Faults,
 		})
 		if err != nil || len(report.Violations) > 0 {
 			passed = false
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -13,9 +14,11 @@
 
 // Parameters of the callers' traffic.
 const (
-	callerCount  = 12
-	callInterval = 40 * time.Millisecond
-	callTimeout  = 8 * time.Second
+	callTimeout = 8 * time.Second
+	// retryInterval is the pause before a call is repeated that has failed.
+	retryInterval = 40 * time.Millisecond
+	// hastyRepeats is how often a hasty caller repeats a call that has failed, at once.
+	hastyRepeats = 3
 	// withdrawalTimeout is the platform's limit for the time until a withdrawn key is
 	// refused.
 	withdrawalTimeout = 5 * time.Second
@@ -24,16 +27,22 @@
 // call is a request with its result.
 type call struct {
 	id       string
-	stream   bool
+	kind     kind
 	key      string
 	sentAt   time.Time
+	endedAt  time.Time
 	host     string
 	status   int
 	body     string
 	complete bool
-	err      error
+	// retryAfter is the time after which the caller may try again, or zero.
+	retryAfter time.Duration
+	err        error
 }
 
+// served reports whether the call was answered with success and in full.
+func (c call) served() bool { return c.status == http.StatusOK && c.complete }
+
 // callers send requests and record the results. They keep connections open until
 // the host closes them.
 type callers struct {
@@ -43,6 +52,11 @@
 	calls       []call
 	lastID      int
 	withdrawnAt map[string]time.Time // by withdrawn key
+	// hastyUntil is until when one caller in three repeats calls at once and often, and
+	// leavingUntil is until when one in four leaves early.
+	hastyUntil, leavingUntil time.Time
+	// crashingSent are the times at which requests that crash engines were sent.
+	crashingSent []time.Time
 }
 
 func newCallers(s *soak) *callers { return &callers{soak: s, withdrawnAt: map[string]time.Time{}} }
@@ -56,19 +70,49 @@
 }
 
 func (c *callers) run(ctx context.Context, running *sync.WaitGroup) {
-	for i := range callerCount {
+	for i := range c.soak.Shape.Callers {
 		h := c.soak.hosts[i%len(c.soak.hosts)]
 		running.Go(func() {
-			client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}
+			client := &http.Client{Transport: &http.Transport{}}
 			defer client.CloseIdleConnections()
 			for n := 0; ctx.Err() == nil; n++ {
-				c.call(client, h, i, n)
-				time.Sleep(callInterval)
+				// Requests in progress end by themselves when the callers stop.
+				c.callAndRetry(context.WithoutCancel(ctx), client, h, i, n)
+				time.Sleep(c.soak.Shape.CallInterval)
 			}
 		})
 	}
 }
 
+// callAndRetry makes a call and repeats it as callers do: after a refusal, and after any
+// failure if it may be repeated, once and at another host.
+func (c *callers) callAndRetry(ctx context.Context, client *http.Client, h *host, caller, n int) {
+	c.mu.Lock()
+	hasty := caller%3 == 0 && time.Now().Before(c.hastyUntil)
+	leaves := caller%4 == 1 && time.Now().Before(c.leavingUntil)
+	c.mu.Unlock()
+	if leaves {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, leaveAfter)
+		defer cancel()
+	}
+	result := c.call(ctx, client, h, caller, n)
+	repeats := 1
+	if hasty {
+		repeats = hastyRepeats
+	}
+	for i := 0; i < repeats && ctx.Err() == nil && !result.served() && (result.kind.repeatable || notRun(result.status)); i++ {
+		if !hasty {
+			time.Sleep(max(retryInterval, min(result.retryAfter, result.kind.timeout/3)))
+		}
+		other := c.soak.hosts[(caller+n+i+1)%len(c.soak.hosts)]
+		result = c.call(ctx, client, other, caller, n)
+	}
+}
+
+// leaveAfter is the time after which callers leave that leave early.
+const leaveAfter = 100 * time.Millisecond
+
 // keyFor returns the key for the n-th call of a caller. One call in five uses the
 // last withdrawn key.
 func (c *callers) keyFor(caller, n int) string {
@@ -81,29 +125,35 @@
 	return fmt.Sprintf("key-%d", current)
 }
 
-func (c *callers) call(client *http.Client, h *host, caller, n int) call {
+func (c *callers) call(ctx context.Context, client *http.Client, h *host, caller, n int) call {
 	c.mu.Lock()
 	c.lastID++
-	result := call{id: fmt.Sprintf("r%d", c.lastID), stream: n%3 != 0, host: h.Name, sentAt: time.Now()}
+	kinds := c.soak.Shape.kinds
+	result := call{id: fmt.Sprintf("r%d", c.lastID), kind: kinds[n%len(kinds)], host: h.Name, sentAt: time.Now()}
 	c.mu.Unlock()
 	result.key = c.keyFor(caller, n)
-	request := platformtest.Call{ID: result.id, Key: result.key, Timeout: callTimeout}
-	if result.stream {
+	ctx, cancel := context.WithTimeout(ctx, result.kind.timeout)
+	defer cancel()
+	request := platformtest.Call{ID: result.id, Key: result.key, Timeout: result.kind.timeout, Path: result.kind.path}
+	if result.kind.stream {
 		request.Model = fmt.Sprintf("m%d", (caller+n)%modelCount)
 	}
 	req, err := request.NewRequest(h.callerProxy.address())
 	if err != nil {
 		panic(err) // a loopback address always makes a valid request
 	}
-	resp, err := client.Do(req)
+	resp, err := client.Do(req.WithContext(ctx))
 	if err == nil {
 		result.status = resp.StatusCode
+		if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+			result.retryAfter = time.Duration(seconds * float64(time.Second))
+		}
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
 		result.body, result.complete = string(body), err == nil
 		_ = resp.Body.Close() // the body was read to its end or its error
 	}
-	result.err = err
+	result.err, result.endedAt = err, time.Now()
 	c.mu.Lock()
 	c.calls = append(c.calls, result)
 	c.mu.Unlock()
@@ -123,6 +173,9 @@
 		if err != nil {
 			panic(err) // a loopback address always makes a valid request
 		}
+		c.mu.Lock()
+		c.crashingSent = append(c.crashingSent, time.Now())
+		c.mu.Unlock()
 		if resp, err := client.Do(req); err == nil {
 			_ = resp.Body.Close() // the answer doesn't matter
 		}
@@ -133,26 +186,28 @@
 // waitServed waits until every host has served a request of each kind. It returns
 // false after the timeout.
 func (c *callers) waitServed(ctx context.Context, timeout time.Duration) bool {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	deadline := time.Now().Add(timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var waiting sync.WaitGroup
 	for _, h := range c.soak.hosts {
-		for n := range 2 { // call 0 is plain, call 1 is streamed
-			for c.call(client, h, 1, n).status != http.StatusOK {
-				if ctx.Err() != nil || time.Now().After(deadline) {
-					return false
+		waiting.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			for n := range c.soak.Shape.kinds {
+				for ctx.Err() == nil && !c.call(ctx, client, h, 1, n).served() {
+					time.Sleep(retryInterval)
 				}
-				time.Sleep(callInterval)
 			}
-		}
+		})
 	}
-	return true
+	waiting.Wait()
+	return ctx.Err() == nil
 }
 
 func (c *callers) counts() (requests, served int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, result := range c.calls {
-		if result.status == http.StatusOK && result.complete {
+		if result.served() {
 			served++
 		}
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,15 +14,9 @@
 // check returns the violations of the guarantees to callers and engines.
 func (s *soak) check() (violations []string) {
 	report := func(format string, args ...any) { violations = append(violations, fmt.Sprintf(format, args...)) }
-	serviceRuns, engineRuns := map[string]int{}, map[string]int{}
-	for id, n := range s.plainService.Runs() {
-		serviceRuns[id] += n
-	}
+	runs := map[string]int{}
 	engines := append(append([]*platformtest.Engine(nil), s.engines...), s.removedEngines...)
 	for _, e := range engines {
-		for id, n := range e.Runs() {
-			engineRuns[id] += n
-		}
 		s.checkOrders(e, report)
 		if drainStart, ok := s.drainStarts[e.ID]; ok && s.PlannedOnly && e.LastRun().After(drainStart.Add(drainTimeout)) {
 			report("engine %s ran a request %v after it said that it leaves", e.ID, e.LastRun().Sub(drainStart).Round(time.Millisecond))
@@ -28,40 +24,66 @@
 	}
 	s.checkLimits(report)
 	s.checkCrashes(engines, report)
+	arrivals := map[string]history{platformtest.ModelService: arrivalsAt(engines), platformtest.PlainService: arrivalsAt(s.plainTargets)}
+	for _, e := range append(engines, s.plainTargets...) {
+		for id, n := range e.Runs() {
+			runs[id] += n
+		}
+	}
 	s.callers.mu.Lock()
 	defer s.callers.mu.Unlock()
-	for _, result := range s.callers.calls {
-		ran := serviceRuns[result.id] + engineRuns[result.id]
-		sentSeconds := result.sentAt.Sub(s.startedAt).Seconds()
-		switch {
-		case !result.stream && ran > 1:
-			report("%.3f s  %s at %s may run at most once but ran %d times", sentSeconds, result.id, result.host, ran)
-		case notRun(result.status) && ran > 0 && !result.stream:
-			report("%.3f s  %s at %s was answered %d but has run", sentSeconds, result.id, result.host, result.status)
+	for service, h := range arrivals {
+		h.sent = s.callers.sentTo(service)
+		if v := checkRepeats(h, float64(cmp.Or(s.Shape.RetrySlack, defaultRetrySlack))); v != "" {
+			report("%s: %s", service, v)
 		}
-		if result.status == http.StatusOK && result.complete && result.body != expectedBody(result) {
-			report("%.3f s  %s at %s got a wrong response: %.80q", sentSeconds, result.id, result.host, result.body)
+	}
+	reached := map[string]bool{}
+	for _, h := range arrivals {
+		for _, a := range h.arrivals {
+			reached[a.ID] = true
 		}
-		if result.status == http.StatusOK && result.stream && !strings.HasPrefix(expectedBody(result), result.body) {
-			report("%.3f s  %s at %s got events that are not a prefix of the response: %.80q", sentSeconds, result.id, result.host, result.body)
+	}
+	for _, result := range s.callers.calls {
+		for _, v := range checkCall(result, runs[result.id]) {
+			report("%.3f s  %s %s at %s %s", result.sentAt.Sub(s.startedAt).Seconds(), result.kind.name, result.id, result.host, v)
 		}
-		if withdrawnAt, ok := s.callers.withdrawnAt[result.key]; ok && result.sentAt.After(withdrawnAt.Add(withdrawalTimeout)) && ran > 0 {
-			report("%.3f s  %s at %s ran with %s, which was withdrawn %v before", sentSeconds, result.id, result.host, result.key, result.sentAt.Sub(withdrawnAt))
+		if withdrawnAt, ok := s.callers.withdrawnAt[result.key]; ok && result.sentAt.After(withdrawnAt.Add(withdrawalTimeout)) && runs[result.id] > 0 {
+			report("%s at %s ran with %s, which was withdrawn %v before", result.id, result.host, result.key, result.sentAt.Sub(withdrawnAt))
 		}
-		if s.PlannedOnly && result.status == http.StatusOK && !result.complete {
-			report("%.3f s  %s at %s was cut off although all faults were planned: %v", sentSeconds, result.id, result.host, result.err)
+		if s.PlannedOnly && !result.complete && reached[result.id] && result.endedAt.Sub(result.sentAt) < result.kind.timeout {
+			report("%.3f s  %s %s at %s was passed on and ended without a whole answer after %v although all faults were planned: status %d, %v", result.sentAt.Sub(s.startedAt).Seconds(), result.kind.name, result.id, result.host, result.endedAt.Sub(result.sentAt).Round(time.Millisecond), result.status, result.err)
 		}
 	}
 	return violations
 }
 
+// checkCall returns how the answer to a call contradicts how often it ran.
+func checkCall(c call, runs int) (violations []string) {
+	report := func(format string, args ...any) { violations = append(violations, fmt.Sprintf(format, args...)) }
+	if !c.kind.repeatable && runs > 1 {
+		report("may run at most once but ran %d times", runs)
+	}
+	if !c.kind.repeatable && notRun(c.status) && runs > 0 {
+		report("was answered %d but has run", c.status)
+	}
+	expected := expectedBody(c)
+	if c.served() && c.body != expected {
+		report("got a wrong response: %.80q", c.body)
+	}
+	if c.status == http.StatusOK && c.kind.stream && !strings.HasPrefix(expected, c.body) {
+		report("got events that are not a prefix of the response: %.80q", c.body)
+	}
+	return violations
+}
+
 // notRun reports whether a status guarantees that the request was not executed.
 func notRun(status int) bool {
-	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	return slices.Contains([]int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}, status)
 }
 
 func expectedBody(result call) string {
-	if !result.stream {
+	if !result.kind.stream {
 		return "answer to " + result.id
 	}
 	var b strings.Builder
@@ -71,6 +93,87 @@
 	return b.String()
 }
 
+// history is what a service and its callers saw: the requests that were sent to it, and those
+// that arrived, each in order of time.
+type history struct {
+	sent     []time.Time
+	arrivals []platformtest.Arrival
+}
+
+func arrivalsAt(engines []*platformtest.Engine) history {
+	var h history
+	for _, e := range engines {
+		h.arrivals = append(h.arrivals, e.Arrived()...)
+	}
+	slices.SortFunc(h.arrivals, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
+	return h
+}
+
+// sentTo returns the times at which requests to a service were sent.
+func (c *callers) sentTo(service string) []time.Time {
+	var sent []time.Time
+	if service == platformtest.ModelService {
+		sent = append(sent, c.crashingSent...)
+	}
+	for _, result := range c.calls {
+		if result.kind.service() == service {
+			sent = append(sent, result.sentAt)
+		}
+	}
+	slices.SortFunc(sent, time.Time.Compare)
+	return sent
+}
+
+// The platform's limit for repeats: in each span of repeatWindow, over all hosts, a share of the
+// requests and a slack that depends on the deployment. The requests are those of that span, the
+// one before it or the one half a span before it, whichever has most.
+const (
+	repeatWindow      = 10 * time.Second
+	repeatShare       = 0.2
+	defaultRetrySlack = 56
+)
+
+// checkRepeats returns the span in which most requests too many arrived at a service that
+// weren't the first of their call, or an empty string.
+func checkRepeats(h history, slack float64) string {
+	seen := map[string]bool{}
+	var repeats []time.Time
+	for _, a := range h.arrivals {
+		if seen[a.ID] {
+			repeats = append(repeats, a.At)
+		}
+		seen[a.ID] = true
+	}
+	first, excess := 0, 0.0
+	worst := ""
+	for last, at := range repeats {
+		for at.Sub(repeats[first]) >= repeatWindow {
+			first++
+		}
+		requests := 0
+		for _, shift := range []time.Duration{0, repeatWindow / 2, repeatWindow} {
+			requests = max(requests, countBetween(h.sent, at.Add(-shift-repeatWindow), at.Add(-shift)))
+		}
+		n, allowed := last-first+1, repeatShare*float64(requests)+slack
+		if float64(n)-allowed > excess {
+			excess = float64(n) - allowed
+			worst = fmt.Sprintf("%d repeats arrived in the %v up to %s; allowed %.0f with %d requests", n, repeatWindow, at.Format("15:04:05.000"), allowed, requests)
+		}
+	}
+	return worst
+}
+
+// countBetween counts the times after one instant and up to another.
+func countBetween(times []time.Time, after, upTo time.Time) int {
+	n := 0
+	for _, t := range times {
+		if t.After(after) && !t.After(upTo) {
+			n++
+		}
+	}
+	return n
+}
+
 // minHandoverGap is the minimum time between the orders of two coordinators to
 // the same engine. It follows from the hosts' settings.
 const minHandoverGap = time.Second
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"hawthornway/platform/platformtest"
+)
+
+// Histories that contradict the answers of calls must be found.
+func TestCheckCall(t *testing.T) {
+	whole := expectedBody(call{id: "r1", kind: chat})
+	cases := []struct {
+		name   string
+		call   call
+		runs   int
+		broken int
+	}{
+		{"served once", call{id: "r1", kind: deskBook, status: 200, complete: true, body: "answer to r1"}, 1, 0},
+		{"ran twice", call{id: "r1", kind: deskBook, status: 200, complete: true, body: "answer to r1"}, 2, 1},
+		{"stream ran twice", call{id: "r1", kind: onceCheck, status: 502, complete: true}, 2, 1},
+		{"refused and ran", call{id: "r1", kind: deskBook, status: 503, complete: true}, 1, 1},
+		{"refused and ran twice", call{id: "r1", kind: deskBook, status: 429, complete: true}, 2, 2},
+		{"timed out at the host and ran", call{id: "r1", kind: deskBook, status: 504, complete: true}, 1, 0},
+		{"refused", call{id: "r1", kind: deskBook, status: 503, complete: true}, 0, 0},
+		{"may be repeated", call{id: "r1", kind: deskRead, status: 503, complete: true}, 2, 0},
+		{"answer of another", call{id: "r1", kind: deskRead, status: 200, complete: true, body: "answer to r2"}, 1, 1},
+		{"whole stream", call{id: "r1", kind: chat, status: 200, complete: true, body: whole}, 2, 0},
+		{"stream ends early as if whole", call{id: "r1", kind: chat, status: 200, complete: true, body: whole[:len(whole)/2]}, 1, 1},
+		{"stream breaks off", call{id: "r1", kind: chat, status: 200, body: whole[:len(whole)/2]}, 1, 0},
+		{"error within a stream", call{id: "r1", kind: chat, status: 200, body: "id: 1\n500 Internal"}, 1, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			must.Eq(t, tc.broken, len(checkCall(tc.call, tc.runs)))
+		})
+	}
+}
+
+// Repeats beyond the share of the requests and the slack must be found in any span.
+func TestCheckRepeats(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	cases := []struct {
+		name     string
+		requests int
+		repeats  []time.Duration // when one repeat each arrives
+		broken   bool
+	}{
+		{"none", 20, nil, false},
+		{"within the slack", 0, []time.Duration{0, 1, 2}, false},
+		{"beyond the slack", 0, []time.Duration{0, 1, 2, 3}, true},
+		{"within the share of the requests", 5, []time.Duration{0, 1, 2, 3}, false},
+		{"in two spans", 0, []time.Duration{0, 9 * time.Second, 10 * time.Second, 11 * time.Second, 12 * time.Second}, true},
+		{"in spans apart", 0, []time.Duration{0, 1, 2, 10*time.Second + 3, 10*time.Second + 4, 10*time.Second + 5}, false},
+		{"across the boundary of two tens of seconds", 0, []time.Duration{8 * time.Second, 9 * time.Second, 11 * time.Second, 12 * time.Second}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var h history
+			for i := range tc.requests {
+				h.sent = append(h.sent, start.Add(-time.Duration(i)*time.Millisecond))
+			}
+			h.arrivals = append(h.arrivals, platformtest.Arrival{At: start.Add(-time.Second), ID: "r"})
+			for i := range tc.requests {
+				h.arrivals = append(h.arrivals, platformtest.Arrival{At: start, ID: fmt.Sprint("first-", i)})
+			}
+			for _, at := range tc.repeats {
+				h.arrivals = append(h.arrivals, platformtest.Arrival{At: start.Add(at), ID: "r"})
+			}
+			must.Eq(t, tc.broken, checkRepeats(h, 3) != "")
+		})
+	}
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +41,16 @@
 			s.restart(h)
 		}
 	}, 0},
+	{"stop and start in series", func(s *soak) func() {
+		n := 1 + s.random.IntN(len(s.hosts))
+		s.recordFault("SIGTERM to %d hosts in series", n)
+		return func() {
+			for _, h := range s.hosts[:n] {
+				h.stop(syscall.SIGTERM)
+				s.restart(h)
+			}
+		}
+	}, time.Millisecond},
 	{"reload", func(s *soak) func() {
 		h := s.randomHost()
 		s.recordFault("SIGHUP to %s", h)
@@ -210,6 +221,70 @@
 		}
 		return func() { s.callers.sendCrashing(hosts, s.currentKey(), body) }
 	}, 0},
+	{"engine turns requests away", func(s *soak) func() { return s.misbehave(platformtest.TurnsAway, 0.5) }, engineFaultDuration},
+	{"engine turns requests away and repeats answers", func(s *soak) func() {
+		end := s.misbehave(platformtest.TurnsAway, 0.5)
+		for _, e := range s.targets() {
+			e.Misbehave(platformtest.RepeatsAnswers, 0.3)
+		}
+		return func() {
+			end()
+			for _, e := range s.targets() {
+				e.Misbehave(platformtest.RepeatsAnswers, 0)
+			}
+		}
+	}, engineFaultDuration},
+	{"service is full", func(s *soak) func() {
+		targets := s.plainTargets
+		if s.random.IntN(2) == 0 {
+			targets = s.engines
+		}
+		targets = slices.Clone(targets)
+		s.recordFault("all targets like %s turn all requests away", targets[0].ID)
+		for _, e := range targets {
+			e.Misbehave(platformtest.TurnsAway, 1)
+		}
+		return func() {
+			for _, e := range targets {
+				e.Misbehave(platformtest.TurnsAway, 0)
+			}
+		}
+	}, fullDuration},
+	{"engine loses answers", func(s *soak) func() { return s.misbehave(platformtest.LosesAnswers, 0.4) }, engineFaultDuration},
+	{"engine fails runs", func(s *soak) func() { return s.misbehave(platformtest.FailsRuns, 0.4) }, engineFaultDuration},
+	{"engine answers busy after runs", func(s *soak) func() { return s.misbehave(platformtest.AnswersBusy, 0.3) }, engineFaultDuration},
+	{"engine cuts heads", func(s *soak) func() { return s.misbehave(platformtest.CutsHeads, 0.3) }, engineFaultDuration},
+	{"engine breaks off and fails resumptions", func(s *soak) func() { return s.breakStreams(platformtest.FailsResumptions) }, engineFaultDuration},
+	{"engine breaks off and empties resumptions", func(s *soak) func() { return s.breakStreams(platformtest.EmptiesResumptions) }, engineFaultDuration},
+	{"callers repeat at once", func(s *soak) func() {
+		s.recordFault("one caller in three repeats at once")
+		s.callers.mu.Lock()
+		defer s.callers.mu.Unlock()
+		s.callers.hastyUntil = time.Now().Add(callerFaultDuration)
+		return nil
+	}, 0},
+	{"callers leave", func(s *soak) func() {
+		s.recordFault("one caller in four leaves early")
+		s.callers.mu.Lock()
+		defer s.callers.mu.Unlock()
+		s.callers.leavingUntil = time.Now().Add(callerFaultDuration)
+		return nil
+	}, 0},
+	{"kill half", func(s *soak) func() {
+		half := s.hosts[:len(s.hosts)/2]
+		if s.random.IntN(2) == 0 {
+			half = s.hosts[len(s.hosts)/2:]
+		}
+		s.recordFault("SIGKILL to %d hosts", len(half))
+		for _, h := range half {
+			h.stop(syscall.SIGKILL)
+		}
+		return func() {
+			for _, h := range half {
+				s.restart(h)
+			}
+		}
+	}, 0},
 	{"coordinator loses the store", func(s *soak) func() {
 		h := s.coordinator()
 		s.recordFault("path of the coordinator, %s, to the store: %v", h, modeSilent)
@@ -229,6 +304,52 @@
 	}, withdrawalTimeout + time.Second},
 }
 
+// engineFaultDuration is for how long engines misbehave, and callerFaultDuration for how long
+// callers do.
+const (
+	engineFaultDuration = 6 * time.Second
+	callerFaultDuration = 5 * time.Second
+	// fullDuration is longer than the window of the retry budget.
+	fullDuration = 12 * time.Second
+)
+
+// targets returns all engines and plain targets.
+func (s *soak) targets() []*platformtest.Engine {
+	return append(append([]*platformtest.Engine(nil), s.engines...), s.plainTargets...)
+}
+
+// misbehave makes half of the targets do something wrong with a share of their requests.
+func (s *soak) misbehave(f platformtest.Fault, share float64) (end func()) {
+	targets := s.targets()
+	s.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	targets = targets[:(len(targets)+1)/2]
+	for _, e := range targets {
+		s.recordFault("engine %s: fault %d, share %g", e.ID, f, share)
+		e.Misbehave(f, share)
+	}
+	return func() {
+		for _, e := range targets {
+			e.Misbehave(f, 0)
+		}
+	}
+}
+
+// breakStreams makes all targets break off streams, and answer resumptions wrongly.
+func (s *soak) breakStreams(f platformtest.Fault) (end func()) {
+	targets := s.targets()
+	s.recordFault("engines break off streams, and fault %d", f)
+	for _, e := range targets {
+		e.Misbehave(platformtest.BreaksOff, 0.02)
+		e.Misbehave(f, 0.5)
+	}
+	return func() {
+		for _, e := range targets {
+			e.Misbehave(platformtest.BreaksOff, 0)
+			e.Misbehave(f, 0)
+		}
+	}
+}
+
 // crashingSends is how often a request is sent that crashes engines.
 const crashingSends = 12
 
@@ -270,6 +391,12 @@
 	if !s.PlannedOnly {
 		faults = append(append([]fault(nil), plannedFaults...), unplannedFaults...)
 	}
+	if len(s.Faults) > 0 {
+		faults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(s.Faults, f.name) })
+	}
+	if len(faults) == 0 {
+		return
+	}
 	var ends sync.WaitGroup
 	deadline := time.Now().Add(s.Duration)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
--- a/soak/host.go
+++ b/soak/host.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"os/exec"
@@ -72,8 +73,14 @@
 	_ = h.process.Process.Signal(s) // the process may have exited already
 }
 
-// stopTimeout is the platform's delay between the stop signal and SIGKILL.
-const stopTimeout = 4 * time.Second
+// defaultGrace is the platform's delay between the stop signal and SIGKILL, in seconds, unless
+// the shape has another.
+const defaultGrace = 4
+
+// grace returns the delay between the stop signal and SIGKILL.
+func (h *host) grace() time.Duration {
+	return time.Duration(cmp.Or(h.Grace, defaultGrace)) * time.Second
+}
 
 // stop signals the process and kills it if it does not exit in time.
 func (h *host) stop(s syscall.Signal) {
@@ -87,7 +94,7 @@
 	select {
 	case <-exited:
 		return
-	case <-time.After(stopTimeout):
+	case <-time.After(h.grace()):
 	}
 	h.signal(syscall.SIGKILL)
 	<-exited
--- /dev/null
+++ b/soak/shape.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"hawthornway/platform/platformtest"
+)
+
+// Shape describes a deployment.
+type Shape struct {
+	Name string
+	// Hosts is the default number of hosts.
+	Hosts int
+	// Grace is the hosts' time to stop, in seconds.
+	Grace int
+	// RetrySlack is the fleet's number of repeats beside a share of the requests.
+	RetrySlack int
+	// Callers is the number of callers, and CallInterval the pause between the requests of each.
+	Callers      int
+	CallInterval time.Duration
+	// PlainTargets is the number of targets of the plain service, each with Slots for requests
+	// that take Work.
+	PlainTargets int
+	Slots        int
+	Work         time.Duration
+	// kinds are the kinds of request, which callers send in turn.
+	kinds []kind
+}
+
+// kind is a kind of request.
+type kind struct {
+	name string
+	path string
+	// stream is set if the answer is a stream, and repeatable if the request may run more than
+	// once.
+	stream     bool
+	repeatable bool
+	timeout    time.Duration
+}
+
+func (k kind) service() string {
+	if k.stream {
+		return platformtest.ModelService
+	}
+	return platformtest.PlainService
+}
+
+var (
+	booking   = kind{name: "booking", path: platformtest.PlainPath, timeout: callTimeout}
+	chat      = kind{name: "chat", path: platformtest.StreamPath, stream: true, repeatable: true, timeout: callTimeout}
+	deskBook  = kind{name: "booking", path: platformtest.PlainPath, timeout: 1500 * time.Millisecond}
+	deskRead  = kind{name: "status", path: platformtest.SafePath, repeatable: true, timeout: 1500 * time.Millisecond}
+	onceCheck = kind{name: "check", path: platformtest.OncePath, stream: true, timeout: callTimeout}
+)
+
+// Shapes are the deployments that a run may play.
+var Shapes = []Shape{
+	{
+		Name: "small", Hosts: 4, Callers: 12, CallInterval: 40 * time.Millisecond, PlainTargets: 1,
+		kinds: []kind{booking, chat, chat},
+	},
+	{
+		Name: "desk", Hosts: 8, Grace: 8, RetrySlack: 56, Callers: 48, CallInterval: 400 * time.Millisecond,
+		PlainTargets: 3, Slots: 6, Work: 60 * time.Millisecond,
+		kinds: []kind{chat, onceCheck, chat, deskBook, deskRead, chat, deskBook},
+	},
+	{
+		Name: "shop", Hosts: 9, Grace: 8, RetrySlack: 58, Callers: 48, CallInterval: 300 * time.Millisecond,
+		PlainTargets: 3, Slots: 6, Work: 15 * time.Millisecond,
+		kinds: []kind{chat, chat, deskBook, onceCheck, deskRead, chat, deskBook},
+	},
+}
+
+// ShapeNamed returns the shape with a name, or the first one if it is empty.
+func ShapeNamed(name string) (Shape, error) {
+	if name == "" {
+		return Shapes[0], nil
+	}
+	for _, s := range Shapes {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Shape{}, fmt.Errorf("shape %q is unknown", name)
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -22,12 +23,17 @@
 	// Folder is the folder for settings files and logs.
 	Folder string
 	Seed   uint64
-	Hosts  int
+	// Shape is the deployment. It is the first of Shapes if it is empty.
+	Shape Shape
+	// Hosts is the number of hosts. It is that of the shape if it is zero.
+	Hosts int
 	// Duration is the time during which faults are injected.
 	Duration time.Duration
 	// PlannedOnly limits the faults to planned actions: restarts, reloads, new
 	// configurations and draining engines.
 	PlannedOnly bool
+	// Faults lists the names of the faults that are injected. If it is empty, all are.
+	Faults []string
 }
 
 // Report is the result of a run.
@@ -68,7 +74,7 @@
 	store          *platformtest.Store
 	engines        []*platformtest.Engine
 	removedEngines []*platformtest.Engine
-	plainService   *platformtest.Engine
+	plainTargets   []*platformtest.Engine
 	// engineProxies are the proxies in front of the engines; drainStarts are the
 	// times at which engines began to drain. Both are indexed by engine ID.
 	engineProxies map[string]*proxy
@@ -90,6 +96,10 @@
 
 // Run runs one soak. It stops only processes that it started itself.
 func Run(ctx context.Context, o Options) (Report, error) {
+	if o.Shape.Name == "" {
+		o.Shape = Shapes[0]
+	}
+	o.Hosts = cmp.Or(o.Hosts, o.Shape.Hosts)
 	s := &soak{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: platformtest.NewStore(), startedAt: time.Now(),
 		engineProxies: map[string]*proxy{}, drainStarts: map[string]time.Time{},
@@ -102,8 +112,13 @@
 			return Report{}, err
 		}
 	}
-	s.plainService = platformtest.NewEngine(s.store, "i-plain", platformtest.EngineSpec{Service: platformtest.PlainService, Zone: "zone-0"})
-	defer s.plainService.Close()
+	for i := range o.Shape.PlainTargets {
+		t := platformtest.NewEngine(s.store, fmt.Sprintf("i-plain-%d", i), platformtest.EngineSpec{
+			Service: platformtest.PlainService, Zone: fmt.Sprintf("zone-%d", i%3), Slots: o.Shape.Slots, Work: o.Shape.Work,
+		})
+		defer t.Close()
+		s.plainTargets = append(s.plainTargets, t)
+	}
 	defer s.stopHostsAndEngines()
 	if err := s.startHosts(); err != nil {
 		return Report{}, err
@@ -134,7 +149,7 @@
 
 func (s *soak) applyConfig() {
 	s.configVersion += 1 + s.random.IntN(3)
-	c := platformtest.Config{Version: s.configVersion, Keys: []string{s.currentKey()}, Resumable: true}
+	c := platformtest.Config{Version: s.configVersion, Keys: []string{s.currentKey()}, Resumable: true, AllKinds: true}
 	for i := range modelCount {
 		c.Models = append(c.Models, fmt.Sprintf("m%d", i))
 	}
@@ -185,6 +200,7 @@
 			Host:   platformtest.NewHost(fmt.Sprintf("host-%d", i), fmt.Sprintf("zone-%d", i%3)),
 			binary: s.Binary, folder: s.Folder, storeProxy: storeProxy, callerProxy: callerProxy,
 		}
+		h.Grace, h.RetrySlack = s.Shape.Grace, s.Shape.RetrySlack
 		callerProxy.upstream = h.Callers
 		s.hosts = append(s.hosts, h)
 		if err := h.start(true); err != nil {
