retry: the budget holds in every span of its window

Cause: the budget counted in whole seconds from its own start. A burst at the end of a second was forgotten nine seconds later, so that a span of ten seconds could hold two. And a repeat was counted when it was granted: those that waited for a target could be sent together, beside as many newer ones.

The same holds at the product's own edge (service, openai).

TestBudgetLimitsRetries expected a repeat ten seconds after the last one was sent, which may arrive within ten seconds of it. It is stricter now: none until then, one within a second after.

--- a/openai/generator.go
+++ b/openai/generator.go
@@ -65,6 +65,7 @@
 func (g *generator) Generate(ctx context.Context, c *call.Call) outcome.Outcome {
 	gen := c.Subject.(*call.Generation)
 	attempts := retry.NewCall(g.clock, g.budget, g.retryUntil(c), retry.WithIdempotent())
+	defer attempts.End()
 	response := newResponseWriter(c, gen, g.clock.Now())
 	var tried []target.ID
 	var last attemptResult
@@ -78,6 +79,7 @@
 			call: c, gen: gen, response: response, clock: g.clock,
 			placement: placement, number: number, priority: g.priority(c),
 		}
+		attempts.Sending()
 		last = current.run(ctx, g.client)
 		placement.Done(last.retry)
 		if end := g.nextOutcome(ctx, attempts, gen, last); end != nil {
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -45,6 +45,7 @@
 		lastEventID: f.req.LastEventID, stream: stream, isStream: isStream,
 	}
 	d.budget.CountRequest()
+	defer func() { d.retry.Return() }()
 	for {
 		if final := d.checkAttempt(ctx); final != nil {
 			return final
@@ -152,13 +153,19 @@
 // is allowed. It takes none for the first attempt, nor while a retry taken
 // earlier has not reached a target.
 func (d *dispatcher) takeRetry() bool {
-	if d.reachedTarget && !d.retryGranted {
-		d.retryGranted = d.budget.TakeRetry()
-		return d.retryGranted
+	if d.reachedTarget && d.retry == nil {
+		d.retry = d.budget.Reserve()
+		return d.retry != nil
 	}
 	return true
 }
 
+// reached records that an attempt has reached a target.
+func (d *dispatcher) reached() {
+	d.retry.Sent()
+	d.reachedTarget, d.retry = true, nil
+}
+
 // placementRefused returns the outcome of a request for which the placer found
 // no target.
 func (d *dispatcher) placementRefused(refusal outcome.NotRun) outcome.Outcome {
@@ -180,7 +187,7 @@
 		}
 		return outcome.Served{}
 	case refused:
-		d.reachedTarget, d.retryGranted = true, false
+		d.reached()
 		if res.replaced {
 			f.avoid[id] = true
 		}
@@ -218,7 +225,8 @@
 
 // recordPossibleRun records that a target may have run the request.
 func (d *dispatcher) recordPossibleRun(id target.ID) {
-	d.reachedTarget, d.mayHaveRun, d.retryGranted = true, true, false
+	d.reached()
+	d.mayHaveRun = true
 	d.possibleRuns++
 	d.inflight.avoid[id] = true
 }
@@ -390,9 +398,8 @@
 	// reachedTarget is set once an attempt has reached a target, and mayHaveRun
 	// once a target may have run the request.
 	reachedTarget, mayHaveRun bool
-	// retryGranted is set while a retry taken from the budget has not reached a
-	// target.
-	retryGranted bool
+	// retry is a retry taken from the budget that has not reached a target yet, or nil.
+	retry *retry.Reservation
 }
 
 // send sends the request to one target and passes its response on.
@@ -420,7 +427,10 @@
 		Body:      f.req.Body,
 		Belonging: func(h http.Header) exchange.Belonging { return r.dialect.Belonging(f.req, h) },
 		Attempts:  &d.connections,
-		Chosen:    w.detour.Store,
+		Chosen: func(detour bool) {
+			w.detour.Store(detour)
+			d.retry.Sent()
+		},
 	}, maxIdle)
 	if err != nil {
 		if errors.Is(err, exchange.ErrNotSent) {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -11,26 +11,41 @@
 type Budget interface {
 	// CountRequest counts a first attempt.
 	CountRequest()
-	// TakeRetry takes one retry from the budget. It returns false if none is
+	// Reserve takes one retry from the budget, which is sent later. It returns nil if none is
 	// left.
+	Reserve() *Reservation
+	// TakeRetry takes one retry from the budget, which is sent now. It returns false if none
+	// is left.
 	TakeRetry() bool
 }
 
 const (
-	// The window is a ring of windowBuckets buckets, each bucketWidth wide.
-	windowBuckets = 10
-	bucketWidth   = time.Second
+	// DefaultBudgetWindow is the default length of the window.
+	DefaultBudgetWindow = 10 * time.Second
 	// DefaultBudgetShare is the default fraction of recent requests that may be
 	// retried.
 	DefaultBudgetShare = 0.1
 	// DefaultBudgetFloor is the default number of retries per window that are
 	// allowed however few requests there are.
 	DefaultBudgetFloor = 3
+	// bucketsPerWindow is the number of buckets of one window, in which requests and retries
+	// are counted.
+	bucketsPerWindow = 100
+	// transitBuckets is for how many more buckets a retry counts, since one that was sent
+	// before another may arrive after it.
+	transitBuckets = 5
+	// keptBuckets also covers the bucket that reaches over the beginning of the window.
+	keptBuckets = bucketsPerWindow + transitBuckets + 1
 )
 
 // BudgetOption sets an option of a Budget.
 type BudgetOption func(*budget)
 
+// WithWindow sets the length of the window. The limit holds in each span of that length.
+func WithWindow(window time.Duration) BudgetOption {
+	return func(b *budget) { b.width = window / bucketsPerWindow }
+}
+
 // WithShare sets the fraction of recent requests that may be retried.
 func WithShare(share float64) BudgetOption {
 	return func(b *budget) { b.share = share }
@@ -49,9 +64,18 @@
 	return func(b *budget) { b.slack = slack }
 }
 
-// NewBudget returns a new Budget over a sliding window of ten seconds.
+// WithUnknownPast withholds the slack for the first window. The process may follow one that
+// has spent it just before it ended.
+func WithUnknownPast() BudgetOption {
+	return func(b *budget) { b.unknownPast = true }
+}
+
+// NewBudget returns a new Budget over a sliding window.
 func NewBudget(clock clockwork.Clock, opts ...BudgetOption) Budget {
-	b := &budget{clock: clock, start: clock.Now(), share: DefaultBudgetShare, floor: DefaultBudgetFloor, slack: func() float64 { return 0 }}
+	b := &budget{
+		clock: clock, start: clock.Now(), width: DefaultBudgetWindow / bucketsPerWindow,
+		share: DefaultBudgetShare, floor: DefaultBudgetFloor, slack: func() float64 { return 0 },
+	}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -65,14 +89,48 @@
 }
 
 type budget struct {
-	clock clockwork.Clock
-	start time.Time
-	share float64
-	floor int
-	slack func() float64
+	clock       clockwork.Clock
+	start       time.Time
+	width       time.Duration
+	share       float64
+	floor       int
+	slack       func() float64
+	unknownPast bool
 
 	mu      sync.Mutex
-	buckets [windowBuckets]budgetBucket
+	buckets [keptBuckets]budgetBucket
+	// reserved counts the retries that have been taken and not been sent yet.
+	reserved int
+}
+
+// Reservation is a retry that has been taken from a budget. It counts until it is returned or,
+// once it is sent, for a window. The methods do nothing on a nil Reservation or after one of
+// them has been called.
+type Reservation struct {
+	budget *budget
+	once   sync.Once
+}
+
+// Sent tells that the retry is sent now.
+func (r *Reservation) Sent() {
+	r.end(func(b *budget) { b.current().retries++ })
+}
+
+// Return gives the retry back, which was not sent.
+func (r *Reservation) Return() {
+	r.end(func(*budget) {})
+}
+
+func (r *Reservation) end(record func(*budget)) {
+	if r == nil {
+		return
+	}
+	r.once.Do(func() {
+		r.budget.mu.Lock()
+		defer r.budget.mu.Unlock()
+		r.budget.reserved--
+		record(r.budget)
+	})
 }
 
 // CountRequest implements Budget.
@@ -82,41 +140,54 @@
 	b.current().requests++
 }
 
-// TakeRetry implements Budget.
-func (b *budget) TakeRetry() bool {
+// Reserve implements Budget.
+func (b *budget) Reserve() *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	bucket := b.current()
-	requests, retries := b.sum(bucket.index)
-	allowed := max(b.floor, int(b.slack()+b.share*float64(requests)))
-	if retries >= allowed {
-		return false
+	index := b.current().index
+	requests, retries := b.sum(index)
+	slack := 0.0
+	if !b.unknownPast || index >= keptBuckets {
+		slack = b.slack()
+	}
+	allowed := max(b.floor, int(slack+b.share*float64(requests)))
+	if retries+b.reserved >= allowed {
+		return nil
 	}
-	bucket.retries++
-	return true
+	b.reserved++
+	return &Reservation{budget: b}
+}
+
+// TakeRetry implements Budget.
+func (b *budget) TakeRetry() bool {
+	r := b.Reserve()
+	r.Sent()
+	return r != nil
 }
 
 // current returns the current bucket. It clears the bucket first if it holds
 // counts of an earlier window.
 func (b *budget) current() *budgetBucket {
-	index := int64(b.clock.Since(b.start) / bucketWidth)
-	bucket := &b.buckets[index%windowBuckets]
+	index := int64(b.clock.Since(b.start) / b.width)
+	bucket := &b.buckets[index%keptBuckets]
 	if bucket.index != index {
 		*bucket = budgetBucket{index: index}
 	}
 	return bucket
 }
 
-// sum returns the requests and retries in the window that ends with the bucket
-// of the given index.
+// sum returns the requests and retries up to the bucket of the given index. Requests count
+// only if they are certainly within the window, and retries unless they certainly aren't.
 func (b *budget) sum(index int64) (requests, retries int) {
 	for i := range b.buckets {
 		bucket := &b.buckets[i]
-		if index-bucket.index >= windowBuckets {
-			continue
+		age := index - bucket.index
+		if age < bucketsPerWindow {
+			requests += bucket.requests
+		}
+		if age < keptBuckets {
+			retries += bucket.retries
 		}
-		requests += bucket.requests
-		retries += bucket.retries
 	}
 	return requests, retries
 }
--- a/retry/call.go
+++ b/retry/call.go
@@ -27,6 +27,8 @@
 	// mayHaveRun is set once an attempt may have run the request.
 	mayHaveRun bool
 	nextToken  int
+	// retry is the retry that the next attempt uses, until it is sent.
+	retry *Reservation
 }
 
 // CallOption sets an option of a Call.
@@ -52,6 +54,12 @@
 	return c
 }
 
+// Sending tells that an attempt is sent now.
+func (c *Call) Sending() { c.retry.Sent() }
+
+// End gives back what the call has taken from the budget and not used.
+func (c *Call) End() { c.retry.Return() }
+
 // Next returns what to do after an attempt with the given result, which must not
 // be Cancelled: a cancelled call has no further attempt.
 func (c *Call) Next(result Result) Decision {
@@ -93,7 +101,9 @@
 		return c.stop(outcome.ReasonDeadline, retryAfter)
 	case c.attempts >= c.maxAttempts:
 		return c.stop(reason, retryAfter)
-	case !c.budget.TakeRetry():
+	}
+	c.retry.Return()
+	if c.retry = c.budget.Reserve(); c.retry == nil {
 		return c.stop(reason, retryAfter)
 	}
 	return TryAgain{ResumeFrom: c.nextToken}
--- a/retry/call_test.go
+++ b/retry/call_test.go
@@ -92,7 +92,9 @@
 				got++
 			}
 			must.Eq(t, c.want, got)
-			clock.Advance(10 * time.Second)
+			clock.Advance(DefaultBudgetWindow - time.Millisecond)
+			must.False(t, b.TakeRetry())
+			clock.Advance(time.Second)
 			must.True(t, b.TakeRetry())
 		})
 	}
--- a/service/forward.go
+++ b/service/forward.go
@@ -100,6 +100,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	attempts := f.attempts(c, subject)
+	defer attempts.End()
 	var tried []target.ID
 	var last sendResult
 	for number := call.Attempt(1); ; number++ {
@@ -108,6 +109,7 @@
 			return last.orElse(*refusal)
 		}
 		c.Trace.RecordAttempt(placement.Target, placement.Domain, number, false)
+		attempts.Sending()
 		last = f.send(ctx, c, subject, placement, number)
 		placement.Done(last.result)
 		if end := nextOutcome(attempts, last); end != nil {
