gateway: a host's part of the retry budget holds over restarts and coordinators

Cause: a budget began full with its process, and grew whenever the fleet looked smaller than it was: a new coordinator announces the hosts that it has heard of so far, one at first, and hosts that were silent for long are forgotten while they keep their part. Each host could also repeat once a window beyond its part.

Now a process that isn't the first of its host has no slack for one window, the number of hosts is the largest of the last window and isn't used before it has been known for one, a host without contact leaves its part one window before the others take it, and there is no floor.

Price: for ten seconds after a restart a host repeats only a share of its own requests.

--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -258,14 +258,25 @@
 	return c.changed
 }
 
+// ContactAge returns the time since the last message from a coordinator, or since the start if
+// there was none.
+func (c *Client) ContactAge() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.contactAge()
+}
+
+func (c *Client) contactAge() time.Duration {
+	if c.lastContact.IsZero() {
+		return c.clock.Since(c.startedAt)
+	}
+	return c.clock.Since(c.lastContact)
+}
+
 // Isolated reports whether this host has had no message from a coordinator for so long
 // that a successor would have been found if this host could reach one.
 func (c *Client) Isolated() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	lastContact := c.lastContact
-	if lastContact.IsZero() {
-		lastContact = c.startedAt
-	}
-	return c.clock.Since(lastContact) >= reportInterval(c.hosts)+election.TakeoverTime
+	return c.contactAge() >= reportInterval(c.hosts)+election.TakeoverTime
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -238,7 +238,9 @@
 		relay.WithClock(g.clock),
 		relay.WithLogger(g.log),
 		relay.WithDraining(g.draining.Load),
-		relay.WithRetryBudget(g.newRetryBudget),
+		relay.WithRetryBudget(func(clock clockwork.Clock) retry.Budget {
+			return newRetryBudget(s.Bounds, s.FirstStart, g.coordinatorClient, clock)
+		}),
 		relay.WithQuarantine(g.screen),
 		relay.WithLineage(g.lineage),
 	)
@@ -258,34 +260,6 @@
 	weakHostElectionDelay = 1200 * time.Millisecond
 )
 
-// usableBudgetShare is the fraction of the fleet's retry budget that is used.
-// The rest allows for requests that are counted later than they are sent.
-const usableBudgetShare = 0.8
-
-// newRetryBudget returns this host's part of the fleet's retry budget.
-func (g *gateway) newRetryBudget(clock clockwork.Clock) retry.Budget {
-	return retry.NewBudget(clock,
-		retry.WithShare(g.settings.Bounds.RetryShare*usableBudgetShare),
-		retry.WithFloor(1),
-		retry.WithSlack(func() float64 { return hostSlack(g.settings.Bounds.RetrySlack, g.coordinatorClient.Hosts()) }),
-	)
-}
-
-// defaultHostSlack is each host's part of the fleet's slack while the number of
-// hosts is unknown, such as after a restart of all hosts. The users' deployments
-// allow at least 2.5 per host.
-const defaultHostSlack = 2
-
-// hostSlack returns one host's part of the fleet's slack, the number of retries
-// that are allowed on top of the share. It is below one in a large fleet, where it
-// still adds to the share of the host's requests.
-func hostSlack(fleetSlack float64, hosts int) float64 {
-	if hosts == 0 {
-		return min(defaultHostSlack, fleetSlack)
-	}
-	return fleetSlack * usableBudgetShare / float64(hosts)
-}
-
 // Limits of the listeners.
 const (
 	// maxHeaderBytes is larger than any limit that operators set for callers.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -28,9 +28,9 @@
 // usageWindow is the time constant over which the tokens that a host borrows are counted.
 const usageWindow = 5 * time.Second
 
-// hostTTL is how long a silent host still counts. After it, a host counts as taken out
+// HostTTL is how long a silent host still counts. After it, a host counts as taken out
 // of service.
-const hostTTL = 30 * time.Second
+const HostTTL = 30 * time.Second
 
 // silentHostDelay is the time without a report after which a host counts as silent and
 // may be spending its reserve. Hosts report about twice a second.
@@ -123,7 +123,7 @@
 // spend from reserves that former ledgers assigned. Until all hosts have told their parts, it
 // includes what none has told.
 func (l *Ledger) formerShare(b *bucket, host fleet.HostID, now time.Time) float64 {
-	if l.first || now.Sub(l.startedAt) > hostTTL {
+	if l.first || now.Sub(l.startedAt) > HostTTL {
 		return 0
 	}
 	told, held := 0.0, 0.0
@@ -218,7 +218,7 @@
 // unseenShare returns the fraction of each rate that may be spent by hosts that reached
 // the previous ledger and have not reached this one.
 func (l *Ledger) unseenShare(now time.Time) float64 {
-	if l.previousHosts == 0 || now.Sub(l.startedAt) > hostTTL {
+	if l.previousHosts == 0 || now.Sub(l.startedAt) > HostTTL {
 		return 0
 	}
 	missing := max(0, 1-float64(len(l.hosts))/float64(l.previousHosts))
@@ -243,12 +243,12 @@
 }
 
 // countHosts returns the number of known hosts, and which of them are silent. It removes
-// hosts that have been silent for hostTTL.
+// hosts that have been silent for HostTTL.
 func (l *Ledger) countHosts(now time.Time) (known int, silent []fleet.HostID) {
 	for host, lastReport := range l.hosts {
 		age := now.Sub(lastReport)
 		switch {
-		case age > hostTTL:
+		case age > HostTTL:
 			delete(l.hosts, host)
 			continue
 		case age > silentHostDelay:
