relay: a stream that was taken up without events is not at its end

Cause: the end of the second target's answer counted as the end of the stream, though the first target had broken off and the second had sent nothing that shows where the stream ends. In the same way, another answer's head and text were passed on if they came within a body without a length (MIXED).

A resumption without events is now a failed attempt, and a status line within a stream ends the attempt; another target is tried, and the caller's connection is closed if there is none. Neither counts as a crash of the target.

--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -340,7 +340,7 @@
 // comes again.
 func (f *inflight) suspectsOf(r interrupted) []quarantine.Suspect {
 	switch {
-	case r.abandoned || r.silent || r.events > maxEventsAtBeginning || errors.Is(r.err, exchange.ErrDetourBroken):
+	case r.abandoned || r.silent || r.events > maxEventsAtBeginning || errors.Is(r.err, exchange.ErrDetourBroken) || errors.Is(r.err, errNothingResumed) || errors.Is(r.err, errStatusLine):
 		return nil
 	case r.began:
 		return f.suspects()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -27,6 +27,16 @@
 // errPartialEvent means that a stream ended within an event.
 var errPartialEvent = errors.New("stream ended within an event")
 
+// errNothingResumed means that a target took up a stream and sent none of its events. That the
+// stream has no more of them isn't shown, since the target before broke off.
+var errNothingResumed = errors.New("the target that took up the stream sent no event")
+
+// errStatusLine means that a target sent another response within a stream.
+var errStatusLine = errors.New("stream has the status line of another response")
+
+// statusLine is how the head of a response begins.
+var statusLine = []byte("HTTP/1.")
+
 // readEvent returns the next complete event. It returns io.EOF if the stream
 // ended after a complete event.
 func readEvent(r *bufio.Reader) (event, error) {
@@ -45,6 +55,9 @@
 		case err != nil:
 			return event{}, err
 		}
+		if bytes.HasPrefix(line, statusLine) {
+			return event{}, errStatusLine
+		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			return e, nil
@@ -66,6 +79,7 @@
 	if !info.Signed {
 		return interrupted{err: fmt.Errorf("answer with status %d is unsigned", resp.Status)}
 	}
+	resumed, before := f.responseStarted, d.lastEventID
 	if !f.responseStarted {
 		f.version = t.Version
 		if f.req.LastEventID == 0 {
@@ -80,6 +94,9 @@
 	reader := bufio.NewReaderSize(resp, streamBufferBytes)
 	for events := 0; ; events++ {
 		e, err := readEvent(reader)
+		if err == io.EOF && resumed && d.lastEventID == before {
+			err = errNothingResumed
+		}
 		if err == io.EOF {
 			return completedBy(resp, info)
 		}
