openai: another request's refusal proves nothing

Successes were checked already; refusals that name another request or attempt now fail the attempt.

What remains: a refusal that names no request is still believed on a kept connection.

--- a/openai/attempt.go
+++ b/openai/attempt.go
@@ -123,6 +123,12 @@
 // readRefusal reads an engine's refusal. Engines refuse only requests that they
 // did not run.
 func (a *attempt) readRefusal(response *http.Response) attemptResult {
+	// An engine may send the refusal of an earlier request once more.
+	if response.Header.Get("X-Request-Id") != "" {
+		if err := a.checkHeaders(response.Header); err != nil {
+			return a.interruptedResult(outcome.ReasonWrongResponse, err.Error())
+		}
+	}
 	data, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes)) // a truncated message is good enough
 	var body errorBody
 	_ = json.Unmarshal(data, &body) // the body is optional
--- a/openai/generator_test.go
+++ b/openai/generator_test.go
@@ -43,16 +43,18 @@
 var completeScript = engineScript{status: http.StatusOK, tokens: 6, breakAt: -1}
 
 func (s engineScript) serve(w http.ResponseWriter, r *http.Request) {
-	if s.status != http.StatusOK {
-		w.WriteHeader(s.status)
-		return
-	}
 	id, attempt := r.Header.Get("X-Request-Id"), r.Header.Get("X-Attempt")
 	if s.otherRequest {
 		id = "another"
 	}
-	w.Header().Set("X-Request-Id", id)
-	w.Header().Set("X-Attempt", attempt)
+	if s.status == http.StatusOK || s.otherRequest {
+		w.Header().Set("X-Request-Id", id)
+		w.Header().Set("X-Attempt", attempt)
+	}
+	if s.status != http.StatusOK {
+		w.WriteHeader(s.status)
+		return
+	}
 	from, _ := strconv.Atoi(r.Header.Get("X-Resume-From"))
 	for n := from; n < s.tokens; n++ {
 		if n == s.breakAt {
@@ -138,6 +140,9 @@
 		{"fewer tokens than counted", []engineScript{change(func(s *engineScript) { s.extraUsage = 1 })}, outcome.Unknown{}, outcome.ReasonIncompleteResponse},
 		{"cut off with no other engine", []engineScript{change(func(s *engineScript) { s.breakAt = 3 })}, outcome.Unknown{}, outcome.ReasonIncompleteResponse},
 		{"another request's response with no other engine", []engineScript{change(func(s *engineScript) { s.otherRequest = true })}, outcome.Unknown{}, outcome.ReasonWrongResponse},
+		{"another request's refusal", []engineScript{{status: 429, otherRequest: true}, completeScript}, outcome.Served{}, ""},
+		{"another request's refusal with no other engine", []engineScript{{status: 429, otherRequest: true}}, outcome.Unknown{}, outcome.ReasonWrongResponse},
+		{"another request's error with no other engine", []engineScript{{status: 400, otherRequest: true}}, outcome.Unknown{}, outcome.ReasonWrongResponse},
 		{"all engines refuse", []engineScript{{status: 429}, {status: 503}}, outcome.NotRun{}, outcome.ReasonNoTarget},
 	}
 	for _, tc := range cases {
