service, openai, retry: a later refusal doesn't hide that a call may have run

What callers saw (product's own edge, REFUSED): "not run" for a call of which an earlier attempt may have run, where the last attempt was refused or not sent and no further target was left. Only calls that may be repeated: others end with their first uncertain attempt.

Cause: when no target was left, the outcome followed from the last attempt alone. retry.Call knows of all of them, as it did for the other ends of a call.

Evidence: TestLaterRefusalDoesNotHideARun, and the case "another request's refusal, then a refusal" of TestIncompleteResponsesAreNeverServed, failed before.

Heads that break off are no answers at this edge either: two new cases of TestCallsRunAtMostOnceUnlessIdempotent hold without a change.

--- a/openai/generator.go
+++ b/openai/generator.go
@@ -72,7 +72,7 @@
 	for number := call.Attempt(1); ; number++ {
 		placement, refusal := g.placer.Place(ctx, c, gen, tried)
 		if refusal != nil {
-			return g.placementRefused(ctx, last, *refusal)
+			return g.placementRefused(ctx, attempts, last, *refusal)
 		}
 		c.Trace.RecordAttempt(placement.Target, placement.Domain, number, placement.Cold)
 		current := &attempt{
@@ -118,15 +118,14 @@
 
 // placementRefused returns the outcome of a call for which no further replica
 // was found.
-func (g *generator) placementRefused(ctx context.Context, last attemptResult, refusal outcome.NotRun) outcome.Outcome {
-	if ctx.Err() != nil {
+func (g *generator) placementRefused(ctx context.Context, attempts *retry.Call, last attemptResult, refusal outcome.NotRun) outcome.Outcome {
+	switch {
+	case ctx.Err() != nil:
 		return cancelledOutcome(ctx, last)
-	}
-	switch last.retry.(type) {
-	case nil, retry.NotSent, retry.RefusedNotRun:
-		return refusal
-	default:
+	case attempts.MayHaveRun():
 		return outcome.Unknown{Reason: last.reason, Detail: last.detail}
+	default:
+		return refusal
 	}
 }
 
--- a/openai/generator_test.go
+++ b/openai/generator_test.go
@@ -143,6 +143,7 @@
 		{"another request's refusal", []engineScript{{status: 429, otherRequest: true}, completeScript}, outcome.Served{}, ""},
 		{"another request's refusal with no other engine", []engineScript{{status: 429, otherRequest: true}}, outcome.Unknown{}, outcome.ReasonWrongResponse},
 		{"another request's error with no other engine", []engineScript{{status: 400, otherRequest: true}}, outcome.Unknown{}, outcome.ReasonWrongResponse},
+		{"another request's refusal, then a refusal", []engineScript{{status: 503, otherRequest: true}, {status: 429}}, outcome.Unknown{}, outcome.ReasonNoTarget},
 		{"all engines refuse", []engineScript{{status: 429}, {status: 503}}, outcome.NotRun{}, outcome.ReasonNoTarget},
 	}
 	for _, tc := range cases {
--- a/retry/call.go
+++ b/retry/call.go
@@ -54,6 +54,9 @@
 	return c
 }
 
+// MayHaveRun reports whether an attempt so far may have run the request.
+func (c *Call) MayHaveRun() bool { return c.mayHaveRun }
+
 // Sending tells that an attempt is sent now.
 func (c *Call) Sending() { c.retry.Sent() }
 
--- a/service/forward.go
+++ b/service/forward.go
@@ -106,7 +106,10 @@
 	for number := call.Attempt(1); ; number++ {
 		placement, refusal := f.placer.Place(ctx, c, subject, tried)
 		if refusal != nil {
-			return last.orElse(*refusal)
+			if attempts.MayHaveRun() {
+				return last.orUnknown()
+			}
+			return *refusal
 		}
 		c.Trace.RecordAttempt(placement.Target, placement.Domain, number, false)
 		attempts.Sending()
@@ -132,13 +135,13 @@
 	outcome outcome.Outcome
 }
 
-// orElse returns the outcome of the attempt if it is outcome.Unknown, and the
-// refusal otherwise.
-func (s sendResult) orElse(refusal outcome.NotRun) outcome.Outcome {
-	if unknown, ok := s.outcome.(outcome.Unknown); ok {
-		return unknown
+// orUnknown returns the outcome of the last attempt of a call that an earlier attempt may have
+// run.
+func (s sendResult) orUnknown() outcome.Outcome {
+	if notRun, ok := s.outcome.(outcome.NotRun); ok {
+		return outcome.Unknown{Reason: notRun.Reason, Detail: notRun.Detail}
 	}
-	return refusal
+	return s.outcome
 }
 
 // nextOutcome returns the call's outcome after an attempt, or nil if another
--- a/service/forward_test.go
+++ b/service/forward_test.go
@@ -90,6 +90,12 @@
 		conn, _, _ := w.(http.Hijacker).Hijack()
 		_ = conn.Close()
 	}
+	cutHead := func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffer, _ := w.(http.Hijacker).Hijack()
+		_, _ = buffer.WriteString("HTTP/1.1 201 Created\r\nX-Request-Id: r1\r\nContent-Le")
+		_ = buffer.Flush()
+		_ = conn.Close()
+	}
 	truncate := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "100")
 		_, _ = w.Write([]byte("half"))
@@ -109,6 +115,8 @@
 		{"response complete", respond, false, outcome.Served{}, 1},
 		{"connection closed, not idempotent", closeConn, false, outcome.Unknown{}, 1},
 		{"connection closed, idempotent", closeConn, true, outcome.Served{}, 2},
+		{"head of the response cut off, not idempotent", cutHead, false, outcome.Unknown{}, 1},
+		{"head of the response cut off, idempotent", cutHead, true, outcome.Served{}, 2},
 		{"response truncated, not idempotent", truncate, false, outcome.Unknown{}, 1},
 		{"response truncated, idempotent", truncate, true, outcome.Served{}, 2},
 		{"refused as not run", refuse, false, outcome.Served{}, 2},
@@ -137,6 +145,19 @@
 	}
 }
 
+// Guards against a call that may have run being called not run, because the attempt after that one
+// wasn't sent and no target was left (REFUSED).
+func TestLaterRefusalDoesNotHideARun(t *testing.T) {
+	s := newService(t, func(_ int32, w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_ = conn.Close()
+	})
+	c, _ := newCall(true, "key-1")
+	result := forward(newTestForwarder(s.address(), unreachableAddress), c)
+	must.EqOp(t, outcome.Unknown{}.Header(), result.Header())
+	must.EqOp(t, 1, s.runs.Load())
+}
+
 func TestUnreachableServiceIsNotRun(t *testing.T) {
 	c, _ := newCall(false, "")
 	result := forward(newTestForwarder(unreachableAddress), c)
