--- a/soak/callers.go
+++ b/soak/callers.go
@@ -141,7 +141,7 @@
 	result.key = key
 	ctx, cancel := context.WithTimeout(ctx, result.kind.timeout)
 	defer cancel()
-	request := platformtest.Call{ID: result.id, Key: result.key, Timeout: result.kind.timeout, Path: result.kind.path}
+	request := platformtest.Call{ID: result.id, Key: result.key, Timeout: result.kind.timeout, Path: result.kind.path, Body: `{"call":"` + result.id + `"}`}
 	if result.kind.stream {
 		request.Model = fmt.Sprintf("m%d", (caller+n)%modelCount)
 	}
--- a/soak/mutation_test.go
+++ b/soak/mutation_test.go
@@ -20,7 +20,10 @@
 var mutations = []struct {
 	name, file, before, after string
 	planned                   bool
-	broken                    string
+	// shape and faults are those of the run; the first shape and all faults if they are empty.
+	shape  string
+	faults []string
+	broken string
 }{
 	{
 		name: "coordinators go on after their lease", file: "election/election.go",
@@ -32,6 +35,31 @@
 		before: "case t.Draining:", after: "case false:",
 		planned: true, broken: "after it said that it leaves",
 	},
+	{
+		name: "an attempt uses the connection of an earlier one", file: "exchange/client.go",
+		before: "if attempts.include(candidate) {", after: "if false && attempts.include(candidate) {",
+		shape: "desk", faults: []string{"engine turns requests away and repeats answers"}, broken: "but ran",
+	},
+	{
+		name: "statuses of targets are passed on as promises", file: "relay/dispatch.go",
+		before: "if promisesNotRun(resp.Status) {", after: "if false {",
+		shape: "desk", faults: []string{"engine answers busy after runs"}, broken: "but has run",
+	},
+	{
+		name: "a stream taken up without events is whole", file: "relay/stream.go",
+		before: "if err == io.EOF && resumed && d.lastEventID == before {", after: "if err == io.EOF && resumed && d.lastEventID < before {",
+		shape: "desk", faults: []string{"engine breaks off and empties resumptions"}, broken: "got a wrong response",
+	},
+	{
+		name: "repeats are forgotten too soon", file: "retry/budget.go",
+		before: "if age < keptBuckets {", after: "if age < bucketsPerWindow*9/10 {",
+		shape: "desk", faults: []string{"service is full"}, broken: "repeats arrived",
+	},
+	{
+		name: "a restarted host has its whole slack", file: "retry/budget.go",
+		before: "if !b.unknownPast || index >= keptBuckets {", after: "if true {",
+		shape: "desk", faults: []string{"service is full", "kill half"}, broken: "repeats arrived",
+	},
 }
 
 // mutationSeeds is the number of seeds within which a mutation must be detected.
@@ -60,12 +88,15 @@
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
 			binary := buildMutant(t, filepath.Join(root, m.file), m.before, m.after)
+			shape, err := soak.ShapeNamed(m.shape)
+			must.NoError(t, err)
 			for seed := range uint64(mutationSeeds) {
 				report, err := soak.Run(t.Context(), soak.Options{
-					Binary: binary, Folder: t.TempDir(), Seed: seed + 1, Hosts: 4, Duration: 20 * time.Second, PlannedOnly: m.planned,
+					Binary: binary, Folder: t.TempDir(), Seed: seed + 1, Shape: shape, Duration: 20 * time.Second, PlannedOnly: m.planned, Faults: m.faults,
 				})
 				must.NoError(t, err)
 				if strings.Contains(strings.Join(report.Violations, "\n"), m.broken) {
+					t.Logf("detected by seed %d", seed+1)
 					return
 				}
 			}
