gateway: the phases of a stop fit into a short time to stop

Cause: the delay until the host takes no connections and the margin before the kill were constants, whatever the time is that the settings give. Both are now limited to shares of it; from 3.94 s on nothing changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -357,19 +357,31 @@
 	// stopMargin is the part of the shutdown time that is left when the
 	// remaining requests are aborted.
 	stopMargin = 600 * time.Millisecond
+	// maxMarginShare limits stopMargin to a share of a short shutdown time, and maxUnreadyShare
+	// limits unreadyDelay to a share of the time until requests are aborted.
+	maxMarginShare  = 0.25
+	maxUnreadyShare = 0.75
 	// closeTimeout limits the time to close the other listeners.
 	closeTimeout = 300 * time.Millisecond
 )
 
+// stopPhases returns how long after the signal to stop a host no longer takes new connections, and
+// when it aborts the remaining requests, if it has to end within a timeout.
+func stopPhases(timeout time.Duration) (unready, abort time.Duration) {
+	abort = timeout - min(stopMargin, time.Duration(maxMarginShare*float64(timeout)))
+	return min(unreadyDelay, time.Duration(maxUnreadyShare*float64(abort))), abort
+}
+
 // drain stops accepting requests and waits for those in progress.
 func (g *gateway) drain(resign context.CancelFunc) {
-	deadline := g.clock.Now().Add(time.Duration(g.stopTimeoutNanos.Load()) - stopMargin)
+	unready, abort := stopPhases(time.Duration(g.stopTimeoutNanos.Load()))
+	deadline := g.clock.Now().Add(abort)
 	g.stopAt.Store(&deadline)
 	g.draining.Store(true)
 	g.log.Info("gateway: shutting down")
 	g.coordinator.NameSuccessor()
 	resign()
-	g.clock.Sleep(unreadyDelay)
+	g.clock.Sleep(unready)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := g.callerServer.Shutdown(ctx); err != nil {
