--- a/soak/callers.go
+++ b/soak/callers.go
@@ -43,6 +43,13 @@
 // served reports whether the call was answered with success and in full.
 func (c call) served() bool { return c.status == http.StatusOK && c.complete }
 
+// cut reports whether the call's answer broke off, or there was none although the call had reached
+// a target and its time was not over.
+func (c call) cut(reached bool) bool {
+	answerless := c.status == 0 && reached && c.endedAt.Sub(c.sentAt) < c.kind.timeout
+	return !c.complete && (c.status == http.StatusOK || answerless)
+}
+
 // callers send requests and record the results. They keep connections open until
 // the host closes them.
 type callers struct {
--- a/soak/check.go
+++ b/soak/check.go
@@ -45,15 +45,17 @@
 		}
 	}
 	for _, result := range s.callers.calls {
-		for _, v := range checkCall(result, runs[result.id]) {
-			report("%.3f s  %s %s at %s %s", result.sentAt.Sub(s.startedAt).Seconds(), result.kind.name, result.id, result.host, v)
-		}
+		breaks := checkCall(result, runs[result.id])
 		if withdrawnAt, ok := s.callers.withdrawnAt[result.key]; ok && result.sentAt.After(withdrawnAt.Add(withdrawalTimeout)) && runs[result.id] > 0 {
-			report("%s at %s ran with %s, which was withdrawn %v before", result.id, result.host, result.key, result.sentAt.Sub(withdrawnAt))
+			breaks = append(breaks, fmt.Sprintf("ran with %s, which was withdrawn %v before", result.key, result.sentAt.Sub(withdrawnAt)))
 		}
 		excused := slices.ContainsFunc(s.hosts, func(h *host) bool { return h.Name == result.host && h.excusesCut(result) })
-		if s.PlannedOnly && !excused && !result.complete && reached[result.id] && result.endedAt.Sub(result.sentAt) < result.kind.timeout {
-			report("%.3f s  %s %s at %s was passed on and ended without a whole answer after %v although all faults were planned: status %d, %v", result.sentAt.Sub(s.startedAt).Seconds(), result.kind.name, result.id, result.host, result.endedAt.Sub(result.sentAt).Round(time.Millisecond), result.status, result.err)
+		if s.PlannedOnly && !excused && result.cut(reached[result.id]) {
+			breaks = append(breaks, fmt.Sprintf("was passed on and ended without a whole answer after %v although all faults were planned: status %d, %v",
+				result.endedAt.Sub(result.sentAt).Round(time.Millisecond), result.status, result.err))
+		}
+		for _, v := range breaks {
+			report("%.3f s  %s %s at %s %s", result.sentAt.Sub(s.startedAt).Seconds(), result.kind.name, result.id, result.host, v)
 		}
 	}
 	return violations
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -96,3 +96,29 @@
 		})
 	}
 }
+
+// Answers that break off and calls without an answer must be found.
+func TestCutCalls(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	cases := []struct {
+		name    string
+		call    call
+		lasted  time.Duration
+		reached bool
+		cut     bool
+	}{
+		{"whole", call{status: 200, complete: true}, time.Second, true, false},
+		{"refused", call{status: 503, complete: true}, time.Second, false, false},
+		{"broke off", call{status: 200}, time.Second, true, true},
+		{"broke off at the end of its time", call{status: 200}, deskBook.timeout, true, true},
+		{"no answer", call{}, time.Second, true, true},
+		{"no answer in its time", call{}, deskBook.timeout, true, false},
+		{"not passed on", call{}, time.Second, false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.call.kind, tc.call.sentAt, tc.call.endedAt = deskBook, start, start.Add(tc.lasted)
+			must.Eq(t, tc.cut, tc.call.cut(tc.reached))
+		})
+	}
+}
