coordinator, gateway: the largest number of hosts is known without repeats

The largest number of hosts within the window was taken from what a host knew whenever it repeated a request.

The client of the coordinator now records every announcement. A host that is cut off gives its part up before the others take it for windows of any length; with half a minute or more it never had any.

TestNewCoordinatorGrantsNoLargerParts has calm stretches now, and TestHostsCutOffLeaveTheirPartToOthers three windows.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -140,6 +140,8 @@
 	// ordersAllowedAt is when the coordinator may give its first order of the term.
 	ordersAllowedAt time.Time
 	hosts           int
+	// hostCounts are the values of hosts.
+	hostCounts HostCounts
 	// engines holds the coordinator's last view of each engine.
 	engines map[target.ID]engineView
 	// forecasts holds when models that only the weight store has are expected to be
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -145,6 +145,7 @@
 	gap := view.Since > c.version || c.version == 0 && !view.Answer
 	c.lastContact = c.clock.Now()
 	c.hosts = view.Hosts
+	c.hostCounts.Record(view.Hosts, c.lastContact)
 	c.ordersAllowedAt = c.lastContact.Add(time.Duration(view.OrdersIn) * time.Millisecond)
 	if !c.connected {
 		c.log.Info("coordinator: connected to the coordinator", "host", c.leader.Host, "fence", view.Fence)
@@ -258,6 +259,14 @@
 	return c.changed
 }
 
+// LargestHosts returns the largest number of hosts that coordinators have announced within a
+// span, or zero if none has announced any yet.
+func (c *Client) LargestHosts(within time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hostCounts.Largest(c.clock.Now().Add(-within))
+}
+
 // ContactAge returns the time since the last message from a coordinator, or since the start if
 // there was none.
 func (c *Client) ContactAge() time.Duration {
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -18,8 +17,9 @@
 
 // fleetView is what a host knows of its fleet.
 type fleetView interface {
-	// Hosts returns the number of hosts, or zero while it is unknown.
-	Hosts() int
+	// LargestHosts returns the largest number of hosts that was known within a span, or zero
+	// while it is unknown.
+	LargestHosts(within time.Duration) int
 	// ContactAge returns the time since the last message from a coordinator, or since the start.
 	ContactAge() time.Duration
 }
@@ -28,13 +28,17 @@
 // process of the host has run before this one.
 func newRetryBudget(bounds platform.Bounds, firstStart bool, view fleetView, clock clockwork.Clock) retry.Budget {
 	window := cmp.Or(bounds.RetryWindow, retry.DefaultBudgetWindow)
-	size := fleetSize{clock: clock, window: window, start: clock.Now()}
+	start := clock.Now()
 	opts := []retry.BudgetOption{
 		retry.WithWindow(window),
 		retry.WithShare(bounds.RetryShare * usableBudgetShare),
 		retry.WithFloor(0),
 		retry.WithSlack(func() float64 {
-			return hostSlack(bounds.RetrySlack, size.largest(view.Hosts()), view.ContactAge(), window)
+			hosts := view.LargestHosts(window)
+			if clock.Since(start) < window {
+				hosts = 0 // the first coordinator learns of the hosts one by one
+			}
+			return hostSlack(bounds.RetrySlack, hosts, view.ContactAge(), window)
 		}),
 	}
 	if !firstStart {
@@ -51,11 +55,10 @@
 // hostSlack returns one host's part of the fleet's slack, the number of retries
 // that are allowed on top of the share. It is below one in a large fleet, where it
 // still adds to the share of the host's requests. A host without contact to a coordinator
-// is about to be forgotten there, so that others take its part: it leaves that to them a window
-// before.
+// is forgotten there, and others take its part a window after that; it gives it up before.
 func hostSlack(fleetSlack float64, hosts int, contactAge, window time.Duration) float64 {
 	switch {
-	case contactAge+window >= quota.HostTTL:
+	case contactAge >= max(quota.HostTTL/2, quota.HostTTL-window):
 		return 0
 	case hosts == 0:
 		return min(defaultHostSlack, fleetSlack)
@@ -63,34 +66,3 @@
 		return fleetSlack * usableBudgetShare / float64(hosts)
 	}
 }
-
-// fleetSize is the largest number of hosts that was known within the last window. A new
-// coordinator learns of the hosts one by one and announces fewer at first.
-type fleetSize struct {
-	clock  clockwork.Clock
-	window time.Duration
-	start  time.Time
-
-	mu sync.Mutex
-	// current is the largest number since began, and previous that of the window before.
-	current, previous int
-	began             time.Time
-}
-
-// largest records the number of hosts that is known now, and returns the largest one, or zero in
-// the first window.
-func (f *fleetSize) largest(known int) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch age := f.clock.Since(f.began); {
-	case age >= 2*f.window:
-		f.previous, f.current, f.began = 0, 0, f.clock.Now()
-	case age >= f.window:
-		f.previous, f.current, f.began = f.current, 0, f.clock.Now()
-	}
-	f.current = max(f.current, known)
-	if f.clock.Since(f.start) < f.window {
-		return 0
-	}
-	return max(f.current, f.previous)
-}
--- a/gateway/budget_test.go
+++ b/gateway/budget_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 
+	"hawthornway/coordinator"
 	"hawthornway/platform"
 	"hawthornway/quota"
 	"hawthornway/retry"
@@ -30,11 +31,22 @@
 
 // view is what a host of a test knows of its fleet.
 type view struct {
-	hosts      int
+	clock      clockwork.Clock
+	counts     coordinator.HostCounts
 	contactAge time.Duration
 }
 
-func (v *view) Hosts() int                { return v.hosts }
+func newView(clock clockwork.Clock, hosts int) *view {
+	v := &view{clock: clock}
+	v.announce(hosts)
+	return v
+}
+
+func (v *view) announce(hosts int) { v.counts.Record(hosts, v.clock.Now()) }
+
+func (v *view) LargestHosts(within time.Duration) int {
+	return v.counts.Largest(v.clock.Now().Add(-within))
+}
 func (v *view) ContactAge() time.Duration { return v.contactAge }
 
 // checkRepeats checks the repeats of a whole fleet that has sent no other requests.
@@ -58,7 +70,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 2))
 			clock := clockwork.NewFakeClock()
-			known := &view{hosts: hosts}
+			known := newView(clock, hosts)
 			budgets := make([]retry.Budget, hosts)
 			for i := range budgets {
 				budgets[i] = newRetryBudget(bounds, true, known, clock)
@@ -87,16 +99,20 @@
 	const hosts, slack = 8, 56
 	bounds := platform.Bounds{RetrySlack: slack, RetryWindow: 10 * time.Second}
 	clock := clockwork.NewFakeClock()
-	known := &view{hosts: hosts}
+	known := newView(clock, hosts)
 	budgets := make([]retry.Budget, hosts)
 	for i := range budgets {
 		budgets[i] = newRetryBudget(bounds, true, known, clock)
 	}
 	var sent []time.Time
-	for round := range 120 {
-		// The coordinator changes every three seconds.
-		known.hosts = min(hosts, 1+round%30)
+	for round := range 1200 {
+		// The coordinator changes every three seconds. Targets fail for twenty seconds and are
+		// sound for as long.
+		known.announce(min(hosts, 1+round%30))
 		for _, b := range budgets {
+			if round/200%2 == 0 {
+				break
+			}
 			for b.TakeRetry() {
 				sent = append(sent, clock.Now())
 			}
@@ -111,30 +127,34 @@
 // others have taken it.
 func TestHostsCutOffLeaveTheirPartToOthers(t *testing.T) {
 	const hosts, cut, slack = 8, 4, 56
-	bounds := platform.Bounds{RetrySlack: slack, RetryWindow: 10 * time.Second}
-	clock := clockwork.NewFakeClock()
-	connected, alone := &view{hosts: hosts}, &view{hosts: hosts}
-	budgets := make([]retry.Budget, hosts)
-	for i := range budgets {
-		v := connected
-		if i < cut {
-			v = alone
-		}
-		budgets[i] = newRetryBudget(bounds, true, v, clock)
-	}
-	var sent []time.Time
-	for range 600 {
-		clock.Advance(100 * time.Millisecond)
-		alone.contactAge += 100 * time.Millisecond
-		if alone.contactAge > quota.HostTTL {
-			connected.hosts = hosts - cut
+	for _, window := range []time.Duration{5 * time.Second, 10 * time.Second, 40 * time.Second} {
+		bounds := platform.Bounds{RetrySlack: slack, RetryWindow: window}
+		clock := clockwork.NewFakeClock()
+		connected, alone := newView(clock, hosts), newView(clock, hosts)
+		budgets := make([]retry.Budget, hosts)
+		for i := range budgets {
+			v := connected
+			if i < cut {
+				v = alone
+			}
+			budgets[i] = newRetryBudget(bounds, true, v, clock)
 		}
-		for _, b := range budgets {
-			for b.TakeRetry() {
-				sent = append(sent, clock.Now())
+		var sent []time.Time
+		for range 1500 {
+			clock.Advance(100 * time.Millisecond)
+			alone.contactAge += 100 * time.Millisecond
+			if alone.contactAge > quota.HostTTL {
+				connected.announce(hosts - cut)
+			} else {
+				connected.announce(hosts)
+			}
+			for _, b := range budgets {
+				for b.TakeRetry() {
+					sent = append(sent, clock.Now())
+				}
 			}
 		}
+		checkRepeats(t, sent, bounds.RetryWindow, slack)
+		must.Positive(t, len(sent))
 	}
-	checkRepeats(t, sent, bounds.RetryWindow, slack)
-	must.Positive(t, len(sent))
 }
