--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -122,3 +122,30 @@
 		})
 	}
 }
+
+// A name that is no fault must not pass for a run that held.
+func TestChooseFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		options Options
+		faults  int
+		fails   bool
+	}{
+		{"all", Options{}, len(plannedFaults) + len(unplannedFaults), false},
+		{"planned", Options{PlannedOnly: true}, len(plannedFaults), false},
+		{"named", Options{Faults: []string{"kill", "reload"}}, 2, false},
+		{"unknown", Options{Faults: []string{"kil"}}, 0, true},
+		{"not planned", Options{PlannedOnly: true, Faults: []string{"kill"}}, 0, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			faults, err := tc.options.chooseFaults()
+			must.Eq(t, tc.fails, err != nil)
+			must.Len(t, tc.faults, faults)
+		})
+	}
+	for _, m := range []string{"engine turns requests away and repeats answers", "engine answers busy after runs", "engine breaks off and empties resumptions", "service is full", "kill half"} {
+		_, err := Options{Faults: []string{m}}.chooseFaults()
+		must.NoError(t, err)
+	}
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -384,19 +384,27 @@
 
 func (s *soak) randomHost() *host { return s.hosts[s.random.IntN(len(s.hosts))] }
 
-// injectFaults begins one random fault after another for the duration of the
-// soak, and waits until all have ended.
-func (s *soak) injectFaults(ctx context.Context) {
-	faults := plannedFaults
-	if !s.PlannedOnly {
-		faults = append(append([]fault(nil), plannedFaults...), unplannedFaults...)
+// chooseFaults returns the faults that the options allow. A name that isn't one of them is an error,
+// since a run without the fault would pass for one that held.
+func (o Options) chooseFaults() ([]fault, error) {
+	faults := slices.Clone(plannedFaults)
+	if !o.PlannedOnly {
+		faults = append(faults, unplannedFaults...)
 	}
-	if len(s.Faults) > 0 {
-		faults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(s.Faults, f.name) })
+	for _, name := range o.Faults {
+		if !slices.ContainsFunc(faults, func(f fault) bool { return f.name == name }) {
+			return nil, fmt.Errorf("fault %q is unknown, or not planned in a run of planned ones", name)
+		}
 	}
-	if len(faults) == 0 {
-		return
+	if len(o.Faults) > 0 {
+		faults = slices.DeleteFunc(faults, func(f fault) bool { return !slices.Contains(o.Faults, f.name) })
 	}
+	return faults, nil
+}
+
+// injectFaults begins one random fault after another for the duration of the
+// soak, and waits until all have ended.
+func (s *soak) injectFaults(ctx context.Context, faults []fault) {
 	var ends sync.WaitGroup
 	deadline := time.Now().Add(s.Duration)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -101,6 +101,10 @@
 		o.Shape = Shapes[0]
 	}
 	o.Hosts = cmp.Or(o.Hosts, o.Shape.Hosts)
+	faults, err := o.chooseFaults()
+	if err != nil {
+		return Report{}, err
+	}
 	s := &soak{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: platformtest.NewStore(), startedAt: time.Now(),
 		engineProxies: map[string]*proxy{}, drainStarts: map[string]time.Time{},
@@ -131,7 +135,7 @@
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	var running sync.WaitGroup
 	s.callers.run(callersCtx, &running)
-	s.injectFaults(ctx)
+	s.injectFaults(ctx, faults)
 	s.clearFaults()
 	faultsCleared := time.Now()
 	recovered := s.callers.waitServed(ctx, recoveryTimeout)
