roster: older state of a target never replaces newer state

Cause: such a host reads all changes that it missed from the store, which took 1.3 s, and gets the newer state from the coordinator in the meantime. The roster kept whatever was applied last. A registration from before the departure replaced the relayed departure, and the host then followed the relay, which had nothing more to tell. The same holds for a relayed removal, a list of the store, a removal that is older than a new registration, and the former target of an address.

Now each registration is known as of a store revision: its own, or the one up to which the relaying host has read. What is older than that, or than a removal, is ignored. Removals carry their revision between hosts; without it (older builds) that of the view counts. The roster logs departures with their source and revision, and what it ignored.

Ruled out: a lost broadcast, and a version that was adopted without its content; the logs show both views applied in order. The coordinator told the departure in time.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -97,9 +97,8 @@
 // ViewReceiver receives the state of the store that the coordinator relays.
 // UpdateTargets and ConfirmCurrent are never called concurrently.
 type ViewReceiver interface {
-	// UpdateTargets applies changes of the registered targets. All lists every
-	// registered target of the given buckets.
-	UpdateTargets(changed []roster.Target, removed, all []target.ID, buckets []roster.Bucket)
+	// UpdateTargets applies changes of the registered targets.
+	UpdateTargets(changes roster.Changes)
 	// Digests returns the digests of the targets that this host knows, without those that
 	// have lapsed. Lapses returns how often any have lapsed so far.
 	Digests() roster.Digests
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -66,8 +66,7 @@
 	c.adoptQuarantined(view)
 	c.adoptLimits(view)
 	if !leads {
-		changed, removed, all := c.newerTargets(view)
-		c.receiver.UpdateTargets(changed, removed, all, view.CompleteBuckets)
+		c.receiver.UpdateTargets(c.newerTargets(view))
 	}
 	if !view.Answer || sent == 0 || !complete {
 		if !leads {
@@ -85,34 +84,35 @@
 }
 
 // newerTargets returns a view's changes of targets, without those that a newer view
-// superseded before this one arrived. All lists every target of the view's complete
+// superseded before this one arrived. They list every target of the view's complete
 // buckets, and the targets in newer views, so that the receiver keeps those.
-func (c *Client) newerTargets(view wireView) (changed []roster.Target, removed, all []target.ID) {
+func (c *Client) newerTargets(view wireView) roster.Changes {
+	changes := roster.Changes{Buckets: view.CompleteBuckets, At: view.ReadRevision}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(view.CompleteBuckets) > 0 {
 		for id, version := range c.targetVersions {
 			if version > view.Version {
-				all = append(all, id)
+				changes.All = append(changes.All, id)
 			}
 		}
 	}
 	for _, w := range view.Targets {
 		if len(view.CompleteBuckets) > 0 {
-			all = append(all, w.ID)
+			changes.All = append(changes.All, w.ID)
 		}
 		if w.Version >= c.targetVersions[w.ID] {
 			c.targetVersions[w.ID] = w.Version
-			changed = append(changed, w.target())
+			changes.Changed = append(changes.Changed, w.target())
 		}
 	}
 	for _, w := range view.Removed {
 		if w.Version >= c.targetVersions[w.ID] {
 			c.targetVersions[w.ID] = w.Version
-			removed = append(removed, w.ID)
+			changes.Removed = append(changes.Removed, roster.Removed{ID: w.ID, Revision: w.Revision})
 		}
 	}
-	return changed, removed, all
+	return changes
 }
 
 // RelayedStateAge returns the age of the store's state that the coordinator relays. It
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -292,10 +292,10 @@
 func (loneMesh) OrderDelay() time.Duration { return 0 }
 func (loneMesh) FirstTerm() bool           { return false }
 
-func (loneMesh) Term() (target.Fence, bool, bool)                                         { return 1, true, true }
-func (loneMesh) UpdateTargets([]roster.Target, []target.ID, []target.ID, []roster.Bucket) {}
-func (loneMesh) ConfirmCurrent(catalog.Version, keyvalue.Revision, boottime.Instant)      {}
-func (loneMesh) Digests() roster.Digests                                                  { return roster.Digests{} }
+func (loneMesh) Term() (target.Fence, bool, bool)                                    { return 1, true, true }
+func (loneMesh) UpdateTargets(roster.Changes)                                        {}
+func (loneMesh) ConfirmCurrent(catalog.Version, keyvalue.Revision, boottime.Instant) {}
+func (loneMesh) Digests() roster.Digests                                             { return roster.Digests{} }
 
 func (loneMesh) Lapses() int                                            { return 0 }
 func (loneMesh) SetModels(target.ID, roster.StartID, []roster.Resident) {}
--- a/coordinator/failedload_test.go
+++ b/coordinator/failedload_test.go
@@ -50,7 +50,7 @@
 	f.engines.broken = name
 	f.engines.ended = func(t roster.Target) {
 		*ended++
-		f.roster.Drop(t.ID)
+		f.roster.Drop(t.ID, 0)
 		time.AfterFunc(restartTime, func() {
 			t.Start++
 			f.roster.Put(t)
@@ -112,7 +112,7 @@
 	loaded := map[target.ID][]model.Name{"e1": {"m0"}, "e2": {"m0"}, "e3": {"m0"}, "e4": {"m0"}}
 	runFixture(t, loaded, func(f *fixture) {
 		last, _ := f.roster.Get("e4")
-		f.roster.Drop(last.ID)
+		f.roster.Drop(last.ID, 0)
 		f.engines.mu.Lock()
 		f.engines.fleeting = "sound"
 		f.engines.mu.Unlock()
@@ -128,7 +128,7 @@
 		}
 		f.engines.mu.Unlock()
 		for _, id := range engines {
-			f.roster.Drop(id)
+			f.roster.Drop(id, 0)
 		}
 		f.roster.Put(last)
 		time.Sleep(2 * time.Second)
--- a/coordinator/large_fleet_test.go
+++ b/coordinator/large_fleet_test.go
@@ -58,7 +58,7 @@
 		c.engines[t.ID] = &engine{target: t, reported: true, start: t.Start, resident: models, version: uint64(2 + i)}
 	}
 	c.version = largeFleetEngines + 1
-	c.registered.update(1, r.All(), 1, c.published)
+	c.registered.update(1, r.All(), 1, c.published, r.RemovedAt)
 	return c, r
 }
 
@@ -98,7 +98,7 @@
 	must.SliceEmpty(t, view.Targets)
 	must.SliceEmpty(t, view.CompleteBuckets)
 	other := roster.New(boottime.SystemClock{})
-	other.Replace(r.All()[1:])
+	other.Replace(r.All()[1:], 0)
 	view, err = c.report("h", wireReport{Targets: digests(other)})
 	must.NoError(t, err)
 	must.SliceLen(t, 1, view.CompleteBuckets)
@@ -107,12 +107,12 @@
 	must.Eq(t, roster.BucketOf(r.All()[0].ID), view.CompleteBuckets[0])
 
 	// The digests stay equal to the roster's after changes.
-	r.Drop("i-0000000007")
+	r.Drop("i-0000000007", 0)
 	changed := r.All()[0]
 	changed.Draining = true
 	r.Put(changed)
 	r.SetModels("i-0000000008", r.All()[7].Start, []roster.Resident{{Model: "other"}})
-	c.registered.update(2, r.All(), 2, c.published)
+	c.registered.update(2, r.All(), 2, c.published, r.RemovedAt)
 	must.Eq(t, r.Digests(), c.registered.digests)
 }
 
@@ -174,7 +174,7 @@
 func BenchmarkUpdateRegistrations(b *testing.B) {
 	c, r := newLargeCoordinator()
 	for b.Loop() {
-		c.registered.update(1, r.All(), 2, c.published)
+		c.registered.update(1, r.All(), 2, c.published, r.RemovedAt)
 	}
 }
 
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -249,6 +249,9 @@
 type wireRemoved struct {
 	ID      target.ID `cbor:"1,keyasint"`
 	Version uint64    `cbor:"2,keyasint"`
+	// Revision is the store revision of the removal, or zero if it isn't known. Older builds
+	// don't send it.
+	Revision keyvalue.Revision `cbor:"3,keyasint,omitempty"`
 }
 
 // wireTarget is the registration of a target.
--- a/coordinator/neighbour_test.go
+++ b/coordinator/neighbour_test.go
@@ -61,8 +61,8 @@
 	m.leader = leader
 }
 
-func (*partialMesh) UpdateTargets([]roster.Target, []target.ID, []target.ID, []roster.Bucket) {}
-func (*partialMesh) Digests() roster.Digests                                                  { return roster.Digests{} }
+func (*partialMesh) UpdateTargets(roster.Changes) {}
+func (*partialMesh) Digests() roster.Digests      { return roster.Digests{} }
 
 func (*partialMesh) Lapses() int                                                         { return 0 }
 func (*partialMesh) SetModels(target.ID, roster.StartID, []roster.Resident)              {}
--- a/coordinator/new_term_test.go
+++ b/coordinator/new_term_test.go
@@ -155,9 +155,7 @@
 	*roster.Roster
 }
 
-func (r rosterReceiver) UpdateTargets(changed []roster.Target, removed, all []target.ID, buckets []roster.Bucket) {
-	r.Update(changed, removed, all, buckets)
-}
+func (r rosterReceiver) UpdateTargets(changes roster.Changes) { r.Update(changes) }
 
 func (r rosterReceiver) Digests() roster.Digests { return r.Roster.Digests() }
 func (r rosterReceiver) Lapses() int             { return r.Roster.Lapses() }
@@ -190,14 +188,14 @@
 			host.StoreLost()
 			host.StoreRegained()
 			for _, id := range []target.ID{"i-2", "i-3", "i-4"} {
-				host.Remove(id)
+				host.Remove(id, 0)
 			}
 			delete(stored, "i-4")
 			if newTerm {
 				lost = true
 				f.elect(stored, delivered)
 			} else {
-				f.roster.Drop("i-4")
+				f.roster.Drop("i-4", 0)
 			}
 			f.announce()
 			f.report(t)
@@ -246,7 +244,7 @@
 					f.roster.Put(changed)
 				} else {
 					delete(stored, changed.ID)
-					f.roster.Drop(changed.ID)
+					f.roster.Drop(changed.ID, 0)
 				}
 			case 2:
 				f.elect(stored, delivered)
--- a/coordinator/registrations.go
+++ b/coordinator/registrations.go
@@ -28,6 +28,12 @@
 	digest  uint64
 	removed bool
 	version uint64
+	// removedAt is the store revision of the removal, or zero.
+	removedAt keyvalue.Revision
+}
+
+func (r registration) wireRemoved() wireRemoved {
+	return wireRemoved{ID: r.wire.ID, Version: r.version, Revision: r.removedAt}
 }
 
 func newRegistrations() registrations {
@@ -39,7 +45,7 @@
 //
 // The models of a published engine are sent with the engine, so a registration that
 // differs only in its models doesn't count as changed.
-func (r *registrations) update(read keyvalue.Revision, targets []roster.Target, version uint64, published func(target.ID) bool) (changed []wireTarget, removed []wireRemoved) {
+func (r *registrations) update(read keyvalue.Revision, targets []roster.Target, version uint64, published func(target.ID) bool, removedAt func(target.ID) keyvalue.Revision) (changed []wireTarget, removed []wireRemoved) {
 	r.readRevision = read
 	if sameList(targets, r.lastList) {
 		return nil, nil
@@ -53,6 +59,8 @@
 		previous, ok := r.targets[t.ID]
 		ok = ok && !previous.removed && previous.wire.sameRegistration(wire)
 		if ok && previous.digest == digest {
+			previous.wire.Revision = t.Revision
+			r.targets[t.ID] = previous
 			continue
 		}
 		if ok && published(t.ID) {
@@ -65,8 +73,9 @@
 	}
 	for id, previous := range r.targets {
 		if !registered[id] && !previous.removed {
-			r.set(id, registration{wire: previous.wire, removed: true, version: version})
-			removed = append(removed, wireRemoved{id, version})
+			ended := registration{wire: previous.wire, removed: true, version: version, removedAt: removedAt(id)}
+			r.set(id, ended)
+			removed = append(removed, ended.wireRemoved())
 		}
 	}
 	return changed, removed
@@ -104,11 +113,11 @@
 // addChangedSince adds the registrations that changed after the given version to a
 // view.
 func (r *registrations) addChangedSince(version uint64, view *wireView) {
-	for id, known := range r.targets {
+	for _, known := range r.targets {
 		switch {
 		case known.version <= version:
 		case known.removed:
-			view.Removed = append(view.Removed, wireRemoved{id, known.version})
+			view.Removed = append(view.Removed, known.wireRemoved())
 		default:
 			view.Targets = append(view.Targets, known.wire)
 		}
--- a/coordinator/view.go
+++ b/coordinator/view.go
@@ -15,7 +15,7 @@
 // targets, and the engines' models.
 func (c *Coordinator) announce(current *catalog.Catalog) {
 	read := c.readRevision() // before reading the roster, which is then at least as new
-	changed, removed := c.registered.update(read, c.roster.All(), c.version+1, c.published)
+	changed, removed := c.registered.update(read, c.roster.All(), c.version+1, c.published, c.roster.RemovedAt)
 	if len(changed) == 0 && len(removed) == 0 && len(c.dirty) == 0 && len(c.changedForecasts) == 0 && current.Version == c.config && !c.quarantineChanged && c.limits.Digest() == c.sentLimits {
 		return
 	}
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -38,19 +38,19 @@
 
 func (r *recordingReceiver) Prefer(fleet.HostID) {}
 
-func (r *recordingReceiver) UpdateTargets(changed []roster.Target, removed, all []target.ID, buckets []roster.Bucket) {
-	for _, t := range changed {
+func (r *recordingReceiver) UpdateTargets(changes roster.Changes) {
+	for _, t := range changes.Changed {
 		r.targets[t.ID] = t
 	}
-	for _, id := range removed {
-		delete(r.targets, id)
+	for _, removed := range changes.Removed {
+		delete(r.targets, removed.ID)
 	}
 	listed := map[target.ID]bool{}
-	for _, id := range all {
+	for _, id := range changes.All {
 		listed[id] = true
 	}
 	for id := range r.targets {
-		if !listed[id] && slices.Contains(buckets, roster.BucketOf(id)) {
+		if !listed[id] && slices.Contains(changes.Buckets, roster.BucketOf(id)) {
 			delete(r.targets, id)
 		}
 	}
@@ -153,7 +153,7 @@
 func TestReorderedViewsKeepNewestTargets(t *testing.T) {
 	r, c := newRecordingClient()
 	r.targets["unknown"] = roster.Target{ID: "unknown"}
-	c.applyView(wireView{Fence: 1, Since: 1, Version: 2, Targets: []wireTarget{{ID: "late", Version: 2}}, Removed: []wireRemoved{{"gone", 2}}}, 0)
+	c.applyView(wireView{Fence: 1, Since: 1, Version: 2, Targets: []wireTarget{{ID: "late", Version: 2}}, Removed: []wireRemoved{{ID: "gone", Version: 2}}}, 0)
 	c.applyView(wireView{Fence: 1, Version: 1, Answer: true, CompleteBuckets: allBuckets(), Targets: []wireTarget{{ID: "a", Version: 1}, {ID: "gone", Version: 1}}}, 1)
 	ids := map[target.ID]bool{}
 	for id := range r.targets {
--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -80,7 +80,7 @@
 		_ = server.Close()
 		must.NoError(t, g.metrics.Close())
 	})
-	g.Listed([]roster.Target{{ID: "i-0", Pool: "service", Address: "10.0.0.3:1", Domain: settings.Domain}})
+	g.Listed([]roster.Target{{ID: "i-0", Pool: "service", Address: "10.0.0.3:1", Domain: settings.Domain}}, 1)
 	return g
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,7 +147,7 @@
 		opt(g)
 	}
 	g.metrics = metric.New()
-	g.roster = roster.New(g.bootClock)
+	g.roster = roster.New(g.bootClock, roster.WithLogger(g.log))
 	g.limits = pace.NewLimits(g.bootClock)
 	g.freshness.clock = g.bootClock
 	g.known = outdated.NewTracker[catalog.Version](g.bootClock, s.Bounds.MaxConfigDelay)
@@ -467,11 +467,13 @@
 }
 
 // Unregistered implements platform.Listener.
-func (g *gateway) Unregistered(id target.ID) { g.roster.Remove(id) }
+func (g *gateway) Unregistered(id target.ID, revision keyvalue.Revision) {
+	g.roster.Remove(id, revision)
+}
 
 // Listed implements platform.Listener. It replaces all registrations.
-func (g *gateway) Listed(targets []roster.Target) {
-	g.roster.Replace(targets)
+func (g *gateway) Listed(targets []roster.Target, at keyvalue.Revision) {
+	g.roster.Replace(targets, at)
 	g.targetsListed.Store(true)
 }
 
@@ -589,9 +591,7 @@
 
 // UpdateTargets implements coordinator.Host. It applies the coordinator's
 // changes to the registrations.
-func (g *gateway) UpdateTargets(changed []roster.Target, removed, all []target.ID, buckets []roster.Bucket) {
-	g.roster.Update(changed, removed, all, buckets)
-}
+func (g *gateway) UpdateTargets(changes roster.Changes) { g.roster.Update(changes) }
 
 // Digests implements coordinator.Host. It returns the digests of the known
 // registrations.
--- a/roster/notice_test.go
+++ b/roster/notice_test.go
@@ -43,7 +43,7 @@
 	a := roster.Target{ID: "a", Start: 1, Pool: "p", Address: "10.0.0.1:a", Revision: 7}
 	r.Put(a)
 	must.Eq(t, []target.ID{"b"}, ready(r))
-	r.Drop("a")
+	r.Drop("a", 0)
 	must.SliceEmpty(t, r.Leaving())
 	r.Put(a)
 	must.Eq(t, []target.ID{"b"}, ready(r))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 
 	"hawthornway/boottime"
 	"hawthornway/fleet"
+	"hawthornway/keyvalue"
 	"hawthornway/model"
 	"hawthornway/target"
 )
@@ -113,6 +116,7 @@
 // Roster is the set of registered targets. It is safe for concurrent use.
 type Roster struct {
 	clock boottime.Clock
+	log   *slog.Logger
 
 	mu      sync.Mutex
 	targets map[target.ID]entry
@@ -139,8 +143,24 @@
 	// targets want no requests from this host.
 	leaving     map[startKey]boottime.Instant
 	pausedUntil map[startKey]boottime.Instant
+	// removals holds the removals of targets that aren't registered any more. Old ones are
+	// pruned when there are pruneAt.
+	removals map[target.ID]removal
+	pruneAt  int
 }
 
+// removal is the end of a registration.
+type removal struct {
+	revision keyvalue.Revision
+	at       boottime.Instant
+}
+
+// removalTTL is how long a removal is remembered at least. No read of the store takes so long.
+const removalTTL = 10 * time.Minute
+
+// minPrune is the number of removals from which old ones are pruned.
+const minPrune = 1000
+
 // startKey identifies one start of a target.
 type startKey struct {
 	id    target.ID
@@ -149,41 +169,113 @@
 
 type entry struct {
 	target Target
+	// asOf is the newest store revision as of which the registration is known.
+	asOf keyvalue.Revision
 	// lapsed is set if the registration was removed shortly after an outage. It then
 	// expires at expiresAt unless it is renewed.
 	lapsed    bool
 	expiresAt boottime.Instant
 }
 
+// source is where a change of a registration was learned.
+type source string
+
+const (
+	fromStore source = "store"
+	fromRelay source = "relay"
+)
+
+// Option sets an option of a Roster.
+type Option func(*Roster)
+
+// WithLogger sets the logger of departures.
+func WithLogger(log *slog.Logger) Option { return func(r *Roster) { r.log = log } }
+
 // New returns an empty Roster.
-func New(clock boottime.Clock) *Roster {
-	return &Roster{
-		clock: clock, targets: map[target.ID]entry{}, addresses: map[string][]target.ID{}, changed: make(chan struct{}),
+func New(clock boottime.Clock, opts ...Option) *Roster {
+	r := &Roster{
+		clock: clock, log: slog.New(slog.DiscardHandler), targets: map[target.ID]entry{}, addresses: map[string][]target.ID{}, changed: make(chan struct{}),
 		versions: map[target.Pool]map[target.Version]int{}, versionsChanged: make(chan struct{}),
-		leaving: map[startKey]boottime.Instant{}, pausedUntil: map[startKey]boottime.Instant{},
+		leaving: map[startKey]boottime.Instant{}, pausedUntil: map[startKey]boottime.Instant{}, removals: map[target.ID]removal{}, pruneAt: minPrune,
+	}
+	for _, opt := range opts {
+		opt(r)
 	}
+	return r
 }
 
-// Put adds or replaces a target. Older registrations at the same address belong to
-// targets that no longer exist, and are removed.
+// Put adds or replaces a target, unless something newer is known of it. Older registrations
+// at the same address belong to targets that no longer exist, and are removed.
 func (r *Roster) Put(t Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.put(t, keyvalue.Revision(t.Revision), fromStore)
+}
+
+// put applies a registration that is known as of a revision. The store's changes arrive from
+// the store and through other hosts, and may overtake each other on the way.
+func (r *Roster) put(t Target, asOf keyvalue.Revision, from source) {
+	previous, known := r.targets[t.ID]
+	if r.isOutdated(t, asOf) {
+		if known && previous.target.Draining && !t.Draining {
+			r.log.Info("roster: ignored an older registration of a target that leaves", "target", t.ID, "start", t.Start, "from", from, "revision", t.Revision, "known", previous.asOf)
+		}
+		return
+	}
 	if _, leaves := r.leaving[startKey{t.ID, t.Start}]; leaves {
 		t.Draining = true // the registration lags behind
 	}
+	if known && t.Draining && !previous.target.Draining {
+		r.log.Info("roster: target leaves", "target", t.ID, "start", t.Start, "from", from, "revision", t.Revision, "as-of", asOf)
+	}
 	r.deleteEntry(t.ID)
 	for _, id := range slices.Clone(r.addresses[t.Address]) {
 		if r.targets[id].target.Revision < t.Revision {
 			r.deleteEntry(id)
 		}
 	}
-	r.targets[t.ID] = entry{target: t}
+	r.targets[t.ID] = entry{target: t, asOf: asOf}
+	delete(r.removals, t.ID)
 	r.countVersion(t, 1)
 	r.addresses[t.Address] = append(r.addresses[t.Address], t.ID)
 	r.notify()
 }
 
+// isOutdated reports whether more is known of a target than its registration as of a revision.
+func (r *Roster) isOutdated(t Target, asOf keyvalue.Revision) bool {
+	if e, ok := r.targets[t.ID]; ok && asOf < e.asOf {
+		return true
+	}
+	if removed, ok := r.removals[t.ID]; ok && asOf <= removed.revision {
+		return true
+	}
+	return slices.ContainsFunc(r.addresses[t.Address], func(id target.ID) bool { return id != t.ID && t.Revision < r.targets[id].target.Revision })
+}
+
+// recordRemoval remembers the removal of a target at a revision, or at an unknown one if that
+// is zero.
+func (r *Roster) recordRemoval(id target.ID, revision keyvalue.Revision) {
+	if asOf := r.targets[id].asOf; revision < asOf {
+		revision = asOf - 1 // the last known registration may still be confirmed
+	}
+	if revision <= r.removals[id].revision {
+		return
+	}
+	now := r.clock.Now()
+	if len(r.removals) >= r.pruneAt {
+		maps.DeleteFunc(r.removals, func(_ target.ID, removed removal) bool { return now.Sub(removed.at) > removalTTL })
+		r.pruneAt = max(minPrune, 2*len(r.removals))
+	}
+	r.removals[id] = removal{revision, now}
+}
+
+// RemovedAt returns the store revision of the removal of a target, or zero if it isn't known.
+func (r *Roster) RemovedAt(id target.ID) keyvalue.Revision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.removals[id].revision
+}
+
 // deleteEntry removes an ID and its address.
 func (r *Roster) deleteEntry(id target.ID) {
 	e, ok := r.targets[id]
@@ -199,21 +291,21 @@
 	}
 }
 
-// Remove removes a registration. Shortly after an outage of the store, a target that
+// Remove removes a registration that ended at a revision, or at an unknown one if that is
+// zero, unless it was renewed since then. Shortly after an outage of the store, a target that
 // isn't draining stays until lapseGrace has passed, since its registration may only have
 // lapsed because it could not be renewed.
-func (r *Roster) Remove(id target.ID) {
+func (r *Roster) Remove(id target.ID, revision keyvalue.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, ok := r.targets[id]
-	if !ok {
+	if revision != 0 && revision < max(e.asOf, r.removals[id].revision) {
 		return
 	}
 	now := r.clock.Now()
 	lapse := r.storeRegainedAt != 0 && now.Sub(r.storeRegainedAt) < lapseWindow
-	if !lapse || e.target.Draining {
-		r.deleteEntry(id)
-		r.notify()
+	if !ok || !lapse || e.target.Draining {
+		r.drop(id, revision, fromStore)
 		return
 	}
 	r.lapses++
@@ -222,18 +314,27 @@
 	r.invalidateLists()
 }
 
-// Drop removes a target immediately, even after an outage.
-func (r *Roster) Drop(id target.ID) {
+// Drop removes a target immediately, even after an outage. The revision is that of its
+// removal, or zero if that isn't known.
+func (r *Roster) Drop(id target.ID, revision keyvalue.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.targets[id]; ok {
+	r.drop(id, revision, fromRelay)
+}
+
+func (r *Roster) drop(id target.ID, revision keyvalue.Revision, from source) {
+	r.recordRemoval(id, revision)
+	if e, ok := r.targets[id]; ok {
+		if !e.target.Draining {
+			r.log.Info("roster: target is gone", "target", id, "start", e.target.Start, "from", from, "revision", revision)
+		}
 		r.deleteEntry(id)
 		r.notify()
 	}
 }
 
-// Replace applies the complete list of registrations, as read from the store.
-func (r *Roster) Replace(targets []Target) {
+// Replace applies the complete list of registrations, as read from the store at a revision.
+func (r *Roster) Replace(targets []Target, at keyvalue.Revision) {
 	seen := map[target.ID]bool{}
 	for _, t := range targets {
 		seen[t.ID] = true
@@ -241,35 +342,70 @@
 	}
 	for _, id := range r.ids() {
 		if !seen[id] {
-			r.Remove(id)
+			r.Remove(id, at)
 		}
 	}
 }
 
-// Update applies changes that another host relays. All lists every registered target of the
-// given buckets. Caches of weights and sequences aren't relayed, and stay.
-func (r *Roster) Update(changed []Target, removed, all []target.ID, buckets []Bucket) {
-	for _, t := range changed {
-		if previous, ok := r.Get(t.ID); ok && previous.Start == t.Start {
-			t.Holdings.InMemory, t.Holdings.OnDisk, t.Sequence = previous.Holdings.InMemory, previous.Holdings.OnDisk, previous.Sequence
-		}
-		r.Put(t)
+// Changes are changes of registrations that another host relays.
+type Changes struct {
+	Changed []Target
+	Removed []Removed
+	// All lists every registered target of Buckets.
+	All     []target.ID
+	Buckets []Bucket
+	// At is the store revision up to which the other host had read the store at least.
+	At keyvalue.Revision
+}
+
+// Removed is a target whose registration has ended.
+type Removed struct {
+	ID target.ID
+	// Revision is the store revision of the removal, or zero if it isn't known.
+	Revision keyvalue.Revision
+}
+
+// Update applies changes that another host relays. Caches of weights and sequences aren't
+// relayed, and stay.
+func (r *Roster) Update(changes Changes) {
+	for _, t := range changes.Changed {
+		r.putRelayed(t, changes.At)
 	}
-	for _, id := range removed {
-		r.Drop(id)
+	for _, removed := range changes.Removed {
+		r.Drop(removed.ID, max(removed.Revision, changes.At))
 	}
-	if len(buckets) == 0 {
+	if len(changes.Buckets) == 0 {
 		return
 	}
-	registered := make(map[target.ID]bool, len(all))
-	for _, id := range all {
+	registered := make(map[target.ID]bool, len(changes.All))
+	for _, id := range changes.All {
 		registered[id] = true
 	}
 	for _, t := range r.All() {
-		if !registered[t.ID] && slices.Contains(buckets, BucketOf(t.ID)) {
-			r.Drop(t.ID)
+		if !registered[t.ID] && slices.Contains(changes.Buckets, BucketOf(t.ID)) {
+			r.Drop(t.ID, changes.At)
+		}
+	}
+}
+
+// putRelayed applies a registration that was relayed by a host that had read the store up to
+// a revision at least. That host may know from the target itself that it leaves, while its
+// registration doesn't say so.
+func (r *Roster) putRelayed(t Target, at keyvalue.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	asOf := max(keyvalue.Revision(t.Revision), at)
+	e, ok := r.targets[t.ID]
+	if ok && e.target.Start == t.Start {
+		t.Holdings.InMemory, t.Holdings.OnDisk, t.Sequence = e.target.Holdings.InMemory, e.target.Holdings.OnDisk, e.target.Sequence
+		if t.Draining && !e.target.Draining && asOf < e.asOf {
+			r.log.Info("roster: target leaves", "target", t.ID, "start", t.Start, "from", fromRelay, "revision", t.Revision, "as-of", asOf)
+			e.target.Draining = true
+			r.targets[t.ID] = e
+			r.notify()
 		}
 	}
+	r.put(t, asOf, fromRelay)
 }
 
 func (r *Roster) ids() []target.ID {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -65,7 +65,7 @@
 				clock.Advance(6 * time.Second)
 				r.StoreRegained()
 			}
-			r.Remove("a")
+			r.Remove("a", 0)
 			if tc.renewed {
 				r.Put(registered)
 			}
@@ -81,7 +81,7 @@
 	r := roster.New(boottime.NewFakeClock(1))
 	r.Put(roster.Target{ID: "a", Address: "10.0.0.1:1"})
 	changed := r.Changed()
-	r.Replace([]roster.Target{{ID: "b", Address: "10.0.0.2:1"}})
+	r.Replace([]roster.Target{{ID: "b", Address: "10.0.0.2:1"}}, 0)
 	must.Eq(t, []target.ID{"b"}, ids(r.All()))
 	select {
 	case <-changed:
@@ -99,7 +99,7 @@
 	r.Put(roster.Target{ID: "b", Pool: "p", Address: "10.0.0.2:1"})
 	r.StoreLost()
 	r.StoreRegained()
-	r.Remove("a")
+	r.Remove("a", 0)
 	must.Eq(t, []target.ID{"a", "b"}, ids(r.Ready("p")))
 	clock.Advance(1900 * time.Millisecond)
 	must.Eq(t, []target.ID{"a", "b"}, ids(r.Ready("p")))
@@ -124,13 +124,13 @@
 	targets := manyTargets(3000)
 	r := roster.New(boottime.SystemClock{})
 	for b.Loop() {
-		r.Replace(targets)
+		r.Replace(targets, 0)
 	}
 }
 
 func BenchmarkReady(b *testing.B) {
 	r := roster.New(boottime.SystemClock{})
-	r.Replace(manyTargets(3000))
+	r.Replace(manyTargets(3000), 0)
 	for b.Loop() {
 		_ = r.Ready("p")
 	}
@@ -161,7 +161,7 @@
 	with := r.Digests()
 	r.StoreLost()
 	r.StoreRegained()
-	r.Remove("b")
+	r.Remove("b", 0)
 	must.Eq(t, 1, r.Lapses())
 	must.Eq(t, without, r.Digests())
 	r.Put(b)
@@ -192,7 +192,7 @@
 			r.StoreRelayed(tc.confirmed)
 			clock.Advance(5 * time.Second)
 			r.StoreRegained()
-			r.Remove("a")
+			r.Remove("a", 0)
 			must.SliceLen(t, tc.left, r.All())
 		})
 	}
