coordinator: hosts that read the store themselves compare targets before they rely on relays

What callers see: a target that comes and goes, or goes and comes back, between two reads of the coordinator stays in use, or unused, at a host that read the store itself in that moment and then follows the relay of the same term.

Cause: the coordinator announces what differs between its reads. What it never saw it never corrects, and hosts compared their targets with it only at a new term or after a lapse.

Now the roster counts the changes that it read from the store. Once they have settled, the next report also has digests, and the answer the differing buckets beside the changes. It counts as a comparison only if the coordinator has read as far as the host. Coordinators of older builds ignore the digests; nothing else changes with them.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -103,6 +103,9 @@
 	// have lapsed. Lapses returns how often any have lapsed so far.
 	Digests() roster.Digests
 	Lapses() int
+	// StoreChanges returns how many changes of targets this host has read from the store
+	// itself so far, and the revision of the newest one.
+	StoreChanges() (n int, newest keyvalue.Revision)
 	// SetModels records the models that an engine holds since the given start.
 	SetModels(id target.ID, start roster.StartID, models []roster.Resident)
 	// ConfirmCurrent confirms, as of an instant of this host's clock, that the
@@ -165,9 +168,9 @@
 	connected bool
 	// fleetLimits is the digest of the limits of targets that the coordinator knows.
 	fleetLimits uint64
-	// comparedLapses is the number of lapses that the last comparison of targets covered. It is
-	// only used by the goroutine that reports.
-	comparedLapses int
+	// compared is what the last comparison of targets covered, and reported what had happened
+	// before the last report. They are only used by the goroutine that reports.
+	compared, reported ownReads
 	// incomplete is set while the last view left out some of the changed engines.
 	incomplete bool
 	// confirmedAt is the instant up to which the relayed state of the store is
@@ -330,7 +333,7 @@
 	if leader.Host == "" {
 		return
 	}
-	lapses := c.addDigests(&report)
+	covered := c.addDigests(&report)
 	usage := c.usage()
 	for _, demand := range usage.Demand {
 		report.Demand = append(report.Demand, wireDemand(demand))
@@ -362,32 +365,52 @@
 	case err != nil:
 		c.reportFailed(err)
 	default:
-		c.applyAnswer(view, sent, lapses)
+		c.applyAnswer(view, sent, covered)
 	}
 }
 
-// applyAnswer applies the answer to a report that was sent at an instant, with digests that
-// cover a number of lapses if it had any.
-func (c *Client) applyAnswer(view wireView, sent boottime.Instant, lapses int) {
+// ownReads counts what a host has read from the store itself.
+type ownReads struct {
+	// lapses counts the registrations that lapsed, and changes all changes. Newest is the
+	// revision of the newest change.
+	lapses, changes int
+	newest          keyvalue.Revision
+}
+
+// applyAnswer applies the answer to a report that was sent at an instant, and before which a
+// comparison of targets covered some reads of the store.
+func (c *Client) applyAnswer(view wireView, sent boottime.Instant, covered ownReads) {
 	c.applyView(view, sent)
-	if view.Version > 0 {
-		c.comparedLapses = lapses
+	if view.Version == 0 {
+		return
+	}
+	c.compared.lapses = covered.lapses
+	if view.ReadRevision >= covered.newest { // else the coordinator is behind
+		c.compared.changes = covered.changes
 	}
 }
 
 // addDigests adds the digests of the known targets to a report, if a list of changes would not
-// be enough: this host has no view of the term yet, or registrations have lapsed here, as it
-// read the store itself, that the coordinator may know to be renewed. A new term's ledger also
-// needs the reserves that this host has. It returns the number of lapses that the digests cover.
-func (c *Client) addDigests(report *wireReport) (lapses int) {
-	lapses = c.receiver.Lapses()
-	if report.Since > 0 && lapses == c.comparedLapses {
-		return lapses
+// be enough: this host has no view of the term yet, or it has read changes from the store
+// itself, of which the coordinator may never have known. The latter waits until this host has
+// stopped reading the store. A new term's ledger also needs the reserves that this host has.
+// It returns the reads that have been compared with the coordinator once the report is answered.
+func (c *Client) addDigests(report *wireReport) ownReads {
+	reads := ownReads{lapses: c.receiver.Lapses()}
+	reads.changes, reads.newest = c.receiver.StoreChanges()
+	settled := reads.changes == c.reported.changes
+	c.reported = reads
+	switch {
+	case report.Since == 0 || reads.lapses != c.compared.lapses:
+		// Coordinators of older builds compare targets only without Since.
+		report.Since = 0
+		report.ReserveShares = &wireReserveShares{c.reserveShares()}
+	case reads.changes == c.compared.changes || !settled || c.isLeader():
+		return ownReads{lapses: reads.lapses, changes: c.compared.changes}
 	}
 	digests := c.receiver.Digests()
-	report.Since, report.Targets = 0, digests[:]
-	report.ReserveShares = &wireReserveShares{c.reserveShares()}
-	return lapses
+	report.Targets = digests[:]
+	return reads
 }
 
 func (c *Client) send(ctx context.Context, leader election.Leader, report wireReport) (wireView, error) {
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -125,6 +125,9 @@
 	c.addLimits(report, &view)
 	view.Neighbours = c.dueNeighbours(host, now)
 	switch {
+	case since > 0 && len(report.Targets) == roster.Buckets:
+		c.registered.addChangedSince(since, &view)
+		c.registered.addDiffering(report.Targets, since, &view)
 	case since > 0:
 		c.registered.addChangedSince(since, &view)
 	case c.version == 0 || len(report.Targets) != roster.Buckets:
@@ -133,7 +136,7 @@
 		view.Version, view.More = 0, true
 		return view, nil
 	default:
-		c.registered.addDiffering(report.Targets, &view)
+		c.registered.addDiffering(report.Targets, 0, &view)
 	}
 	c.addEnginesSince(since, &view)
 	return view, nil
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -113,13 +113,13 @@
 	// Since and Fence are the version and fence of the newest view that the host has.
 	Since uint64       `cbor:"since"`
 	Fence target.Fence `cbor:"fence"`
-	// Targets holds the roster.Digests of the targets that the host knows. It is only sent
-	// without Since: if the host has no view of the coordinator's term yet, or can't tell
-	// whether it has what came before.
+	// Targets holds the roster.Digests of the targets that the host knows, if it has no view
+	// of the coordinator's term yet or has read the store itself. Coordinators of older builds
+	// ignore it beside Since.
 	Targets []uint64 `cbor:"targets"`
 	// Hosts is the fleet size in the last view that the host received.
 	Hosts int `cbor:"hosts"`
-	// ReserveShares is sent with Targets. Hosts of older builds don't send it.
+	// ReserveShares is sent without Since. Hosts of older builds don't send it.
 	ReserveShares *wireReserveShares `cbor:"reserve-shares,omitempty"`
 	// Weak is set by a host that is not to be preferred as the coordinator: it has too little
 	// processor time, or is cut off from the targets.
@@ -290,13 +290,6 @@
 	}
 }
 
-// sameRegistration reports whether two registrations are equal apart from their
-// revisions, versions and models.
-func (w wireTarget) sameRegistration(other wireTarget) bool {
-	return w.ID == other.ID && w.Start == other.Start && w.Pool == other.Pool && w.Address == other.Address &&
-		w.Domain == other.Domain && w.Slots == other.Slots && w.Draining == other.Draining && w.TargetVersion == other.TargetVersion
-}
-
 // wireForecast is when a model that only the weight store has is expected to be loaded.
 type wireForecast struct {
 	Model model.Name `cbor:"1,keyasint"`
--- a/coordinator/neighbour_test.go
+++ b/coordinator/neighbour_test.go
@@ -61,8 +61,9 @@
 	m.leader = leader
 }
 
-func (*partialMesh) UpdateTargets(roster.Changes) {}
-func (*partialMesh) Digests() roster.Digests      { return roster.Digests{} }
+func (*partialMesh) StoreChanges() (int, keyvalue.Revision) { return 0, 0 }
+func (*partialMesh) UpdateTargets(roster.Changes)           {}
+func (*partialMesh) Digests() roster.Digests                { return roster.Digests{} }
 
 func (*partialMesh) Lapses() int                                                         { return 0 }
 func (*partialMesh) SetModels(target.ID, roster.StartID, []roster.Resident)              {}
--- a/coordinator/new_term_test.go
+++ b/coordinator/new_term_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,6 +49,8 @@
 	coordinator *Coordinator
 	roster      *roster.Roster
 	fence       target.Fence
+	// read is the revision up to which the coordinator has read the store.
+	read keyvalue.Revision
 }
 
 func newFollowed() *followed {
@@ -66,7 +70,7 @@
 	}
 	f.coordinator = New(WithMesh(peer.New()), WithRoster(f.roster), WithTerms(termOf(f.fence)),
 		WithCatalogs(func() *catalog.Catalog { return nil }), WithLogger(slog.New(slog.DiscardHandler)),
-		WithReadRevision(func() keyvalue.Revision { return keyvalue.Revision(f.fence) }))
+		WithReadRevision(func() keyvalue.Revision { return max(f.read, keyvalue.Revision(f.fence)) }))
 	f.coordinator.deliverLocal = func(view wireView) {
 		if delivered() {
 			f.client.applyView(view, 0)
@@ -88,10 +92,10 @@
 // report sends a report of the host and applies the answer.
 func (f *followed) report(t *testing.T) {
 	report := wireReport{Since: f.client.version, Fence: f.client.fence}
-	lapses := f.client.addDigests(&report)
+	covered := f.client.addDigests(&report)
 	view, err := f.coordinator.report("h", report)
 	must.NoError(t, err)
-	f.client.applyAnswer(view, 1, lapses)
+	f.client.applyAnswer(view, 1, covered)
 }
 
 func newRegistered(number int, start roster.StartID) roster.Target {
@@ -160,6 +164,8 @@
 func (r rosterReceiver) Digests() roster.Digests { return r.Roster.Digests() }
 func (r rosterReceiver) Lapses() int             { return r.Roster.Lapses() }
 
+func (r rosterReceiver) StoreChanges() (int, keyvalue.Revision) { return r.Roster.StoreChanges() }
+
 func (r rosterReceiver) SetModels(id target.ID, start roster.StartID, models []roster.Resident) {
 	r.Roster.SetModels(id, start, models)
 }
@@ -209,6 +215,51 @@
 	}
 }
 
+// Guards against a host that reads the store itself for a while and then relies on the
+// coordinator of the same term again: what came and went, or went and came back, between two
+// reads of the coordinator was never corrected at the host.
+func TestDirectReadsAreComparedWithTheCoordinator(t *testing.T) {
+	cases := []struct {
+		name   string
+		direct func(*roster.Roster)
+	}{
+		{"came and went", func(host *roster.Roster) { host.Put(newRegistered(20, 30)) }},
+		{"went and came back", func(host *roster.Roster) { host.Remove("i-3", 30) }},
+		{"drained and is ready again", func(host *roster.Roster) {
+			draining := newRegistered(3, 1)
+			draining.Draining, draining.Revision = true, 30
+			host.Put(draining)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFollowed()
+			host := rosterReceiver{f.receiver, roster.New(boottime.NewFakeClock(boottime.Instant(time.Hour)))}
+			f.client.receiver = host
+			stored := map[target.ID]roster.Target{}
+			for i := range 10 {
+				stored[newRegistered(i, 1).ID] = newRegistered(i, 1)
+			}
+			f.elect(stored, func() bool { return true })
+			f.announce()
+			f.report(t)
+			must.SliceLen(t, 10, host.All())
+
+			tc.direct(host.Roster)
+			f.read = 40
+			for range 3 {
+				f.announce()
+				f.report(t)
+			}
+			known := map[target.ID]roster.Target{}
+			for _, t := range host.Ready("p") {
+				known[t.ID] = t
+			}
+			must.Eq(t, starts(stored), starts(known))
+		})
+	}
+}
+
 // Guards against a host that leads, still takes another host for the coordinator, and applies
 // its own broadcast: targets that had left since then were registered again, for good, and the
 // host stopped reading the store.
@@ -271,3 +322,97 @@
 		must.Eq(t, starts(stored), starts(f.receiver.targets), must.Sprint(seed))
 	}
 }
+
+// storeChange is one change of a registration in a store.
+type storeChange struct {
+	registered roster.Target
+	revision   keyvalue.Revision
+	removed    bool
+}
+
+func (s storeChange) apply(r *roster.Roster) {
+	if s.removed {
+		r.Remove(s.registered.ID, s.revision)
+		return
+	}
+	r.Put(s.registered)
+}
+
+// A host follows coordinators and at times reads the store itself. What it reads arrives late,
+// after what the coordinator has told in the meantime. Once both have settled, the host has the
+// targets of the store.
+func TestHostsThatAlsoReadTheStoreConverge(t *testing.T) {
+	const base = 100 // the revision of the empty store, beyond all fences
+	for seed := range uint64(1500) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		delivered := func() bool { return random.IntN(3) > 0 }
+		f := newFollowed()
+		host := rosterReceiver{f.receiver, roster.New(boottime.NewFakeClock(boottime.Instant(time.Hour)))}
+		f.client.receiver = host
+		stored := map[target.ID]roster.Target{}
+		var history, late []storeChange
+		// read is the position in the history up to which the host has read the store, and
+		// known that of the coordinator.
+		read, known := 0, 0
+		coordinatorReads := func() {
+			for ; known < len(history); known++ {
+				history[known].apply(f.roster)
+			}
+			f.read = base + keyvalue.Revision(known)
+		}
+		coordinatorReads()
+		f.elect(stored, delivered)
+		for range 80 {
+			switch random.IntN(9) {
+			case 0, 1:
+				revision := base + keyvalue.Revision(len(history)+1)
+				changed := newRegistered(random.IntN(5), roster.StartID(random.IntN(2)))
+				changed.Draining, changed.Revision = random.IntN(3) == 0, int64(revision)
+				removed := random.IntN(3) == 0
+				history = append(history, storeChange{changed, revision, removed})
+				if removed {
+					delete(stored, changed.ID)
+				} else {
+					stored[changed.ID] = changed
+				}
+			case 2:
+				coordinatorReads()
+			case 3:
+				read = max(read, int(f.receiver.relayed)-base)
+				late = append(late, history[read:]...)
+				read = len(history)
+			case 4:
+				for ; len(late) > 0 && random.IntN(8) > 0; late = late[1:] {
+					late[0].apply(host.Roster)
+				}
+			case 5:
+				if random.IntN(4) == 0 {
+					known, f.read = len(history), base+keyvalue.Revision(len(history))
+					f.elect(stored, delivered)
+				}
+			case 6:
+				f.announce()
+			default:
+				f.report(t)
+			}
+		}
+		for _, change := range late {
+			change.apply(host.Roster)
+		}
+		coordinatorReads()
+		for range 4 {
+			f.announce()
+			f.report(t)
+		}
+		ready := func(targets []roster.Target) map[target.ID]roster.StartID {
+			starts := map[target.ID]roster.StartID{}
+			for _, t := range targets {
+				if !t.Draining {
+					starts[t.ID] = t.Start
+				}
+			}
+			return starts
+		}
+		must.Eq(t, ready(slices.Collect(maps.Values(stored))), ready(host.All()), must.Sprint(seed))
+	}
+}
--- a/coordinator/registrations.go
+++ b/coordinator/registrations.go
@@ -24,6 +24,7 @@
 
 // registration is a target with the version of the view that sent its last change.
 type registration struct {
+	target  roster.Target
 	wire    wireTarget
 	digest  uint64
 	removed bool
@@ -57,7 +58,7 @@
 		wire.Version = version
 		registered[t.ID] = true
 		previous, ok := r.targets[t.ID]
-		ok = ok && !previous.removed && previous.wire.sameRegistration(wire)
+		ok = ok && !previous.removed && previous.target.SameRegistration(t)
 		if ok && previous.digest == digest {
 			previous.wire.Revision = t.Revision
 			r.targets[t.ID] = previous
@@ -65,10 +66,10 @@
 		}
 		if ok && published(t.ID) {
 			wire.Version = previous.version
-			r.set(t.ID, registration{wire: wire, digest: digest, version: previous.version})
+			r.set(t.ID, registration{target: t, wire: wire, digest: digest, version: previous.version})
 			continue
 		}
-		r.set(t.ID, registration{wire: wire, digest: digest, version: version})
+		r.set(t.ID, registration{target: t, wire: wire, digest: digest, version: version})
 		changed = append(changed, wire)
 	}
 	for id, previous := range r.targets {
@@ -94,16 +95,18 @@
 	r.targets[id] = updated
 }
 
-// addDiffering adds to a view all targets of the buckets whose digests differ. It is
-// used for hosts that have no view of the coordinator's term yet.
-func (r *registrations) addDiffering(digests []uint64, view *wireView) {
+// addDiffering adds to a view all targets of the buckets whose digests differ, if the view has
+// those that changed since a version. It is used for hosts that have no view of the
+// coordinator's term yet, or that have read the store themselves.
+func (r *registrations) addDiffering(digests []uint64, since uint64, view *wireView) {
 	for i, digest := range r.digests {
 		if digests[i] != digest {
 			view.CompleteBuckets = append(view.CompleteBuckets, roster.Bucket(i))
 		}
 	}
 	for id, known := range r.targets {
-		if !known.removed && slices.Contains(view.CompleteBuckets, roster.BucketOf(id)) {
+		added := since > 0 && known.version > since
+		if !known.removed && !added && slices.Contains(view.CompleteBuckets, roster.BucketOf(id)) {
 			view.Targets = append(view.Targets, known.wire)
 		}
 	}
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -63,6 +63,7 @@
 	r.saved[id] = models
 }
 
+func (*recordingReceiver) StoreChanges() (int, keyvalue.Revision)                              { return 0, 0 }
 func (*recordingReceiver) ConfirmCurrent(catalog.Version, keyvalue.Revision, boottime.Instant) {}
 
 func newRecordingClient() (*recordingReceiver, *Client) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -600,6 +600,9 @@
 // Lapses implements coordinator.Host.
 func (g *gateway) Lapses() int { return g.roster.Lapses() }
 
+// StoreChanges implements coordinator.Host.
+func (g *gateway) StoreChanges() (n int, newest keyvalue.Revision) { return g.roster.StoreChanges() }
+
 // SetModels implements coordinator.Host. It records the models that an engine
 // holds.
 func (g *gateway) SetModels(id target.ID, start roster.StartID, models []roster.Resident) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -51,6 +51,13 @@
 	return xxhash.Sum64(t.Holdings.appendModels(text))
 }
 
+// SameRegistration reports whether two registrations are equal apart from their revisions,
+// sequences and holdings.
+func (t Target) SameRegistration(other Target) bool {
+	return t.ID == other.ID && t.Start == other.Start && t.Pool == other.Pool && t.Address == other.Address &&
+		t.Domain == other.Domain && t.Version == other.Version && t.Slots == other.Slots && t.Draining == other.Draining
+}
+
 // Buckets is the number of buckets into which targets are divided, so that hosts can
 // compare their targets by digests.
 const Buckets = 64
@@ -139,6 +146,9 @@
 	storeRegainedAt, storeLostAt boottime.Instant
 	storeLost                    bool
 	lapses                       int
+	// storeChanges counts the changes that were read from the store, up to newestChange.
+	storeChanges int
+	newestChange keyvalue.Revision
 	// leaving holds when targets have said that they leave, and pausedUntil until when
 	// targets want no requests from this host.
 	leaving     map[startKey]boottime.Instant
@@ -234,6 +244,9 @@
 			r.deleteEntry(id)
 		}
 	}
+	if from == fromStore && (!known || !t.SameRegistration(previous.target)) {
+		r.countStoreChange(asOf)
+	}
 	r.targets[t.ID] = entry{target: t, asOf: asOf}
 	delete(r.removals, t.ID)
 	r.countVersion(t, 1)
@@ -328,6 +341,9 @@
 		if !e.target.Draining {
 			r.log.Info("roster: target is gone", "target", id, "start", e.target.Start, "from", from, "revision", revision)
 		}
+		if from == fromStore {
+			r.countStoreChange(revision)
+		}
 		r.deleteEntry(id)
 		r.notify()
 	}
@@ -481,6 +497,21 @@
 	return *r.digests
 }
 
+// StoreChanges returns how many changes of registrations were read from the store so far, and
+// the revision of the newest one. What only renews a registration, or changes its models,
+// doesn't count.
+func (r *Roster) StoreChanges() (n int, newest keyvalue.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.storeChanges, r.newestChange
+}
+
+// countStoreChange counts a change that was read from the store.
+func (r *Roster) countStoreChange(revision keyvalue.Revision) {
+	r.storeChanges++
+	r.newestChange = max(r.newestChange, revision)
+}
+
 // Lapses returns how often registrations have lapsed so far.
 func (r *Roster) Lapses() int {
 	r.mu.Lock()
