jsonhttp: a call that times out closes the idle connections

What callers see: when connections to the store go silent for good, a host tries its idle ones one after the other, with a second each, although new connections work. Its view of the store ages, and a coordinator can lose its lease meanwhile.

Cause: net/http drops the connection of a call that timed out and takes the next idle one. Whatever silenced one of them has usually silenced the others: a firewall that forgot them, or a server that moved.

Evidence: TestSilentConnectionsCostOneTimeout fails without the change: the call after the one that timed out times out as well. The same holds for all users of jsonhttp: engines, services, weight stores and host lists.

--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -130,6 +130,10 @@
 	case err == nil:
 		return resp, nil
 	case connected.Load():
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			// Whatever silenced this connection may have silenced the idle ones.
+			c.httpClient.CloseIdleConnections()
+		}
 		return Response{}, fmt.Errorf("%w: %w", ErrUnanswered, err)
 	default:
 		return Response{}, fmt.Errorf("%w: %w", ErrNotSent, err)
