service, openai: an answer that names no request counts only on a connection opened for it

A target that sends a refusal once more makes the copy arrive where the answer to the next call on the connection is expected. That call was said not to have run while it ran, or got another call's result.

Cause: net/http keeps connections for idempotent calls and generations. Answers without X-Request-Id passed for any call's, and a service's answer to the attempt before passed for the next attempt of the same call.

Now an answer that names no request counts only on a connection that was opened for the call, and that connection is closed. The attempt is compared where it is named.

Calls that may run once only were never affected, as each has a connection of its own.

--- a/openai/attempt.go
+++ b/openai/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornway/call"
+	"hawthornway/exchange"
 	"hawthornway/outcome"
 	"hawthornway/retry"
 )
@@ -60,7 +61,8 @@
 	timer := a.clock.AfterFunc(acceptTimeout, func() { cancel(errEngineTimeout) })
 	defer timer.Stop()
 
-	request, err := a.request(ctx)
+	var connection exchange.Connection
+	request, err := a.request(connection.Observe(ctx))
 	if err != nil {
 		return attemptResult{retry.NotSent{Err: err}, outcome.ReasonTargetFailed, err.Error()}
 	}
@@ -70,7 +72,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return a.readRefusal(response)
+		return a.readRefusal(response, &connection)
 	}
 	if err := a.checkHeaders(response.Header); err != nil {
 		return a.interruptedResult(outcome.ReasonWrongResponse, err.Error())
@@ -122,12 +124,17 @@
 
 // readRefusal reads an engine's refusal. Engines refuse only requests that they
 // did not run.
-func (a *attempt) readRefusal(response *http.Response) attemptResult {
+func (a *attempt) readRefusal(response *http.Response, connection *exchange.Connection) attemptResult {
 	// An engine may send the refusal of an earlier request once more.
-	if response.Header.Get("X-Request-Id") != "" {
+	switch named := response.Header.Get("X-Request-Id") != ""; {
+	case named:
 		if err := a.checkHeaders(response.Header); err != nil {
 			return a.interruptedResult(outcome.ReasonWrongResponse, err.Error())
 		}
+	case !connection.Fresh():
+		return a.interruptedResult(outcome.ReasonWrongResponse, "the engine did not say which request it refused")
+	default:
+		defer connection.Discard()
 	}
 	data, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes)) // a truncated message is good enough
 	var body errorBody
--- a/service/forward.go
+++ b/service/forward.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"hawthornway/call"
+	"hawthornway/exchange"
 	"hawthornway/fleet"
 	"hawthornway/jsonhttp"
 	"hawthornway/outcome"
@@ -163,7 +164,8 @@
 }
 
 func (f *forwarder) send(ctx context.Context, c *call.Call, subject *call.Service, placement Placement, number call.Attempt) sendResult {
-	request, err := f.newRequest(ctx, c, placement, number)
+	var connection exchange.Connection
+	request, err := f.newRequest(connection.Observe(ctx), c, placement, number)
 	if err != nil {
 		return sendResult{retry.NotSent{Err: err}, outcome.NotRun{Reason: outcome.ReasonBadRequest, Detail: err.Error()}}
 	}
@@ -176,12 +178,15 @@
 		return sendErrorResult(ctx, placement, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if got := response.Header.Get("X-Request-Id"); got != "" && got != string(c.ID) {
-		detail := fmt.Sprintf("target %q answered request %q instead of %q", placement.Target, got, c.ID)
-		return sendResult{
-			retry.Interrupted{Err: errors.New(detail)},
-			outcome.Unknown{Reason: outcome.ReasonWrongResponse, Detail: detail},
-		}
+	switch got, attempt := response.Header.Get("X-Request-Id"), response.Header.Get("X-Attempt"); {
+	case got == "" && !connection.Fresh():
+		return wrongResponse("target %q did not say which request it answered", placement.Target)
+	case got == "":
+		defer connection.Discard()
+	case got != string(c.ID):
+		return wrongResponse("target %q answered request %q instead of %q", placement.Target, got, c.ID)
+	case attempt != "" && attempt != strconv.Itoa(int(number)):
+		return wrongResponse("target %q answered attempt %q instead of %d", placement.Target, attempt, number)
 	}
 	if response.Header.Get("Hawthornway-Not-Run") == "true" {
 		detail := fmt.Sprintf("target %q refused the call", placement.Target)
@@ -193,6 +198,15 @@
 	return passResponse(c, response, placement)
 }
 
+// wrongResponse returns the result of an attempt whose response may belong to another one.
+func wrongResponse(format string, args ...any) sendResult {
+	detail := fmt.Sprintf(format, args...)
+	return sendResult{
+		retry.Interrupted{Err: errors.New(detail)},
+		outcome.Unknown{Reason: outcome.ReasonWrongResponse, Detail: detail},
+	}
+}
+
 func (f *forwarder) newRequest(ctx context.Context, c *call.Call, placement Placement, number call.Attempt) (*http.Request, error) {
 	original := c.Request
 	url := "http://" + placement.Address + original.URL.RequestURI()
