roster: a host that is behind doesn't remove what this host has read since

A comparison with a coordinator that had read less of the store than the host removed new targets until the coordinator had read them as well. It is repeated once it has, so they can stay.

--- a/roster/order_test.go
+++ b/roster/order_test.go
@@ -124,9 +124,13 @@
 			r.Put(registered("a", 20, true))
 			r.Update(roster.Changes{Changed: []roster.Target{registered("a", 21, false)}, At: 21})
 		}, []target.ID{"a"}},
-		{"dropped by a host that is behind, and then relayed again", func(r *roster.Roster) {
+		{"unknown to a host that is behind", func(r *roster.Roster) {
 			r.Put(registered("a", 20, false))
 			r.Update(roster.Changes{Buckets: []roster.Bucket{roster.BucketOf("a")}, At: 15})
+		}, []target.ID{"a"}},
+		{"removed at a host that is behind, and then relayed again", func(r *roster.Roster) {
+			r.Put(registered("a", 20, false))
+			r.Update(roster.Changes{Removed: []roster.Removed{{ID: "a", Revision: 15}}, At: 15})
 			r.Update(roster.Changes{Changed: []roster.Target{registered("a", 20, false)}, At: 20})
 		}, []target.ID{"a"}},
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -399,11 +399,21 @@
 	}
 	for _, t := range r.All() {
 		if !registered[t.ID] && slices.Contains(changes.Buckets, BucketOf(t.ID)) {
-			r.Drop(t.ID, changes.At)
+			r.dropUnlisted(t.ID, changes.At)
 		}
 	}
 }
 
+// dropUnlisted removes a target that a host which had read the store up to a revision doesn't
+// know, unless that host is behind.
+func (r *Roster) dropUnlisted(id target.ID, at keyvalue.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.targets[id].asOf <= at || at == 0 {
+		r.drop(id, at, fromRelay)
+	}
+}
+
 // putRelayed applies a registration that was relayed by a host that had read the store up to
 // a revision at least. That host may know from the target itself that it leaves, while its
 // registration doesn't say so.
