--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -23,6 +24,8 @@
 	Length  time.Duration `long:"length" default:"20s" description:"duration of the fault injection"`
 	Faults  []string      `long:"fault" value-name:"NAME" description:"fault that is injected, may be given several times; all if there is none"`
 	Planned bool          `long:"planned" description:"inject only planned events: stops, reloads and configuration changes"`
+	Keep    bool          `long:"keep" description:"keep the logs of runs that held, too"`
+	Overlap bool          `long:"overlap" description:"let planned events overlap"`
 }
 
 func main() {
@@ -58,15 +61,19 @@
 		}
 		seed := o.Seed + uint64(i)
 		report, err := soak.Run(ctx, soak.Options{
-			Binary: o.Binary, Folder: folder, Seed: seed, Shape: shape, Hosts: o.Hosts, Duration: o.Length, PlannedOnly: o.Planned, Faults: o.Faults,
+			Binary: o.Binary, Folder: folder, Seed: seed, Shape: shape, Hosts: o.Hosts, Duration: o.Length, PlannedOnly: o.Planned, Overlap: o.Overlap, Faults: o.Faults,
 		})
 		if err != nil || len(report.Violations) > 0 {
 			passed = false
 			fmt.Printf("seed %d: failed; logs in %s\n%v\n%v\n", seed, folder, err, report)
 			continue
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d faults, recovered in %v\n",
-			seed, report.Requests, report.Served, len(report.Faults), report.RecoveryTime.Round(time.Millisecond))
+		fmt.Printf("seed %d: %d requests, %d served, %d faults, recovered in %v; %v\n",
+			seed, report.Requests, report.Served, len(report.Faults), report.RecoveryTime.Round(time.Millisecond), report.Figures)
+		if o.Keep {
+			fmt.Printf("logs in %s\n%s\n", folder, strings.Join(report.Faults, "\n"))
+			continue
+		}
 		if err := os.RemoveAll(folder); err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 		}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -17,6 +16,9 @@
 	callTimeout = 8 * time.Second
 	// retryInterval is the pause before a call is repeated that has failed.
 	retryInterval = 40 * time.Millisecond
+	// One call in lateBodies sends the end of its body after bodyPause.
+	lateBodies = 11
+	bodyPause  = 150 * time.Millisecond
 	// hastyRepeats is how often a hasty caller repeats a call that has failed, at once.
 	hastyRepeats = 3
 	// withdrawalTimeout is the platform's limit for the time until a withdrawn key is
@@ -26,11 +28,16 @@
 
 // call is a request with its result.
 type call struct {
-	id       string
-	kind     kind
-	key      string
-	sentAt   time.Time
-	endedAt  time.Time
+	id      string
+	kind    kind
+	key     string
+	sentAt  time.Time
+	endedAt time.Time
+	// kept is set if the connection had served an earlier call, and wholeAt is when the last
+	// byte of the request was sent, or zero. left is set if the caller left early.
+	kept     bool
+	wholeAt  time.Time
+	left     bool
 	host     string
 	status   int
 	body     string
@@ -80,8 +87,8 @@
 	for i := range c.soak.Shape.Callers {
 		h := c.soak.hosts[i%len(c.soak.hosts)]
 		running.Go(func() {
-			client := &http.Client{Transport: &http.Transport{}}
-			defer client.CloseIdleConnections()
+			client := newClient()
+			defer client.close()
 			for n := 0; ctx.Err() == nil; n++ {
 				// Requests in progress end by themselves when the callers stop.
 				c.callAndRetry(context.WithoutCancel(ctx), client, h, i, n)
@@ -93,7 +100,7 @@
 
 // callAndRetry makes a call and repeats it as callers do: after a refusal, and after any
 // failure if it may be repeated, once and at another host.
-func (c *callers) callAndRetry(ctx context.Context, client *http.Client, h *host, caller, n int) {
+func (c *callers) callAndRetry(ctx context.Context, client *client, h *host, caller, n int) {
 	c.mu.Lock()
 	hasty := caller%3 == 0 && time.Now().Before(c.hastyUntil)
 	leaves := caller%4 == 1 && time.Now().Before(c.leavingUntil)
@@ -139,13 +146,15 @@
 	return fmt.Sprintf("key-%d", current)
 }
 
-func (c *callers) call(ctx context.Context, client *http.Client, h *host, key string, caller, n int) call {
+func (c *callers) call(ctx context.Context, client *client, h *host, key string, caller, n int) call {
 	c.mu.Lock()
 	c.lastID++
 	kinds := c.soak.Shape.kinds
 	result := call{id: fmt.Sprintf("r%d", c.lastID), kind: kinds[n%len(kinds)], host: h.Name, sentAt: time.Now()}
 	c.mu.Unlock()
-	result.key = key
+	if !result.kind.open {
+		result.key = key
+	}
 	ctx, cancel := context.WithTimeout(ctx, result.kind.timeout)
 	defer cancel()
 	request := platformtest.Call{ID: result.id, Key: result.key, Timeout: result.kind.timeout, Path: result.kind.path, Body: `{"call":"` + result.id + `"}`}
@@ -156,18 +165,19 @@
 	if err != nil {
 		panic(err) // a loopback address always makes a valid request
 	}
-	resp, err := client.Do(req.WithContext(ctx))
-	if err == nil {
-		result.status = resp.StatusCode
+	var pause time.Duration
+	if (caller+n)%lateBodies == 0 {
+		pause = bodyPause
+	}
+	seen, err := client.do(ctx, req, pause)
+	result.err, result.endedAt, result.kept, result.wholeAt = err, time.Now(), seen.kept, seen.sentAt
+	result.left = ctx.Err() != nil
+	if resp := seen.response; resp != nil {
+		result.status, result.body, result.complete = resp.StatusCode, string(seen.body), err == nil
 		if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 			result.retryAfter = time.Duration(seconds * float64(time.Second))
 		}
-		var body []byte
-		body, err = io.ReadAll(resp.Body)
-		result.body, result.complete = string(body), err == nil
-		_ = resp.Body.Close() // the body was read to its end or its error
 	}
-	result.err, result.endedAt = err, time.Now()
 	c.mu.Lock()
 	c.calls = append(c.calls, result)
 	c.mu.Unlock()
@@ -205,7 +215,8 @@
 	var waiting sync.WaitGroup
 	for _, h := range c.soak.hosts {
 		waiting.Go(func() {
-			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			client := newClient()
+			defer client.close()
 			for n := range c.soak.Shape.kinds {
 				for ctx.Err() == nil && !c.call(ctx, client, h, c.currentKey(), 1, n).served() {
 					time.Sleep(retryInterval)
--- a/soak/check.go
+++ b/soak/check.go
@@ -12,7 +12,7 @@
 )
 
 // check returns the violations of the guarantees to callers and engines.
-func (s *soak) check() (violations []string) {
+func (s *soak) check() (violations []string, figures Figures) {
 	report := func(format string, args ...any) { violations = append(violations, fmt.Sprintf(format, args...)) }
 	runs := map[string]int{}
 	engines := append(append([]*platformtest.Engine(nil), s.engines...), s.removedEngines...)
@@ -34,31 +34,72 @@
 	defer s.callers.mu.Unlock()
 	for service, h := range arrivals {
 		h.sent = s.callers.sentTo(service)
-		if v := checkRepeats(h, float64(cmp.Or(s.Shape.RetrySlack, defaultRetrySlack))); v != "" {
+		v, used := checkRepeats(h, float64(cmp.Or(s.Shape.RetrySlack, defaultRetrySlack)))
+		if v != "" {
 			report("%s: %s", service, v)
 		}
+		figures.Repeats = max(figures.Repeats, used)
 	}
-	reached := map[string]bool{}
-	for _, h := range arrivals {
-		for _, a := range h.arrivals {
-			reached[a.ID] = true
-		}
-	}
+	e := s.evidence(arrivals)
+	var over, unanswered []string
 	for _, result := range s.callers.calls {
+		at := fmt.Sprintf("%.3f s  %s %s at %s", result.sentAt.Sub(s.startedAt).Seconds(), result.kind.name, result.id, result.host)
+		if e.overAttempts(result) {
+			over = append(over, at)
+		}
+		late, overtimed := e.timeLeft(result)
+		figures.LateRepeats, figures.Overtimed = figures.LateRepeats+late, figures.Overtimed+overtimed
+		if e.unanswered(result) {
+			unanswered = append(unanswered, fmt.Sprintf("%s after %v: %v", at, result.endedAt.Sub(result.sentAt).Round(time.Millisecond), result.err))
+		}
+		if result.status == 0 && !result.left {
+			figures.Resets++
+		}
 		breaks := checkCall(result, runs[result.id])
 		if withdrawnAt, ok := s.callers.withdrawnAt[result.key]; ok && result.sentAt.After(withdrawnAt.Add(withdrawalTimeout)) && runs[result.id] > 0 {
 			breaks = append(breaks, fmt.Sprintf("ran with %s, which was withdrawn %v before", result.key, result.sentAt.Sub(withdrawnAt)))
 		}
 		excused := slices.ContainsFunc(s.hosts, func(h *host) bool { return h.Name == result.host && h.excusesCut(result) })
-		if s.PlannedOnly && !excused && result.cut(reached[result.id]) {
-			breaks = append(breaks, fmt.Sprintf("was passed on and ended without a whole answer after %v although all faults were planned: status %d, %v",
+		if !excused && e.lost(result) {
+			breaks = append(breaks, fmt.Sprintf("ended without a whole answer after %v although all faults were planned: status %d, %v",
 				result.endedAt.Sub(result.sentAt).Round(time.Millisecond), result.status, result.err))
 		}
 		for _, v := range breaks {
-			report("%.3f s  %s %s at %s %s", result.sentAt.Sub(s.startedAt).Seconds(), result.kind.name, result.id, result.host, v)
+			report("%s %s", at, v)
 		}
 	}
-	return violations
+	figures.OverAttempts, figures.Unanswered = len(over), len(unanswered)
+	if len(over) > maxOverAttempts {
+		report("%d calls ran on more targets than their routes allow:\n  %s", len(over), strings.Join(over, "\n  "))
+	}
+	if len(unanswered) > maxUnanswered {
+		report("%d calls on kept connections reached a sound target and got no answer:\n  %s", len(unanswered), strings.Join(unanswered, "\n  "))
+	}
+	if overtimed := figures.Overtimed; overtimed > maxOvertimed && float64(overtimed) > overtimedShare*float64(max(figures.LateRepeats, overtimed)) {
+		report("%d requests told targets more time than was left; %d were sent once more late", overtimed, figures.LateRepeats)
+	}
+	return violations, figures
+}
+
+// evidence returns what the checks of single calls know of the run.
+func (s *soak) evidence(arrivals map[string]history) evidence {
+	e := evidence{
+		arrivals: map[string][]platformtest.Arrival{},
+		ended:    func(target string, from, to time.Time) bool { return s.state(target).ended.within(from, to) },
+		faulty:   func(target string, from, to time.Time) bool { return s.state(target).faulty.within(from, to) },
+		store:    s.storeDisruptions.calm,
+		calm:     s.unplanned.calm,
+		inTouch: func(name string, from, to time.Time) bool {
+			i := slices.IndexFunc(s.hosts, func(h *host) bool { return h.Name == name })
+			return i >= 0 && s.hosts[i].disruptions.calm(from, to)
+		},
+	}
+	for _, h := range arrivals {
+		for _, a := range h.arrivals {
+			e.arrivals[a.ID] = append(e.arrivals[a.ID], a)
+		}
+	}
+	return e
 }
 
 // checkCall returns how the answer to a call contradicts how often it ran.
@@ -137,8 +178,8 @@
 )
 
 // checkRepeats returns the span in which most requests too many arrived at a service that
-// weren't the first of their call, or an empty string.
-func checkRepeats(h history, slack float64) string {
+// weren't the first of their call, or an empty string, and the largest part of the allowed ones.
+func checkRepeats(h history, slack float64) (worst string, used float64) {
 	seen := map[string]bool{}
 	var repeats []time.Time
 	for _, a := range h.arrivals {
@@ -148,7 +189,6 @@
 		seen[a.ID] = true
 	}
 	first, excess := 0, 0.0
-	worst := ""
 	for last, at := range repeats {
 		for at.Sub(repeats[first]) >= repeatWindow {
 			first++
@@ -158,12 +198,13 @@
 			requests = max(requests, countBetween(h.sent, at.Add(-shift-repeatWindow), at.Add(-shift)))
 		}
 		n, allowed := last-first+1, repeatShare*float64(requests)+slack
+		used = max(used, float64(n)/max(1, allowed))
 		if float64(n)-allowed > excess {
 			excess = float64(n) - allowed
 			worst = fmt.Sprintf("%d repeats arrived in the %v up to %s; allowed %.0f with %d requests", n, repeatWindow, at.Format("15:04:05.000"), allowed, requests)
 		}
 	}
-	return worst
+	return worst, used
 }
 
 // countBetween counts the times after one instant and up to another.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -70,7 +70,9 @@
 			for _, at := range tc.repeats {
 				h.arrivals = append(h.arrivals, platformtest.Arrival{At: start.Add(at), ID: "r"})
 			}
-			must.Eq(t, tc.broken, checkRepeats(h, 3) != "")
+			worst, used := checkRepeats(h, 3)
+			must.Eq(t, tc.broken, worst != "")
+			must.Eq(t, tc.broken, used > 1)
 		})
 	}
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -83,7 +83,7 @@
 		s.recordFault("engine %s drains", e.ID)
 		e.Drain()
 		s.drainStarts[e.ID] = time.Now()
-		return e.Unregister
+		return s.unregister(e)
 	}, 0},
 }
 
@@ -113,6 +113,14 @@
 	}
 }
 
+// unregister returns a function that removes an engine's registration.
+func (s *soak) unregister(e *platformtest.Engine) func() {
+	return func() {
+		e.Unregister()
+		s.recordFault("engine %s is unregistered", e.ID)
+	}
+}
+
 // replaceEngine starts a new engine to replace a removed one.
 func (s *soak) replaceEngine() {
 	if err := s.startEngine(); err != nil {
@@ -134,21 +142,26 @@
 	{"freeze", func(s *soak) func() {
 		h := s.randomHost()
 		s.recordFault("SIGSTOP to %s", h)
-		h.signal(syscall.SIGSTOP)
-		return func() { h.signal(syscall.SIGCONT) }
+		return h.freeze()
 	}, 0},
 	{"store is down", func(s *soak) func() {
 		s.recordFault("store is down")
+		end := s.storeDisruptions.begin()
 		s.store.SetDown(true)
-		return func() { s.store.SetDown(false) }
+		return func() {
+			s.store.SetDown(false)
+			end()
+		}
 	}, 0},
 	{"store loses answers", func(s *soak) func() {
 		s.recordFault("store loses answers")
+		s.storeDisruptions.strike()
 		s.store.LoseResponses(2)
 		return nil
 	}, 0},
 	{"store forgets its history", func(s *soak) func() {
 		s.recordFault("store forgets its history")
+		s.storeDisruptions.strike()
 		s.store.Compact()
 		return nil
 	}, 0},
@@ -157,6 +170,7 @@
 		s.recordFault("copy of the store")
 		return func() {
 			s.recordFault("store returns from the copy")
+			s.storeDisruptions.strike()
 			present := s.store.Copy()
 			s.store.Restore(older)
 			s.store.Rewrite(present)
@@ -166,23 +180,26 @@
 		h := s.randomHost()
 		m := s.randomMode()
 		s.recordFault("path of %s to the store: %v", h, m)
-		h.storeProxy.setMode(m)
-		return func() { h.storeProxy.setMode(modePass) }
+		return h.harm(h.storeProxy, m)
 	}, 0},
 	{"path to an engine", func(s *soak) func() {
-		e := s.engines[s.random.IntN(len(s.engines))]
+		targets := s.targets()
+		e := targets[s.random.IntN(len(targets))]
 		m := s.randomMode()
 		s.recordFault("path to engine %s: %v", e.ID, m)
 		proxy := s.engineProxies[e.ID]
+		end := s.state(e.ID).ended.begin()
 		proxy.setMode(m)
-		return func() { proxy.setMode(modePass) }
+		return func() {
+			proxy.setMode(modePass)
+			end()
+		}
 	}, 0},
 	{"path of callers", func(s *soak) func() {
 		h := s.randomHost()
 		m := s.randomMode()
 		s.recordFault("path of callers to %s: %v", h, m)
-		h.callerProxy.setMode(m)
-		return func() { h.callerProxy.setMode(modePass) }
+		return h.harm(h.callerProxy, m)
 	}, 0},
 	{"engine crashes", func(s *soak) func() {
 		i := s.random.IntN(len(s.engines))
@@ -190,9 +207,10 @@
 		s.engines = append(s.engines[:i:i], s.engines[i+1:]...)
 		s.removedEngines = append(s.removedEngines, e)
 		s.recordFault("engine %s crashes", e.ID)
+		s.state(e.ID).ended.begin()
 		e.Crash()
 		s.replaceEngine()
-		return e.Unregister
+		return s.unregister(e)
 	}, 0},
 	{"engine says that it leaves", func(s *soak) func() {
 		if len(s.engines) < engineCount {
@@ -202,8 +220,9 @@
 		s.engines, s.removedEngines = s.engines[1:], append(s.removedEngines, e)
 		s.replaceEngine()
 		s.recordFault("engine %s says that it leaves", e.ID)
+		s.state(e.ID).faulty.begin()
 		e.Leave()
-		return e.Unregister
+		return s.unregister(e)
 	}, 0},
 	{"engine asks for a pause", func(s *soak) func() {
 		e := s.engines[s.random.IntN(len(s.engines))]
@@ -219,16 +238,21 @@
 		for range crashingSends {
 			hosts = append(hosts, s.randomHost())
 		}
-		return func() { s.callers.sendCrashing(hosts, s.currentKey(), body) }
+		ends := s.beginFaulty(s.engines)
+		return func() {
+			s.callers.sendCrashing(hosts, s.currentKey(), body)
+			ends()
+		}
 	}, 0},
 	{"engine turns requests away", func(s *soak) func() { return s.misbehave(platformtest.TurnsAway, 0.5) }, engineFaultDuration},
 	{"engine turns requests away and repeats answers", func(s *soak) func() {
-		end := s.misbehave(platformtest.TurnsAway, 0.5)
+		end, ends := s.misbehave(platformtest.TurnsAway, 0.5), s.beginFaulty(s.targets())
 		for _, e := range s.targets() {
 			e.Misbehave(platformtest.RepeatsAnswers, 0.3)
 		}
 		return func() {
 			end()
+			ends()
 			for _, e := range s.targets() {
 				e.Misbehave(platformtest.RepeatsAnswers, 0)
 			}
@@ -288,8 +312,7 @@
 	{"coordinator loses the store", func(s *soak) func() {
 		h := s.coordinator()
 		s.recordFault("path of the coordinator, %s, to the store: %v", h, modeSilent)
-		h.storeProxy.setMode(modeSilent)
-		return func() { h.storeProxy.setMode(modePass) }
+		return h.harm(h.storeProxy, modeSilent)
 	}, coordinatorFaultDuration},
 	{"key is withdrawn", func(s *soak) func() {
 		s.withdrawKey()
@@ -298,9 +321,9 @@
 	{"key is withdrawn during a freeze", func(s *soak) func() {
 		h := s.randomHost()
 		s.recordFault("SIGSTOP to %s", h)
-		h.signal(syscall.SIGSTOP)
+		thaw := h.freeze()
 		s.withdrawKey()
-		return func() { h.signal(syscall.SIGCONT) }
+		return thaw
 	}, withdrawalTimeout + time.Second},
 }
 
@@ -318,11 +341,30 @@
 	return append(append([]*platformtest.Engine(nil), s.engines...), s.plainTargets...)
 }
 
+// beginFaulty records that targets answer wrongly until the returned function is called.
+func (s *soak) beginFaulty(targets []*platformtest.Engine) (end func()) {
+	var ends []func()
+	for _, e := range targets {
+		ends = append(ends, s.state(e.ID).faulty.begin())
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+// planned reports whether a fault is a regular action.
+func (f fault) planned() bool {
+	return slices.ContainsFunc(plannedFaults, func(p fault) bool { return p.name == f.name })
+}
+
 // misbehave makes half of the targets do something wrong with a share of their requests.
 func (s *soak) misbehave(f platformtest.Fault, share float64) (end func()) {
 	targets := s.targets()
 	s.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	targets = targets[:(len(targets)+1)/2]
+	ends := s.beginFaulty(targets)
 	for _, e := range targets {
 		s.recordFault("engine %s: fault %d, share %g", e.ID, f, share)
 		e.Misbehave(f, share)
@@ -331,6 +373,7 @@
 		for _, e := range targets {
 			e.Misbehave(f, 0)
 		}
+		ends()
 	}
 }
 
@@ -338,6 +381,7 @@
 func (s *soak) breakStreams(f platformtest.Fault) (end func()) {
 	targets := s.targets()
 	s.recordFault("engines break off streams, and fault %d", f)
+	ends := s.beginFaulty(targets)
 	for _, e := range targets {
 		e.Misbehave(platformtest.BreaksOff, 0.02)
 		e.Misbehave(f, 0.5)
@@ -347,6 +391,7 @@
 			e.Misbehave(platformtest.BreaksOff, 0)
 			e.Misbehave(f, 0)
 		}
+		ends()
 	}
 }
 
@@ -409,7 +454,14 @@
 	deadline := time.Now().Add(s.Duration)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		f := faults[s.random.IntN(len(faults))]
+		endUnplanned := func() {}
+		if !f.planned() {
+			endUnplanned = s.unplanned.begin()
+		}
 		end := f.begin(s)
+		if end == nil {
+			endUnplanned()
+		}
 		if end != nil {
 			wait := minFaultDuration + time.Duration(s.random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 			if f.duration > 0 {
@@ -418,9 +470,9 @@
 			ends.Go(func() {
 				time.Sleep(wait)
 				end()
+				endUnplanned()
 			})
-			if s.PlannedOnly {
-				// Planned actions do not overlap, as in a roll-out.
+			if s.PlannedOnly && !s.Overlap {
 				ends.Wait()
 			}
 		}
--- a/soak/host.go
+++ b/soak/host.go
@@ -23,8 +23,14 @@
 	// callerProxy is the proxy between the callers and the host.
 	callerProxy *proxy
 
+	// disruptions are the times in which the process didn't run or a path of the host was
+	// harmed.
+	disruptions disruptions
+
 	mu      sync.Mutex
 	process *exec.Cmd
+	// endStop ends the disruption by the last stop.
+	endStop func()
 	exited  chan struct{}
 	starts  int
 	// stops are the times at which the process got the signal to stop.
@@ -54,6 +60,10 @@
 	}
 	h.process, h.exited = command, make(chan struct{})
 	h.starts++
+	h.disruptions.strike()
+	if h.endStop != nil {
+		h.endStop()
+	}
 	go func(exited chan struct{}) {
 		_ = command.Wait() // the cause of the exit is in the process's log
 		_ = log.Close()    // the process has exited, so nothing is written any more
@@ -94,6 +104,7 @@
 	}
 	h.mu.Lock()
 	h.stops = append(h.stops, time.Now())
+	h.endStop = h.disruptions.begin()
 	h.mu.Unlock()
 	h.signal(s)
 	select {
@@ -105,6 +116,26 @@
 	<-exited
 }
 
+// freeze stops the process until the returned function is called.
+func (h *host) freeze() (thaw func()) {
+	end := h.disruptions.begin()
+	h.signal(syscall.SIGSTOP)
+	return func() {
+		h.signal(syscall.SIGCONT)
+		end()
+	}
+}
+
+// harm sets the mode of one of the host's paths until the returned function is called.
+func (h *host) harm(path *proxy, m mode) (end func()) {
+	endDisruption := h.disruptions.begin()
+	path.setMode(m)
+	return func() {
+		path.setMode(modePass)
+		endDisruption()
+	}
+}
+
 // excusesCut reports whether a call may be cut because of a planned stop: it was sent no later than
 // lateInStop after the signal, and cut in the last sixth of the grace or after it.
 func (h *host) excusesCut(c call) bool {
--- a/soak/shape.go
+++ b/soak/shape.go
@@ -39,6 +39,10 @@
 	stream     bool
 	repeatable bool
 	timeout    time.Duration
+	// attempts is the number of targets that may run the request.
+	attempts int
+	// open is set if the request needs no key.
+	open bool
 }
 
 func (k kind) service() string {
@@ -49,14 +53,15 @@
 }
 
 var (
-	booking   = kind{name: "booking", path: platformtest.PlainPath, timeout: callTimeout}
-	chat      = kind{name: "chat", path: platformtest.StreamPath, stream: true, repeatable: true, timeout: callTimeout}
-	deskBook  = kind{name: "booking", path: platformtest.PlainPath, timeout: 1500 * time.Millisecond}
-	deskRead  = kind{name: "status", path: platformtest.SafePath, repeatable: true, timeout: 1500 * time.Millisecond}
-	slowBook  = kind{name: "booking", path: platformtest.PlainPath, timeout: 6 * time.Second}
-	slowChat  = kind{name: "chat", path: platformtest.StreamPath, stream: true, repeatable: true, timeout: 15 * time.Second}
-	slowCheck = kind{name: "check", path: platformtest.OncePath, stream: true, timeout: 15 * time.Second}
-	onceCheck = kind{name: "check", path: platformtest.OncePath, stream: true, timeout: callTimeout}
+	booking   = kind{name: "booking", path: platformtest.PlainPath, timeout: callTimeout, attempts: 1}
+	chat      = kind{name: "chat", path: platformtest.StreamPath, stream: true, repeatable: true, timeout: callTimeout, attempts: 3}
+	deskBook  = kind{name: "booking", path: platformtest.PlainPath, timeout: 1500 * time.Millisecond, attempts: 1}
+	deskRead  = kind{name: "status", path: platformtest.SafePath, repeatable: true, timeout: 1500 * time.Millisecond, attempts: 2}
+	deskOpen  = kind{name: "open booking", path: platformtest.OpenPath, timeout: 1500 * time.Millisecond, attempts: 1, open: true}
+	slowBook  = kind{name: "booking", path: platformtest.PlainPath, timeout: 6 * time.Second, attempts: 1}
+	slowChat  = kind{name: "chat", path: platformtest.StreamPath, stream: true, repeatable: true, timeout: 15 * time.Second, attempts: 3}
+	slowCheck = kind{name: "check", path: platformtest.OncePath, stream: true, timeout: 15 * time.Second, attempts: 1}
+	onceCheck = kind{name: "check", path: platformtest.OncePath, stream: true, timeout: callTimeout, attempts: 1}
 )
 
 // Shapes are the deployments that a run may play.
@@ -68,7 +73,7 @@
 	{
 		Name: "desk", Hosts: 8, Grace: 8, RetrySlack: 56, Callers: 48, CallInterval: 400 * time.Millisecond,
 		PlainTargets: 3, Slots: 6, Work: 60 * time.Millisecond,
-		kinds: []kind{chat, onceCheck, chat, deskBook, deskRead, chat, deskBook},
+		kinds: []kind{chat, onceCheck, chat, deskBook, deskRead, chat, deskBook, deskOpen},
 	},
 	{
 		// Requests last nearly as long as the hosts' time to stop.
@@ -79,7 +84,7 @@
 	{
 		Name: "shop", Hosts: 9, Grace: 8, RetrySlack: 58, Callers: 48, CallInterval: 300 * time.Millisecond,
 		PlainTargets: 3, Slots: 6, Work: 15 * time.Millisecond,
-		kinds: []kind{chat, chat, deskBook, onceCheck, deskRead, chat, deskBook},
+		kinds: []kind{chat, chat, deskBook, onceCheck, deskRead, chat, deskBook, deskOpen},
 	},
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,8 +30,9 @@
 	// Duration is the time during which faults are injected.
 	Duration time.Duration
 	// PlannedOnly limits the faults to planned actions: restarts, reloads, new
-	// configurations and draining engines.
-	PlannedOnly bool
+	// configurations and draining engines. They come one after another, as in a roll-out,
+	// unless Overlap is set.
+	PlannedOnly, Overlap bool
 	// Faults lists the names of the faults that are injected. If it is empty, all are.
 	Faults []string
 }
@@ -43,12 +44,14 @@
 	Faults       []string
 	Violations   []string
 	RecoveryTime time.Duration
+	// Figures are what was counted of what is allowed in some number only.
+	Figures Figures
 }
 
 // String formats the report as text.
 func (r Report) String() string {
-	return fmt.Sprintf("%d requests, %d served, %d faults, recovered in %v, %d promises broken\n%s\n%s",
-		r.Requests, r.Served, len(r.Faults), r.RecoveryTime.Round(time.Millisecond), len(r.Violations),
+	return fmt.Sprintf("%d requests, %d served, %d faults, recovered in %v, %d promises broken; %v\n%s\n%s",
+		r.Requests, r.Served, len(r.Faults), r.RecoveryTime.Round(time.Millisecond), len(r.Violations), r.Figures,
 		strings.Join(r.Faults, "\n"), strings.Join(r.Violations, "\n"))
 }
 
@@ -86,8 +89,11 @@
 	crashingRequests int
 	hosts            []*host
 	callers          *callers
+	// unplanned are the times of unplanned faults, and storeDisruptions those of the store.
+	unplanned, storeDisruptions disruptions
 
 	mu             sync.Mutex
+	states         map[string]*targetState // by target
 	startedAt      time.Time
 	faults         []string
 	configVersion  int
@@ -107,7 +113,7 @@
 	}
 	s := &soak{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: platformtest.NewStore(), startedAt: time.Now(),
-		engineProxies: map[string]*proxy{}, drainStarts: map[string]time.Time{},
+		engineProxies: map[string]*proxy{}, drainStarts: map[string]time.Time{}, states: map[string]*targetState{},
 	}
 	defer s.store.Close()
 	s.applyConfig()
@@ -123,6 +129,9 @@
 		})
 		defer t.Close()
 		s.plainTargets = append(s.plainTargets, t)
+		if err := s.addProxy(t); err != nil {
+			return Report{}, err
+		}
 	}
 	defer s.stopHostsAndEngines()
 	if err := s.startHosts(); err != nil {
@@ -144,7 +153,7 @@
 	stopCallers()
 	running.Wait()
 	report.Requests, report.Served = s.callers.counts()
-	report.Violations = s.check()
+	report.Violations, report.Figures = s.check()
 	if !recovered {
 		report.Violations = append(report.Violations, fmt.Sprintf("not every host served within %v after the last fault", recoveryTimeout))
 	}
@@ -176,6 +185,11 @@
 	}
 	e := platformtest.NewEngine(s.store, fmt.Sprintf("i-%d", n), spec)
 	s.engines = append(s.engines, e)
+	return s.addProxy(e)
+}
+
+// addProxy puts a proxy in front of a target.
+func (s *soak) addProxy(e *platformtest.Engine) error {
 	proxy, err := newProxy(e.Address())
 	if err != nil {
 		return err
