roster, coordinator: a lapsed registration is relayed as lapsed, and stays gone over terms

What callers see: after outages of the store, requests go for tens of seconds to targets that have left. Those that may not be repeated end with 502; the others use up the budget of repeats, and end with 502 as well.

Cause: a registration that ends shortly after an outage is kept for two seconds, in case it only lapsed and is renewed. The coordinator relayed such a target like any other, as of the revision that it had read, which is later than the removal. Hosts that had removed it took it for renewed, those that were about to remove it forgot that, and none reads the removal again: they go on from the relayed revision. Once the coordinator had lost its term before the two seconds were over, nobody corrected it. Class: a provisional belief that is passed on without its end.

Now views say which targets have lapsed and how long they are kept. A lapsed target is renewed only by a registration that is newer than its removal; one that expires is recorded as removed, logged, and compared with the coordinator. While the store is away again, lapsed targets are kept until two seconds after its return: they couldn't renew before. Hosts of older builds ignore the new field.

--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -103,6 +103,11 @@
 		}
 		if w.Version >= c.targetVersions[w.ID] {
 			c.targetVersions[w.ID] = w.Version
+			if w.LapseLeft != 0 {
+				left := time.Duration(w.LapseLeft) * time.Millisecond
+				changes.Lapsed = append(changes.Lapsed, roster.Lapsed{Target: w.target(), Left: left, Held: w.LapseLeft == lapseHeld})
+				continue
+			}
 			changes.Changed = append(changes.Changed, w.target())
 		}
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -161,7 +161,7 @@
 	c.hosts = map[fleet.HostID]hostReport{}
 	c.neighboursSent = map[fleet.HostID]sentNeighbours{}
 	c.weightStoreLoadTimes = nil
-	c.registered = newRegistrations()
+	c.registered = newRegistrations(c.boot)
 	c.dirty = map[*engine]bool{}
 	c.forecasts = map[model.Name]time.Time{}
 	c.changedForecasts = map[model.Name]bool{}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -272,8 +272,15 @@
 	Models []wireResident `cbor:"10,keyasint"`
 	// TargetVersion is the version of the target's software.
 	TargetVersion target.Version `cbor:"11,keyasint,omitempty"`
+	// LapseLeft is set if the registration has ended, and is the time in milliseconds for
+	// which the target is kept in case it is renewed, or lapseHeld. Older builds don't send it,
+	// and take such a target for a registered one.
+	LapseLeft int64 `cbor:"12,keyasint,omitempty"`
 }
 
+// lapseHeld means that the time begins when the store returns.
+const lapseHeld = -1
+
 func newWireTarget(t roster.Target) wireTarget {
 	return wireTarget{
 		ID: t.ID, Start: t.Start, Pool: t.Pool, Address: t.Address, Domain: t.Domain,
--- a/coordinator/registrations.go
+++ b/coordinator/registrations.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"hawthornway/boottime"
 	"hawthornway/keyvalue"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -13,8 +14,9 @@
 // connected hosts don't have to watch the store. They are guarded by the
 // coordinator's lock.
 type registrations struct {
+	boot    boottime.Clock
 	targets map[target.ID]registration
-	// digests covers the registered targets in the same way as roster.Roster.Digests.
+	// digests covers the targets in the same way as roster.Roster.Digests.
 	digests roster.Digests
 	// lastList is the list of the last update.
 	lastList []roster.Target
@@ -37,8 +39,21 @@
 	return wireRemoved{ID: r.wire.ID, Version: r.version, Revision: r.removedAt}
 }
 
-func newRegistrations() registrations {
-	return registrations{targets: map[target.ID]registration{}}
+// sent returns the target as it is sent at an instant.
+func (r registration) sent(now boottime.Instant) wireTarget {
+	w := r.wire
+	switch expiresAt := r.target.ExpiresAt; expiresAt {
+	case 0:
+	case roster.NotBeforeReturn:
+		w.LapseLeft = lapseHeld
+	default:
+		w.LapseLeft = max(1, expiresAt.Sub(now).Milliseconds())
+	}
+	return w
+}
+
+func newRegistrations(boot boottime.Clock) registrations {
+	return registrations{boot: boot, targets: map[target.ID]registration{}}
 }
 
 // update applies the roster's targets, as of the given store revision or later, and
@@ -69,8 +84,9 @@
 			r.set(t.ID, registration{target: t, wire: wire, digest: digest, version: previous.version})
 			continue
 		}
-		r.set(t.ID, registration{target: t, wire: wire, digest: digest, version: version})
-		changed = append(changed, wire)
+		known := registration{target: t, wire: wire, digest: digest, version: version}
+		r.set(t.ID, known)
+		changed = append(changed, known.sent(r.boot.Now()))
 	}
 	for id, previous := range r.targets {
 		if !registered[id] && !previous.removed {
@@ -107,7 +123,7 @@
 	for id, known := range r.targets {
 		added := since > 0 && known.version > since
 		if !known.removed && !added && slices.Contains(view.CompleteBuckets, roster.BucketOf(id)) {
-			view.Targets = append(view.Targets, known.wire)
+			view.Targets = append(view.Targets, known.sent(r.boot.Now()))
 		}
 	}
 	slices.SortFunc(view.Targets, func(a, b wireTarget) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -122,7 +138,7 @@
 		case known.removed:
 			view.Removed = append(view.Removed, known.wireRemoved())
 		default:
-			view.Targets = append(view.Targets, known.wire)
+			view.Targets = append(view.Targets, known.sent(r.boot.Now()))
 		}
 	}
 	slices.SortFunc(view.Targets, func(a, b wireTarget) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -42,11 +43,26 @@
 	Holdings Holdings
 	// Revision orders the registrations at one address.
 	Revision int64
+	// ExpiresAt is set if the registration has ended shortly after an outage of the store, and
+	// is when the target is gone unless it has been renewed. It is NotBeforeReturn while the
+	// store is away again.
+	ExpiresAt boottime.Instant
 }
 
+// NotBeforeReturn is later than any instant. A target can't renew its registration before the
+// store returns.
+const NotBeforeReturn boottime.Instant = math.MaxInt64
+
+// lapsed reports whether the registration has ended and may still be renewed.
+func (t Target) lapsed() bool { return t.ExpiresAt != 0 }
+
 // Digest returns a hash of the parts of a registration that matter for routing: all but
-// its revision, its sequence, and the weights in memory or on disk.
+// its revision, its sequence, and the weights in memory or on disk. It is zero for one that has
+// ended: a roster that has its renewal differs.
 func (t Target) Digest() uint64 {
+	if t.lapsed() {
+		return 0
+	}
 	text := fmt.Appendf(nil, "%q %d %q %q %q %q %d %t", t.ID, t.Start, t.Pool, t.Address, t.Domain, t.Version, t.Slots, t.Draining)
 	return xxhash.Sum64(t.Holdings.appendModels(text))
 }
@@ -54,7 +70,7 @@
 // SameRegistration reports whether two registrations are equal apart from their revisions,
 // sequences and holdings.
 func (t Target) SameRegistration(other Target) bool {
-	return t.ID == other.ID && t.Start == other.Start && t.Pool == other.Pool && t.Address == other.Address &&
+	return t.ExpiresAt == other.ExpiresAt && t.ID == other.ID && t.Start == other.Start && t.Pool == other.Pool && t.Address == other.Address &&
 		t.Domain == other.Domain && t.Version == other.Version && t.Slots == other.Slots && t.Draining == other.Draining
 }
 
@@ -181,10 +197,9 @@
 	target Target
 	// asOf is the newest store revision as of which the registration is known.
 	asOf keyvalue.Revision
-	// lapsed is set if the registration was removed shortly after an outage. It then
-	// expires at expiresAt unless it is renewed.
-	lapsed    bool
-	expiresAt boottime.Instant
+	// removedAt is the revision at which a lapsed registration has ended, or zero if that isn't
+	// known.
+	removedAt keyvalue.Revision
 }
 
 // source is where a change of a registration was learned.
@@ -256,7 +271,7 @@
 
 // isOutdated reports whether more is known of a target than its registration as of a revision.
 func (r *Roster) isOutdated(t Target, asOf keyvalue.Revision) bool {
-	if e, ok := r.targets[t.ID]; ok && asOf < e.asOf {
+	if e, ok := r.targets[t.ID]; ok && (asOf < e.asOf || e.removedAt != 0 && keyvalue.Revision(t.Revision) <= e.removedAt) {
 		return true
 	}
 	if removed, ok := r.removals[t.ID]; ok && asOf <= removed.revision {
@@ -321,12 +336,30 @@
 		r.drop(id, revision, fromStore)
 		return
 	}
+	if e.target.lapsed() {
+		return
+	}
 	r.lapses++
-	e.lapsed, e.expiresAt = true, r.storeRegainedAt.Add(lapseGrace)
-	r.targets[id] = e
+	e.target.ExpiresAt = r.storeRegainedAt.Add(lapseGrace)
+	r.lapse(e, revision)
+}
+
+// lapse keeps a target whose registration has ended at a revision, or at an unknown one if that is
+// zero, until its ExpiresAt.
+func (r *Roster) lapse(e entry, removedAt keyvalue.Revision) {
+	e.asOf, e.removedAt = max(e.asOf, removedAt), removedAt
+	r.targets[e.target.ID] = e
 	r.invalidateLists()
 }
 
+// expire removes a lapsed target that hasn't been renewed.
+func (r *Roster) expire(e entry) {
+	r.log.Info("roster: target is gone", "target", e.target.ID, "start", e.target.Start, "from", "lapse", "revision", e.removedAt)
+	r.recordRemoval(e.target.ID, e.removedAt)
+	r.countStoreChange(e.removedAt)
+	r.deleteEntry(e.target.ID)
+}
+
 // Drop removes a target immediately, even after an outage. The revision is that of its
 // removal, or zero if that isn't known.
 func (r *Roster) Drop(id target.ID, revision keyvalue.Revision) {
@@ -367,6 +400,9 @@
 type Changes struct {
 	Changed []Target
 	Removed []Removed
+	// Lapsed lists targets whose registrations have ended, and which the other host keeps in
+	// case they are renewed.
+	Lapsed []Lapsed
 	// All lists every registered target of Buckets.
 	All     []target.ID
 	Buckets []Bucket
@@ -381,6 +417,14 @@
 	Revision keyvalue.Revision
 }
 
+// Lapsed is a target whose registration has ended, and the time for which it may be renewed.
+type Lapsed struct {
+	Target Target
+	Left   time.Duration
+	// Held is set if the time begins when the store returns, which is away.
+	Held bool
+}
+
 // Update applies changes that another host relays. Caches of weights and sequences aren't
 // relayed, and stay.
 func (r *Roster) Update(changes Changes) {
@@ -390,6 +434,9 @@
 	for _, removed := range changes.Removed {
 		r.Drop(removed.ID, max(removed.Revision, changes.At))
 	}
+	for _, lapsed := range changes.Lapsed {
+		r.lapseRelayed(lapsed, changes.At)
+	}
 	if len(changes.Buckets) == 0 {
 		return
 	}
@@ -434,6 +481,31 @@
 	r.put(t, asOf, fromRelay)
 }
 
+// lapseRelayed keeps a target whose registration has ended, as relayed by a host that had read the
+// store up to a revision at least, unless more is known of it here.
+func (r *Roster) lapseRelayed(lapsed Lapsed, at keyvalue.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := lapsed.Target
+	if _, ok := r.targets[t.ID]; !ok {
+		r.put(t, keyvalue.Revision(t.Revision), fromRelay)
+	}
+	e, ok := r.targets[t.ID]
+	if !ok || at < e.asOf || e.target.Revision > t.Revision {
+		return
+	}
+	if e.target.Draining {
+		r.drop(t.ID, at, fromRelay)
+		return
+	}
+	e.target.ExpiresAt = r.clock.Now().Add(lapsed.Left)
+	if lapsed.Held {
+		r.storeAway()
+		e.target.ExpiresAt = NotBeforeReturn
+	}
+	r.lapse(e, max(e.removedAt, keyvalue.Revision(t.Revision)))
+}
+
 func (r *Roster) ids() []target.ID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -448,8 +520,32 @@
 func (r *Roster) StoreLost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.storeAway()
+}
+
+// storeAway begins an outage of the store, unless there is one.
+func (r *Roster) storeAway() {
 	if !r.storeLost {
 		r.storeLost, r.storeLostAt = true, r.clock.Now()
+		r.expireLapsed(NotBeforeReturn)
+	}
+}
+
+// storeReturned ends an outage of the store. Targets whose registrations lapsed have some time
+// again to renew them.
+func (r *Roster) storeReturned() {
+	r.storeLost, r.storeRegainedAt = false, r.clock.Now()
+	r.expireLapsed(r.storeRegainedAt.Add(lapseGrace))
+}
+
+// expireLapsed sets when the targets are gone whose registrations have lapsed.
+func (r *Roster) expireLapsed(at boottime.Instant) {
+	for id, e := range r.targets {
+		if e.target.lapsed() && (at == NotBeforeReturn || e.target.ExpiresAt == NotBeforeReturn) {
+			e.target.ExpiresAt = at
+			r.targets[id] = e
+			r.invalidateLists()
+		}
 	}
 }
 
@@ -458,7 +554,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.storeLost {
-		r.storeLost, r.storeRegainedAt = false, r.clock.Now()
+		r.storeReturned()
 	}
 }
 
@@ -468,7 +564,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.storeLost && r.storeLostAt < at {
-		r.storeLost, r.storeRegainedAt = false, r.clock.Now()
+		r.storeReturned()
 	}
 }
 
@@ -499,9 +595,7 @@
 	if r.digests == nil {
 		r.digests = &Digests{}
 		for id, e := range r.targets {
-			if !e.lapsed {
-				r.digests[BucketOf(id)] ^= e.target.Digest()
-			}
+			r.digests[BucketOf(id)] ^= e.target.Digest()
 		}
 	}
 	return *r.digests
@@ -552,13 +646,13 @@
 	}
 	r.invalidateLists()
 	r.all, r.ready, r.listsValidUntil = make([]Target, 0, len(r.targets)), map[target.Pool][]Target{}, 0
-	for id, e := range r.targets {
+	for _, e := range r.targets {
 		switch {
-		case e.lapsed && !now.Before(e.expiresAt):
-			r.deleteEntry(id)
+		case e.target.lapsed() && !now.Before(e.target.ExpiresAt):
+			r.expire(e)
 			continue
-		case e.lapsed && (r.listsValidUntil == 0 || e.expiresAt.Before(r.listsValidUntil)):
-			r.listsValidUntil = e.expiresAt
+		case e.target.lapsed() && (r.listsValidUntil == 0 || e.target.ExpiresAt.Before(r.listsValidUntil)):
+			r.listsValidUntil = e.target.ExpiresAt
 		}
 		r.all = append(r.all, e.target)
 	}
@@ -589,7 +683,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, ok := r.targets[id]
-	if ok && e.lapsed && !r.clock.Now().Before(e.expiresAt) {
+	if ok && e.target.lapsed() && !r.clock.Now().Before(e.target.ExpiresAt) {
 		return Target{}, false
 	}
 	return e.target, ok
