memory, head, exchange, relay: answers of all requests together fit the host's memory

Cause: each answer is bounded, their sum isn't. Heads and events weren't counted in the loan of their request at all, and a head of many short fields holds 15 times its size once it is parsed. Class: limits for each item, none for what all of them hold together.

Now a head is measured while it is read, and what it holds beyond a usual one is borrowed before more of it is read; so are events and buffered bodies, with both buffers while one is copied. What has no room ends the attempt as failed, at once, so that the balancer learns of the target. Answers get half of the budget at most: the rest stays for requests. Memory of an attempt that failed is given back before the next, that of a long body once it is passed on.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"hawthornway/memory"
 	"hawthornway/tcp"
 )
 
@@ -45,6 +46,9 @@
 	// Attempts, unless it is nil, holds the connections of earlier attempts of this request,
 	// and is shared by all of them.
 	Attempts *Attempts
+	// Loan is lent the memory for what the head of the response holds beyond a usual one. Nil
+	// lends any amount.
+	Loan *memory.Loan
 	// Chosen, unless it is nil, is called with whether the connection that the request is
 	// sent on leads through another host.
 	Chosen func(detour bool)
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"hawthornway/memory"
 )
 
 // Do implements Client.
@@ -90,7 +92,7 @@
 func (c *client) readResponse(conn *conn, req Request, fresh bool) (*Response, error) {
 	httpRequest := &http.Request{Method: req.Method}
 	for range maxStrayResponses + 1 {
-		response, err := readFinalResponse(conn, httpRequest)
+		response, err := readFinalResponse(conn, httpRequest, req.Loan)
 		if err != nil {
 			return nil, err
 		}
@@ -116,8 +118,8 @@
 }
 
 // readFinalResponse reads the next response that is not a 1xx response.
-func readFinalResponse(conn *conn, httpRequest *http.Request) (*http.Response, error) {
-	conn.limiter.beginHead()
+func readFinalResponse(conn *conn, httpRequest *http.Request, loan *memory.Loan) (*http.Response, error) {
+	conn.limiter.beginHead(loan)
 	defer conn.limiter.endHead()
 	for {
 		response, err := http.ReadResponse(conn.reader, httpRequest)
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -3,22 +3,35 @@
 import (
 	"errors"
 	"io"
+
+	"hawthornway/head"
+	"hawthornway/memory"
 )
 
 // maxHeadBytes limits the head of a response, together with the informational responses
 // before it.
 const maxHeadBytes = 64 << 10
 
+// headAllowance is what a head may hold in memory without a loan. Usual heads hold less.
+const headAllowance = 8 << 10
+
 var errHeadTooLong = errors.New("response head exceeds the size limit")
 
+// ErrNoMemory means that the host has no memory for what the target sends.
+var ErrNoMemory = errors.New("no memory for the response")
+
 // headLimiter reads from a connection, and fails when the head of a response exceeds
-// maxHeadBytes. A faulty target may send headers, a header line or informational
-// responses without end, which would fill the host's memory.
+// maxHeadBytes, or the memory that the request is lent. A faulty target may send headers, a
+// header line or informational responses without end, which would fill the host's memory.
 type headLimiter struct {
 	conn io.Reader
 	// inHead is set while a head is read, and left is what it may still take.
 	inHead bool
 	left   int
+	meter  head.Meter
+	loan   *memory.Loan
+	// lent is what was lent for the head.
+	lent memory.Bytes
 }
 
 // Read implements io.Reader.
@@ -31,10 +44,19 @@
 	}
 	n, err := l.conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.meter.Add(p[:n])
+	if missing := l.meter.Size() - headAllowance - l.lent; missing > 0 {
+		if !l.loan.GrowAnswer(missing) {
+			return 0, ErrNoMemory
+		}
+		l.lent += missing
+	}
 	return n, err
 }
 
-// beginHead limits what is read until endHead.
-func (l *headLimiter) beginHead() { l.inHead, l.left = true, maxHeadBytes }
+// beginHead limits what is read until endHead, and borrows the memory for it.
+func (l *headLimiter) beginHead(loan *memory.Loan) {
+	l.inHead, l.left, l.meter, l.loan, l.lent = true, maxHeadBytes, head.Meter{}, loan, 0
+}
 
 func (l *headLimiter) endHead() { l.inHead = false }
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -19,6 +19,9 @@
 	// of what is held now has been given back, whatever it was.
 	minWait = 100 * time.Millisecond
 	maxWait = 2 * time.Second
+	// answerShare is the part of a budget that is lent for answers at most. Faulty targets that
+	// send without end fill it, and callers' requests still have the rest.
+	answerShare = 0.5
 )
 
 // Budget is an amount of memory that is lent. It is safe for concurrent use.
@@ -27,6 +30,8 @@
 
 	mu          sync.Mutex
 	limit, used Bytes
+	// answers is the part of used that is lent for answers.
+	answers Bytes
 	// meanHold is the mean time for which recent loans were held.
 	meanHold time.Duration
 }
@@ -36,11 +41,12 @@
 	return &Budget{clock: clock, limit: limit, meanHold: minWait}
 }
 
-// Loan is memory that was lent. It must not be used concurrently.
+// Loan is memory that was lent. It must not be used concurrently. A nil Loan lends any amount.
 type Loan struct {
 	budget *Budget
-	bytes  Bytes
-	at     time.Time
+	// bytes is what was lent in all, and answers the part of it for answers.
+	bytes, answers Bytes
+	at             time.Time
 }
 
 // Take lends memory, and reports whether there is room. The loan has to be released in any
@@ -52,6 +58,9 @@
 
 // Grow lends more memory, and reports whether there is room.
 func (l *Loan) Grow(n Bytes) bool {
+	if l == nil {
+		return true
+	}
 	b := l.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -63,8 +72,65 @@
 	return true
 }
 
+// Shrink gives back n bytes that Grow has lent.
+func (l *Loan) Shrink(n Bytes) {
+	if l == nil {
+		return
+	}
+	b := l.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= n
+	l.bytes -= n
+}
+
+// GrowAnswer lends more memory for what a target sends, and reports whether there is room.
+func (l *Loan) GrowAnswer(n Bytes) bool {
+	if l == nil {
+		return true
+	}
+	b := l.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit > 0 && (n > b.limit-b.used || n > Bytes(answerShare*float64(b.limit))-b.answers) {
+		return false
+	}
+	b.used += n
+	b.answers += n
+	l.bytes += n
+	l.answers += n
+	return true
+}
+
+// Answers returns how much is lent for answers.
+func (l *Loan) Answers() Bytes {
+	if l == nil {
+		return 0
+	}
+	return l.answers
+}
+
+// ShrinkAnswers gives back what is lent for answers beyond keep bytes.
+func (l *Loan) ShrinkAnswers(keep Bytes) {
+	if l == nil || l.answers <= keep {
+		return
+	}
+	b := l.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := l.answers - keep
+	b.used -= n
+	b.answers -= n
+	l.bytes -= n
+	l.answers -= n
+}
+
 // Release gives the memory back. Further calls have no effect.
 func (l *Loan) Release() {
+	if l == nil {
+		return
+	}
+	l.ShrinkAnswers(0)
 	b := l.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -37,7 +37,7 @@
 		for range 100 {
 			clock.Advance(time.Duration(rapid.IntRange(0, 1000).Draw(t, "pause")) * time.Millisecond)
 			n := memory.Bytes(rapid.IntRange(0, 400).Draw(t, "bytes"))
-			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
 				if loan, ok := budget.Take(n); ok {
 					held[loan] = n
@@ -49,6 +49,19 @@
 					}
 					break
 				}
+			case 2:
+				for loan := range held {
+					if loan.GrowAnswer(n) {
+						held[loan] += n
+					}
+					break
+				}
+			case 3:
+				for loan := range held {
+					held[loan] -= max(0, loan.Answers()-n)
+					loan.ShrinkAnswers(n)
+					break
+				}
 			default:
 				for loan := range held {
 					loan.Release()
@@ -81,3 +94,40 @@
 	must.True(t, ok)
 	must.Between(t, 900*time.Millisecond, budget.Wait(25), 1100*time.Millisecond)
 }
+
+// Guards against faulty targets whose answers take all memory of a host, so that the requests of
+// other callers are refused.
+func TestAnswersLeaveRoomForRequests(t *testing.T) {
+	budget := memory.NewBudget(1000, clockwork.NewFakeClock())
+	var loans []*memory.Loan
+	for range 20 {
+		loan, ok := budget.Take(10)
+		must.True(t, ok)
+		loans = append(loans, loan)
+		loan.GrowAnswer(100)
+	}
+	must.Eq(t, 700, budget.Used())
+	other, ok := budget.Take(300)
+	must.True(t, ok)
+	other.Release()
+	for _, loan := range loans {
+		loan.ShrinkAnswers(40)
+		loan.Release()
+	}
+	must.Zero(t, budget.Used())
+	whole, ok := budget.Take(0)
+	must.True(t, ok)
+	must.True(t, whole.GrowAnswer(500))
+	must.False(t, whole.GrowAnswer(1))
+}
+
+// Without a loan, there is no limit.
+func TestNilLoan(t *testing.T) {
+	var loan *memory.Loan
+	must.True(t, loan.Grow(1<<40))
+	must.True(t, loan.GrowAnswer(1<<40))
+	loan.ShrinkAnswers(0)
+	loan.Shrink(1 << 40)
+	loan.Release()
+	must.Zero(t, loan.Answers())
+}
--- a/relay/body.go
+++ b/relay/body.go
@@ -43,7 +43,7 @@
 		_, err = io.ReadFull(body, f.req.Body)
 	} else {
 		var full bool
-		if f.req.Body, full, err = readGrowing(body, f.loan, maxUnknownBytes); full {
+		if f.req.Body, full, err = memory.ReadAll(body, f.loan.Grow, f.loan.Shrink, firstReadBytes, maxUnknownBytes); full {
 			return r.noRoom(2 * memory.Bytes(len(f.req.Body)))
 		}
 	}
@@ -84,32 +84,9 @@
 	return func() { set(time.Time{}) }
 }
 
-// readGrowing reads to the end, up to a limit, into a buffer that grows while there is memory. It
-// reports whether it stopped because of either, which leaves the rest unread.
-func readGrowing(from io.Reader, loan *memory.Loan, limit int) (body []byte, full bool, err error) {
-	body = make([]byte, 0, min(limit, firstReadBytes))
-	for {
-		if len(body) == cap(body) {
-			grown := min(limit, 2*cap(body))
-			if grown <= cap(body) || !loan.Grow(memory.Bytes(grown-cap(body))) {
-				return body, true, nil
-			}
-			body = append(make([]byte, 0, grown), body...)
-		}
-		n, err := from.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch err {
-		case nil:
-		case io.EOF:
-			return body, false, nil
-		default:
-			return body, false, err
-		}
-	}
-}
-
 // readResponse reads a response up to maxBufferedBytes, or as much as there is memory for. It
 // reports whether there may be more.
 func readResponse(resp *exchange.Response, loan *memory.Loan) (body []byte, long bool, err error) {
-	return readGrowing(resp, loan, maxBufferedBytes+1)
+	giveBack := func(n memory.Bytes) { loan.ShrinkAnswers(loan.Answers() - n) }
+	return memory.ReadAll(resp, loan.GrowAnswer, giveBack, firstReadBytes, maxBufferedBytes+1)
 }
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -11,6 +11,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/exchange"
+	"hawthornway/memory"
 	"hawthornway/outcome"
 	"hawthornway/quarantine"
 	"hawthornway/retry"
@@ -59,11 +60,15 @@
 		if f.firstSent.IsZero() {
 			f.firstSent = r.clock.Now()
 		}
+		lent, serverError := f.loan.Answers(), f.serverError
 		result := d.send(ctx, placement)
 		placement.Done(result.placerResult())
 		if final := d.handleResult(ctx, placement.Target, result); final != nil {
 			return final
 		}
+		if f.serverError == serverError { // nothing of the answer is kept
+			f.loan.ShrinkAnswers(lent)
+		}
 	}
 }
 
@@ -441,6 +446,7 @@
 		Body:      f.req.Body,
 		Belonging: func(h http.Header) exchange.Belonging { return r.dialect.Belonging(f.req, h) },
 		Attempts:  &d.connections,
+		Loan:      f.loan,
 		Chosen: func(detour bool) {
 			w.detour.Store(detour)
 			d.retry.Sent()
@@ -493,6 +499,7 @@
 // be tried if it breaks off. A longer one is passed on as it arrives.
 func (d *dispatcher) relayBuffered(ctx context.Context, resp *exchange.Response, info ResponseInfo, w *watchdog) attemptResult {
 	r, f := d.relay, d.inflight
+	lent := f.loan.Answers()
 	body, long, err := readResponse(resp, f.loan)
 	if err != nil {
 		return interrupted{err: err, abandoned: w.abandoned(ctx), silent: w.silent(ctx), began: true}
@@ -515,22 +522,24 @@
 	}
 	f.firstByte = r.clock.Now()
 	if long {
-		return d.relayLong(ctx, resp, response, info, w)
+		return d.relayLong(ctx, resp, response, info, w, lent)
 	}
 	r.writeBuffered(f, response)
 	return completedBy(resp, info)
 }
 
 // relayLong passes on a response of which the start has been read. No other target can
-// continue it.
-func (d *dispatcher) relayLong(ctx context.Context, resp *exchange.Response, start *bufferedResponse, info ResponseInfo, w *watchdog) attemptResult {
+// continue it. The memory of the start is given back, so that only lent remains for the answer.
+func (d *dispatcher) relayLong(ctx context.Context, resp *exchange.Response, start *bufferedResponse, info ResponseInfo, w *watchdog, lent memory.Bytes) attemptResult {
 	r, f := d.relay, d.inflight
 	r.startResponse(f, start.status, start.header)
 	f.w.WriteHeader(start.status)
 	if _, err := f.w.Write(start.body); err != nil {
 		return interrupted{err: fmt.Errorf("caller: %w", err), abandoned: true, partial: true}
 	}
-	buffer := make([]byte, copyBufferBytes)
+	start.body = nil
+	f.loan.ShrinkAnswers(lent)
+	buffer := make([]byte, firstReadBytes)
 	for {
 		n, err := resp.Read(buffer)
 		w.recordActivity()
@@ -546,6 +555,3 @@
 		}
 	}
 }
-
-// copyBufferBytes is the size of the buffer for the rest of a long response.
-const copyBufferBytes = 32 << 10
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -12,6 +12,7 @@
 
 	"hawthornway/exchange"
 	"hawthornway/lineage"
+	"hawthornway/memory"
 	"hawthornway/roster"
 )
 
@@ -37,16 +38,60 @@
 // statusLine is how the head of a response begins.
 var statusLine = []byte("HTTP/1.")
 
-// readEvent returns the next complete event. It returns io.EOF if the stream
-// ended after a complete event.
-func readEvent(r *bufio.Reader) (event, error) {
+// eventReader reads the events of a stream, into a buffer that it uses again and for which memory
+// is lent.
+type eventReader struct {
+	*bufio.Reader
+	loan *memory.Loan
+	text []byte
+	// lent is the part of the loan for text.
+	lent memory.Bytes
+}
+
+func newEventReader(r io.Reader, loan *memory.Loan) *eventReader {
+	return &eventReader{Reader: bufio.NewReaderSize(r, streamBufferBytes), loan: loan}
+}
+
+// add adds a part of a line to the text of the event.
+func (r *eventReader) add(part []byte) error {
+	size := len(r.text) + len(part)
+	if size > maxEventBytes {
+		return errors.New("event exceeds the size limit")
+	}
+	if size > cap(r.text) {
+		grown := max(size, 2*cap(r.text), firstEventBytes)
+		lent := memory.Bytes(grown - firstEventBytes)
+		if !r.loan.GrowAnswer(lent) {
+			return exchange.ErrNoMemory
+		}
+		r.text = append(make([]byte, 0, grown), r.text...)
+		r.loan.ShrinkAnswers(r.loan.Answers() - r.lent)
+		r.lent = lent
+	}
+	r.text = append(r.text, part...)
+	return nil
+}
+
+// begin begins the text of an event. The buffer of a long one isn't kept.
+func (r *eventReader) begin() {
+	if r.lent > 0 {
+		r.loan.ShrinkAnswers(r.loan.Answers() - r.lent)
+		r.text, r.lent = nil, 0
+	}
+	r.text = r.text[:0]
+}
+
+// read returns the next complete event, whose text is valid until the next call. It returns io.EOF
+// if the stream ended after a complete event.
+func (r *eventReader) read() (event, error) {
 	var e event
+	r.begin()
 	for {
 		line, err := r.ReadSlice('\n')
-		e.text = append(e.text, line...)
-		if len(e.text) > maxEventBytes {
-			return event{}, errors.New("event exceeds the size limit")
+		if err := r.add(line); err != nil {
+			return event{}, err
 		}
+		e.text = r.text
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -91,9 +136,9 @@
 		f.resumed++
 	}
 	flusher := http.NewResponseController(f.w)
-	reader := bufio.NewReaderSize(resp, streamBufferBytes)
+	reader := newEventReader(resp, f.loan)
 	for events := 0; ; events++ {
-		e, err := readEvent(reader)
+		e, err := reader.read()
 		if err == io.EOF && resumed && d.lastEventID == before {
 			err = errNothingResumed
 		}
@@ -129,6 +174,10 @@
 	}
 }
 
-// streamBufferBytes is the size of a stream's read buffer. It holds many
-// events.
-const streamBufferBytes = 4 << 10
+const (
+	// streamBufferBytes is the size of a stream's read buffer. It holds many events.
+	streamBufferBytes = 4 << 10
+	// firstEventBytes is the size of the buffer for an event, which is counted with
+	// requestBytes. Most events fit into it.
+	firstEventBytes = 1 << 10
+)
