listener, jsonhttp, platform, gateway: heads of callers, reports and store answers fit the memory

The server parses a head before anything is counted. Reports of up to 1 MB, which hold 32 times as much while they are decoded, were read once for each request that waited for a silent engine. What engines say that they hold was kept and relayed whatever its length.

Now connections of callers borrow what a head holds beyond a usual one from the budget of requests until the request has ended; what has no room is answered 503 with the time after which to try again. Reports (256 KB at most) and answers of the store borrow of budgets of their own, with what they hold while they are decoded.

--- a/coordinator/lapse_test.go
+++ b/coordinator/lapse_test.go
@@ -83,7 +83,8 @@
 		{
 			"the host learns of it from the coordinator",
 			func(*testing.T, *lapsingFleet) {},
-			[]target.ID{"i-0", "i-1", "i-2"}, []target.ID{"i-0", "i-2"},
+			[]target.ID{"i-0", "i-1", "i-2"},
+			[]target.ID{"i-0", "i-2"},
 		},
 		{
 			"the host has read the removal itself",
@@ -91,7 +92,8 @@
 				f.host.Remove("i-1", 11)
 				f.read = 12
 			},
-			[]target.ID{"i-0", "i-2"}, []target.ID{"i-0", "i-2"},
+			[]target.ID{"i-0", "i-2"},
+			[]target.ID{"i-0", "i-2"},
 		},
 		{
 			"it lapses at the host too",
@@ -100,7 +102,8 @@
 				f.host.StoreRegained()
 				f.host.Remove("i-1", 11)
 			},
-			[]target.ID{"i-0", "i-1", "i-2"}, []target.ID{"i-0", "i-2"},
+			[]target.ID{"i-0", "i-1", "i-2"},
+			[]target.ID{"i-0", "i-2"},
 		},
 		{
 			"the host knows nothing yet",
@@ -109,7 +112,8 @@
 				f.client.receiver = f.host
 				f.client.version = 0
 			},
-			[]target.ID{"i-0", "i-1", "i-2"}, []target.ID{"i-0", "i-2"},
+			[]target.ID{"i-0", "i-1", "i-2"},
+			[]target.ID{"i-0", "i-2"},
 		},
 		{
 			"it is renewed",
@@ -119,12 +123,14 @@
 				renewed.Revision, f.read = 12, 12
 				f.roster.Put(renewed)
 			},
-			[]target.ID{"i-0", "i-1", "i-2"}, []target.ID{"i-0", "i-1", "i-2"},
+			[]target.ID{"i-0", "i-1", "i-2"},
+			[]target.ID{"i-0", "i-1", "i-2"},
 		},
 		{
 			"the store is away again",
 			func(_ *testing.T, f *lapsingFleet) { f.roster.StoreLost() },
-			[]target.ID{"i-0", "i-1", "i-2"}, []target.ID{"i-0", "i-1", "i-2"},
+			[]target.ID{"i-0", "i-1", "i-2"},
+			[]target.ID{"i-0", "i-1", "i-2"},
 		},
 	}
 	for _, tc := range cases {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,11 +111,14 @@
 	follower          *platform.Follower
 	targetClient      exchange.Client
 	relay             *relay.Relay
-	lineage           *lineage.Book
-	paths             *detour.Paths
-	dialer            *detour.Dialer
-	tunnels           *detour.Server
-	metrics           metric.Metrics
+	// requestMemory is what callers' requests and their answers hold, and reportMemory what
+	// reports of engines do.
+	requestMemory, reportMemory *memory.Budget
+	lineage                     *lineage.Book
+	paths                       *detour.Paths
+	dialer                      *detour.Dialer
+	tunnels                     *detour.Server
+	metrics                     metric.Metrics
 
 	callerServer, readinessServer, peerServer *khttp.Server
 }
@@ -146,6 +149,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.requestMemory, g.reportMemory = g.share(requestMemoryShare), g.share(reportMemoryShare)
 	g.metrics = metric.New()
 	g.roster = roster.New(g.bootClock, roster.WithLogger(g.log))
 	g.limits = pace.NewLimits(g.bootClock)
@@ -170,7 +174,7 @@
 	s := g.settings
 	g.links = peer.New(peer.WithSelf(self), peer.WithSecret([]byte(peerSecret)), peer.WithClock(g.clock), peer.WithLogger(g.log),
 		peer.WithHTTPClient(&http.Client{Transport: &http.Transport{}}))
-	g.store = platform.NewMetadata(s.Store)
+	g.store = platform.NewMetadata(s.Store, platform.WithStoreMemory(g.share(storeMemoryShare)))
 	storeProxy := coordinator.NewStoreProxy(g.links, g.store, g.clock, func() int { return g.coordinator.Hosts() })
 	opts := []election.Option{
 		election.WithBackup(storeProxy),
@@ -196,7 +200,7 @@
 		coordinator.WithBootClock(g.bootClock),
 		coordinator.WithCatalogs(g.confirmedCatalog),
 		coordinator.WithNewerConfig(g.newerConfig),
-		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves), platform.WithEngineDial(g.dialEngine))),
+		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves), platform.WithEngineDial(g.dialEngine), platform.WithReportMemory(g.reportMemory))),
 		coordinator.WithBounds(s.Bounds),
 		coordinator.WithConfirmedAge(g.freshness.age),
 		coordinator.WithConfigEntry(func() (keyvalue.Entry, bool) { return g.follower.ConfigEntry() }),
@@ -231,10 +235,10 @@
 		relay.WithCatalogKnown(g.catalogKnown),
 		relay.WithKeysConfirmed(g.freshness.current),
 		relay.WithConfigState(g.known.State),
-		relay.WithMemory(memory.NewBudget(memory.Bytes(requestMemoryShare*float64(s.MemoryLimit)), g.clock)),
+		relay.WithMemory(g.requestMemory),
 		relay.WithLimiter(g.tokens),
 		relay.WithPlacer(g.placer),
-		relay.WithProber(newProber(g.dialTarget, platform.WithLeaving(g.targetLeaves))),
+		relay.WithProber(newProber(g.dialTarget, platform.WithLeaving(g.targetLeaves), platform.WithReportMemory(g.reportMemory))),
 		relay.WithClient(g.targetClient),
 		relay.WithObserver(&observer{log: g.log, scope: g.metrics.Scope()}),
 		relay.WithClock(g.clock),
@@ -249,10 +253,19 @@
 	)
 }
 
-// requestMemoryShare is the fraction of the host's memory that requests in progress may hold. The
-// rest is for the host's own state, for what the garbage collector has yet to free, and for
-// buffers of the kernel.
-const requestMemoryShare = 0.4
+// The fractions of the host's memory that requests in progress may hold, and answers of the store
+// and reports of engines while they are decoded. The rest is for the host's own state, for
+// connections, for what the garbage collector has yet to free, and for buffers of the kernel.
+const (
+	requestMemoryShare = 0.4
+	storeMemoryShare   = 0.15
+	reportMemoryShare  = 0.05
+)
+
+// share returns a budget of a fraction of the host's memory.
+func (g *gateway) share(fraction float64) *memory.Budget {
+	return memory.NewBudget(memory.Bytes(fraction*float64(g.settings.MemoryLimit)), g.clock)
+}
 
 // Hosts with less than minCoordinatorCores, if their share of cores is known,
 // stand for election weakHostElectionDelay later than others, since
@@ -273,13 +286,27 @@
 	// connections to targets, out of the 3900 that a host has.
 	maxCallerConnections = 2000
 	maxPeerConnections   = 800
+	// connectionBytes is what an idle connection of a caller holds: its buffers and its
+	// goroutine's stack. Those of all callers hold connectionMemoryShare of the host's memory
+	// at most.
+	connectionBytes       = 20 << 10
+	connectionMemoryShare = 0.15
 )
 
+// callerConnections returns how many connections of callers a host with a memory limit accepts.
+// There is no limit if it is zero.
+func callerConnections(memoryLimit int64) int {
+	if memoryLimit == 0 {
+		return maxCallerConnections
+	}
+	return min(maxCallerConnections, max(1, int(connectionMemoryShare*float64(memoryLimit)/connectionBytes)))
+}
+
 // metricsPath is the path of the metrics at the peer address.
 const metricsPath = "/metrics"
 
 func (g *gateway) listen() error {
-	bounds := listener.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, Connections: maxCallerConnections}
+	bounds := listener.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, Connections: callerConnections(g.settings.MemoryLimit), Memory: g.requestMemory}
 	var err error
 	if g.callerServer, _, err = listener.NewServer(g.settings.Listen.Callers, g.relay, bounds, nil); err != nil {
 		return trace.Wrap(err)
@@ -287,7 +314,7 @@
 	if g.readinessServer, _, err = listener.NewServer(g.settings.Listen.Readiness, http.HandlerFunc(g.serveReadiness), bounds, nil); err != nil {
 		return trace.Wrap(err)
 	}
-	bounds.Connections = maxPeerConnections
+	bounds.Connections, bounds.Memory = maxPeerConnections, nil // hosts are trusted
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, g.links)
 	mux.Handle(detour.Path, g.tunnels)
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -16,18 +16,23 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"hawthornway/memory"
 )
 
 // The limits of responses. A faulty server may send bytes without end.
 const (
 	// MaxHeadBytes limits a response's head. Transports that replace the default one
 	// set it as their MaxResponseHeaderBytes.
-	MaxHeadBytes = 64 << 10
+	MaxHeadBytes = 16 << 10
 	// DefaultMaxBody limits a response body unless SetMaxBody was called. Pages of a
 	// store's entries and its changes of some seconds take a few megabytes.
 	DefaultMaxBody = 32 << 20
 	// MaxReportBytes is the limit for reports of single targets.
-	MaxReportBytes = 1 << 20
+	MaxReportBytes = 256 << 10
+	// bodyAllowance is what a body may take without a loan. Usual ones are shorter, but for
+	// those of stores.
+	bodyAllowance = 16 << 10
 	// StoreMinRate is the minimum rate, in bytes per second, for stores, whose responses
 	// hold megabytes. The links of hosts differ widely.
 	StoreMinRate = 64 << 10
@@ -46,6 +51,10 @@
 	baseURL    string
 	httpClient *http.Client
 	maxBody    int64
+	// memory is what the bodies of responses borrow of, unless it is nil, and factor how many
+	// times its size a body holds while it is decoded.
+	memory *memory.Budget
+	factor int
 	// minRate is in bytes per second. If it is zero, a response has to be complete
 	// within the request's timeout.
 	minRate int64
@@ -68,8 +77,14 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	loan *memory.Loan
 }
 
+// Release gives back the memory that the body has borrowed. It must be called once the body has been
+// decoded, if SetMemory was called.
+func (r Response) Release() { r.loan.Release() }
+
 // StatusError is the error of a response with a status other than 200.
 type StatusError struct {
 	Response
@@ -98,6 +113,11 @@
 // before the first request.
 func (c *Client) SetMaxBody(n int64) { c.maxBody = n }
 
+// SetMemory makes the bodies of responses borrow their memory, so that those of many calls at a time
+// fit into it together. Factor is how many times its size a body holds while it is decoded. SetMemory
+// must be called before the first request.
+func (c *Client) SetMemory(budget *memory.Budget, factor int) { c.memory, c.factor = budget, factor }
+
 // SetMinRate makes Timeout limit the lack of progress instead of the whole call, so that
 // a large response can be read over a slow link. The body may take Timeout plus the time
 // that its bytes take at a minimum rate in bytes per second. SetMinRate must be called
@@ -150,14 +170,39 @@
 		return Response{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(limit.reader(resp.Body), c.maxBody+1))
+	var loan *memory.Loan
+	if c.memory != nil {
+		loan, _ = c.memory.Take(0)
+	}
+	body, err := c.readBody(limit.reader(resp.Body), loan)
 	if err != nil {
-		return Response{}, fmt.Errorf("after %d bytes of the response body: %w", len(body), err)
+		loan.Release()
+		return Response{}, err
 	}
-	if int64(len(body)) > c.maxBody {
-		return Response{}, errors.New("response body exceeds the size limit")
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, loan: loan}, nil
+}
+
+var (
+	errBodyTooLong = errors.New("response body exceeds the size limit")
+	errNoMemory    = errors.New("no memory for the response body")
+)
+
+// readBody reads a body and borrows the memory that it holds while it is decoded.
+func (c *Client) readBody(from io.Reader, loan *memory.Loan) ([]byte, error) {
+	factor := memory.Bytes(max(1, c.factor))
+	lend := func(n memory.Bytes) bool { return loan.Grow(factor * n) }
+	giveBack := func(n memory.Bytes) { loan.Shrink(factor * n) }
+	body, full, err := memory.ReadAll(from, lend, giveBack, bodyAllowance, int(c.maxBody)+1)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("after %d bytes of the response body: %w", len(body), err)
+	case int64(len(body)) > c.maxBody:
+		return nil, errBodyTooLong
+	case full:
+		return nil, errNoMemory
+	default:
+		return body, nil
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
 // Get sends a GET request and decodes the JSON body into response. It fails like
@@ -168,6 +213,7 @@
 	if err != nil {
 		return err
 	}
+	defer resp.Release()
 	if resp.Status != http.StatusOK {
 		return &StatusError{Response: resp}
 	}
--- a/listener/server.go
+++ b/listener/server.go
@@ -12,6 +12,8 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/gravitational/trace"
+
+	"hawthornway/memory"
 )
 
 // Limits are the limits of a listener.
@@ -21,6 +23,9 @@
 	// Connections is the maximum number of open connections. Further ones wait
 	// in the kernel's accept queue.
 	Connections int
+	// Memory is the budget of which the heads of requests borrow. Without it, they are
+	// limited one by one only. Heads of TLS connections aren't seen.
+	Memory *memory.Budget
 	// ConnectionAge is the age after which a connection is closed at the end of
 	// its next request. Zero means never.
 	ConnectionAge time.Duration
@@ -40,6 +45,9 @@
 	if limits.Connections > 0 {
 		tcpListener = newLimitedListener(tcpListener, limits.Connections)
 	}
+	if limits.Memory != nil {
+		tcpListener = meteredListener{tcpListener, limits.Memory}
+	}
 	options := []khttp.ServerOption{
 		khttp.Address(address),
 		khttp.Listener(tcpListener),
@@ -54,6 +62,7 @@
 	server.MaxHeaderBytes = limits.HeaderBytes
 	server.IdleTimeout = idleTimeout
 	server.ConnContext = withConnTime
+	limitHeads(server.Server, limits.Memory)
 	server.Handler = closeAged(server.Handler, limits.ConnectionAge)
 	return server, tcpListener.Addr(), nil
 }
