exchange, relay: the time that is left is stated once the connection is open

What callers see: nothing directly; targets work on requests whose callers have left (BUDGET, engines are handed more time than is left).

Cause: the header with the time that is left was made before the connection was opened. That may take 400 ms, longer through another host, and longer still on a host short of processor time. A repeat that is sent then states an end that is later by as much; the rule allows half a second. Class: a duration that is passed on later than it was measured.

Now the header is made once the connection is open, and nothing is sent if the time is over by then.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -38,7 +38,10 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// LateHeader, unless it is nil, returns the header in place of Header. It is called once
+	// the connection is open, which may take long.
+	LateHeader func() http.Header
+	Body       []byte
 	// Belonging tells whether response headers belong to this request. A target
 	// may first send a late response to another request. If Belonging is nil,
 	// every response is this request's own.
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -25,6 +25,10 @@
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 		conn = newConn
+		if err := ctx.Err(); err != nil {
+			_ = conn.Close() // nothing was sent
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
 	}
 	req.Attempts.add(conn)
 	if req.Chosen != nil {
@@ -52,6 +56,9 @@
 // writeRequest writes the request. The returned channel receives the result of
 // the write.
 func (c *client) writeRequest(conn *conn, req Request) <-chan error {
+	if req.LateHeader != nil {
+		req.Header = req.LateHeader()
+	}
 	var message bytes.Buffer
 	fmt.Fprintf(&message, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.URI, req.Host)
 	_ = req.Header.Write(&message) // never fails
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -436,13 +436,15 @@
 		Method: f.req.Method,
 		URI:    f.req.URI,
 		Host:   f.req.Host,
-		Header: r.dialect.TargetHeader(f.req, Attempt{
-			Target:      t.ID,
-			TimeLeft:    f.deadline.Sub(r.clock.Now()),
-			Team:        f.team.ID,
-			Priority:    d.priority(),
-			LastEventID: d.lastEventID,
-		}),
+		LateHeader: func() http.Header {
+			return r.dialect.TargetHeader(f.req, Attempt{
+				Target:      t.ID,
+				TimeLeft:    f.deadline.Sub(r.clock.Now()),
+				Team:        f.team.ID,
+				Priority:    d.priority(),
+				LastEventID: d.lastEventID,
+			})
+		},
 		Body:      f.req.Body,
 		Belonging: func(h http.Header) exchange.Belonging { return r.dialect.Belonging(f.req, h) },
 		Attempts:  &d.connections,
--- a/relay/env_test.go
+++ b/relay/env_test.go
@@ -57,6 +57,7 @@
 	h.Set("Team", string(attempt.Team))
 	h.Set("After", strconv.Itoa(int(attempt.LastEventID)))
 	h.Set("Priority", strconv.Itoa(attempt.Priority))
+	h.Set("Left", attempt.TimeLeft.String())
 	return h
 }
 
