openai, service, caller, jsonhttp: calls and their answers fit the memory, on the product's edge

What callers see: the same as with the platform's targets: one faulty engine or service ends the calls of all callers of a host.

Cause: this edge had limits for each body, event and head, and none for their sum. The text of a generation that isn't streamed had no limit at all: an engine may send valid tokens without end.

Now limits.memory-bytes (512 MiB unless it is set) is what calls in progress hold together: heads, bodies and what they are parsed to, the head of an answer before it arrives, events, text and stored answers; answers get half of it. What has no room is refused with 429 and the time after which to try again, or fails as the engine's. An engine that sends more tokens than were asked for is at fault.

--- a/call/call.go
+++ b/call/call.go
@@ -9,6 +9,7 @@
 
 	"hawthornway/config"
 	"hawthornway/fleet"
+	"hawthornway/memory"
 	"hawthornway/model"
 	"hawthornway/outcome"
 	"hawthornway/target"
@@ -31,6 +32,8 @@
 	// response. It is zero until a filter sets it.
 	Deadline time.Time
 	Body     []byte
+	// Loan is the memory that the call holds. Nil lends any amount.
+	Loan *memory.Loan
 	// Team is empty on open routes.
 	Team team.ID
 	// PresentedKey is the caller's key. It must never be logged or passed on.
--- a/call/chain.go
+++ b/call/chain.go
@@ -15,6 +15,7 @@
 // own filters between them.
 const (
 	PriorityHost        Priority = 50
+	PriorityMemory      Priority = 75
 	PriorityPath        Priority = 100
 	PriorityKey         Priority = 200
 	PriorityConcurrency Priority = 250
--- a/components.go
+++ b/components.go
@@ -21,6 +21,7 @@
 	"hawthornway/key"
 	"hawthornway/limit"
 	"hawthornway/member"
+	"hawthornway/memory"
 	"hawthornway/metric"
 	"hawthornway/openai"
 	"hawthornway/outdated"
@@ -53,6 +54,7 @@
 	claims        claim.Claims
 	metrics       metric.Metrics
 	callerHandler *caller.Handler
+	callMemory    *memory.Budget
 	burnCollector *burn.Collector
 	burnRecorder  *burn.Recorder
 }
@@ -229,9 +231,11 @@
 	}
 	generator := openai.NewGenerator(engines, budget, o.clock, priority)
 	forwarder := service.NewForwarder(&servicePlacer{router: c.router, expectedSlotWait: c.expectedSlotWait}, budget, o.clock)
+	c.callMemory = memory.NewBudget(memory.Bytes(s.Limits.MemoryBytes), o.clock)
 	entries := []call.Entry{
 		{Priority: call.PriorityHost, Filter: caller.HostConcurrencyFilter(s.Limits.Streams, o.clock)},
 		{Priority: call.PriorityHost, Filter: caller.ConfigurationFilter(c.configs.State)},
+		{Priority: call.PriorityMemory, Filter: caller.MemoryFilter(c.callMemory)},
 		{Priority: call.PriorityPath, Filter: caller.PathFilter(directory)},
 		{Priority: call.PriorityKey, Filter: caller.KeyFilter(c.keys)},
 		{Priority: call.PriorityConcurrency, Filter: caller.ConcurrencyFilter(directory, o.clock)},
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -125,6 +125,14 @@
 	l.answers -= n
 }
 
+// Wait returns the time after which as much memory is expected to be free in the loan's budget.
+func (l *Loan) Wait(n Bytes) time.Duration {
+	if l == nil {
+		return minWait
+	}
+	return l.budget.Wait(n)
+}
+
 // Release gives the memory back. Further calls have no effect.
 func (l *Loan) Release() {
 	if l == nil {
--- a/openai/attempt.go
+++ b/openai/attempt.go
@@ -15,6 +15,7 @@
 
 	"hawthornway/call"
 	"hawthornway/exchange"
+	"hawthornway/jsonhttp"
 	"hawthornway/outcome"
 	"hawthornway/retry"
 )
@@ -27,7 +28,7 @@
 	// stallTimeout limits the time between two events after the first.
 	stallTimeout = 5 * time.Second
 	// maxRefusalBytes is the maximum number of bytes read of a refusal's body.
-	maxRefusalBytes = 64 << 10
+	maxRefusalBytes = 8 << 10
 )
 
 // attempt is one request to one engine for a generation.
@@ -66,7 +67,12 @@
 	if err != nil {
 		return attemptResult{retry.NotSent{Err: err}, outcome.ReasonTargetFailed, err.Error()}
 	}
+	giveBack, ok := jsonhttp.ReserveHead(a.call.Loan)
+	if !ok {
+		return refusedResult(retry.RefusalQueueFull, "the host has no memory for the answer")
+	}
 	response, err := client.Do(request)
+	giveBack()
 	if err != nil {
 		return a.sendErrorResult(ctx, err)
 	}
@@ -78,7 +84,7 @@
 		return a.interruptedResult(outcome.ReasonWrongResponse, err.Error())
 	}
 	timer.Reset(a.clock.Until(a.firstEventDeadline()))
-	return a.readEvents(ctx, newEventReader(response.Body), timer)
+	return a.readEvents(ctx, newEventReader(response.Body, a.call.Loan), timer)
 }
 
 // firstEventDeadline returns the time by which the first event must arrive.
@@ -223,6 +229,12 @@
 		if err := a.checkToken(next.ID); err != nil {
 			return resultPtr(a.interruptedResult(outcome.ReasonWrongResponse, err.Error()))
 		}
+		if limit := a.gen.MaxTokens; limit > 0 && a.response.nextToken >= int(limit) {
+			return resultPtr(a.interruptedResult(outcome.ReasonWrongResponse, fmt.Sprintf("the engine sent more than %d tokens", limit)))
+		}
+		if !a.response.reserveText(c.text()) {
+			return resultPtr(a.interruptedResult(outcome.ReasonTargetFailed, errNoMemory.Error()))
+		}
 		a.response.recordToken(now)
 	}
 	if err := a.response.addChunk(&c); err != nil {
--- a/openai/event.go
+++ b/openai/event.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"hawthornway/call"
+	"hawthornway/memory"
 )
 
 // maxEventBytes is the maximum size of one event of an engine's stream.
@@ -51,19 +52,52 @@
 	Data []byte
 }
 
+const (
+	// eventFactor is how many times its size an event holds while it is read and parsed.
+	eventFactor = 6
+	// eventAllowance is the size of an event that needs no loan. Usual ones are shorter.
+	eventAllowance = 4 << 10
+)
+
+// errNoMemory means that the host has no memory for what an engine sends.
+var errNoMemory = errors.New("the engine's answer is longer than the host has memory for")
+
 // eventReader reads server-sent events.
 type eventReader struct {
 	reader *bufio.Reader
+	loan   *memory.Loan
+	// lent is what was lent for the present event.
+	lent memory.Bytes
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 16<<10)}
+func newEventReader(r io.Reader, loan *memory.Loan) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 16<<10), loan: loan}
+}
+
+// hold borrows the memory for an event of which some bytes have been read.
+func (r *eventReader) hold(eventBytes int) error {
+	missing := memory.Bytes(eventFactor*(eventBytes-eventAllowance)) - r.lent
+	if missing <= 0 {
+		return nil
+	}
+	if !r.loan.GrowAnswer(missing) {
+		return errNoMemory
+	}
+	r.lent += missing
+	return nil
+}
+
+// release gives back the memory of the event before.
+func (r *eventReader) release() {
+	r.loan.ShrinkAnswers(r.loan.Answers() - r.lent)
+	r.lent = 0
 }
 
 // Next returns the next event with data. It fails with io.ErrUnexpectedEOF when
 // the stream ends inside an event, and with io.EOF when it ends between events.
 func (r *eventReader) Next() (event, error) {
 	var next event
+	r.release()
 	for {
 		line, err := r.readLine(len(next.Data))
 		if errors.Is(err, io.EOF) && len(next.Data) > 0 {
@@ -106,6 +140,9 @@
 		if eventBytes+len(line) > maxEventBytes {
 			return nil, fmt.Errorf("event is larger than %d bytes", maxEventBytes)
 		}
+		if err := r.hold(eventBytes + len(line)); err != nil {
+			return nil, err
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/openai/fuzz_test.go
+++ b/openai/fuzz_test.go
@@ -49,7 +49,7 @@
 	f.Add("data")
 	f.Add("id: r/x/0\ndata: {")
 	f.Fuzz(func(t *testing.T, stream string) {
-		events := newEventReader(strings.NewReader(stream))
+		events := newEventReader(strings.NewReader(stream), nil)
 		for {
 			next, err := events.Next()
 			if err != nil {
--- a/openai/generator_test.go
+++ b/openai/generator_test.go
@@ -191,7 +191,7 @@
 		}
 		return got.Choices[0].Message.Content, true
 	}
-	events := newEventReader(strings.NewReader(body))
+	events := newEventReader(strings.NewReader(body), nil)
 	for {
 		next, err := events.Next()
 		if err != nil {
--- a/openai/response.go
+++ b/openai/response.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hawthornway/call"
+	"hawthornway/memory"
 )
 
 // responseWriter passes an engine's chunks on to the caller, either as events or
@@ -28,6 +29,16 @@
 	return &responseWriter{call: c, gen: gen, created: now.Unix()}
 }
 
+// textFactor is how many times its size the text of a response holds that is sent as one body: while
+// it grows, and as it is sent.
+const textFactor = 4
+
+// reserveText borrows the memory for a part of the text, if it is kept, and reports whether there is
+// room.
+func (rw *responseWriter) reserveText(part string) bool {
+	return rw.gen.Stream || rw.call.Loan.GrowAnswer(memory.Bytes(textFactor*len(part)))
+}
+
 // addChunk processes one verified chunk. It fails if writing to the caller
 // fails.
 func (rw *responseWriter) addChunk(c *chunk) error {
--- a/servers.go
+++ b/servers.go
@@ -77,6 +77,7 @@
 		HeaderTimeout: limits.HeaderTimeout,
 		Connections:   limits.Connections,
 		ConnectionAge: limits.ConnectionAge,
+		Memory:        h.components.callMemory,
 	}
 }
 
--- a/service/forward.go
+++ b/service/forward.go
@@ -19,6 +19,7 @@
 	"hawthornway/exchange"
 	"hawthornway/fleet"
 	"hawthornway/jsonhttp"
+	"hawthornway/memory"
 	"hawthornway/outcome"
 	"hawthornway/retry"
 	"hawthornway/target"
@@ -29,7 +30,7 @@
 	// MaxStoredResponseBytes is the maximum size of a response body that is stored
 	// completely with a claim.
 	MaxStoredResponseBytes = 64 << 10
-	copyBufferBytes        = 32 << 10
+	copyBufferBytes        = 8 << 10
 )
 
 // Placement is the service to which an attempt is sent.
@@ -173,7 +174,15 @@
 	if subject.Route.Idempotent {
 		client = f.pooled
 	}
+	giveBack, ok := jsonhttp.ReserveHead(c.Loan)
+	if !ok {
+		return sendResult{
+			retry.RefusedNotRun{Refusal: retry.RefusalQueueFull},
+			outcome.NotRun{Reason: outcome.ReasonQueueFull, Detail: "the host has no memory for the answer"},
+		}
+	}
 	response, err := client.Do(request)
+	giveBack()
 	if err != nil {
 		return sendErrorResult(ctx, placement, err)
 	}
@@ -248,11 +257,12 @@
 // A longer one is streamed, and the caller's connection is closed if it ends
 // early.
 func passResponse(c *call.Call, response *http.Response, placement Placement) sendResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxStoredResponseBytes+1))
+	giveBack := func(n memory.Bytes) { c.Loan.ShrinkAnswers(c.Loan.Answers() - n) }
+	body, long, err := memory.ReadAll(response.Body, c.Loan.GrowAnswer, giveBack, copyBufferBytes, MaxStoredResponseBytes+1)
 	if err != nil {
 		return sendResult{retry.Interrupted{Err: err}, truncatedOutcome(placement)}
 	}
-	complete := len(body) <= MaxStoredResponseBytes
+	complete := !long
 	c.Response = call.Response{Status: response.StatusCode, Complete: complete, Body: body, Header: http.Header{}}
 	copyHeader(c.Response.Header, response.Header)
 	if err := writeResponse(c); err != nil {
--- a/settings/checker.go
+++ b/settings/checker.go
@@ -15,6 +15,8 @@
 	minSecretBytes   = 16
 	maxHeaderBytes   = 1 << 20
 	maxBodyBytes     = 64 << 20
+	minMemoryBytes   = 16 << 20
+	maxMemoryBytes   = 1 << 40
 	maxCount         = 1 << 20
 	maxConnectionAge = 24 * time.Hour
 	maxDrainTime     = time.Hour
@@ -127,6 +129,7 @@
 	c.number("limits.body-bytes", l.BodyBytes, 1, maxBodyBytes)
 	c.number("limits.connections", int64(l.Connections), 1, maxCount)
 	c.number("limits.streams", int64(l.Streams), 1, maxCount)
+	c.number("limits.memory-bytes", l.MemoryBytes, minMemoryBytes, maxMemoryBytes)
 	c.duration("limits.connection-age", l.ConnectionAge, time.Second, maxConnectionAge)
 	c.duration("limits.header-timeout", l.HeaderTimeout, 100*time.Millisecond, time.Minute)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -73,6 +73,9 @@
 	BodyBytes   int64 `yaml:"body-bytes" json:"body-bytes"`
 	Connections int   `yaml:"connections" json:"connections"`
 	Streams     int   `yaml:"streams" json:"streams"`
+	// MemoryBytes is what calls in progress may hold together: their heads and bodies, and
+	// what targets answer.
+	MemoryBytes int64 `yaml:"memory-bytes" json:"memory-bytes"`
 	// ConnectionAge is the age after which a connection is closed once its
 	// current request is done.
 	ConnectionAge time.Duration `yaml:"connection-age" json:"connection-age"`
@@ -112,6 +115,7 @@
 			BodyBytes:     4 << 20,
 			Connections:   4096,
 			Streams:       1024,
+			MemoryBytes:   512 << 20,
 			ConnectionAge: 10 * time.Minute,
 			HeaderTimeout: 5 * time.Second,
 		},
