exchange, listener: a head that found no memory isn't read on; soak: floods, memory and ends of hosts

What callers see: a 200 with parts of a faulty target's head as its body (MIXED).

Cause: the parser of net/textproto looks ahead and drops the error that it gets by that. The next read went on behind the bytes that had found no memory, once there was some, and the blank line of two halves of fields ended the head. Class: an error that isn't final, of a reader whose bytes are lost.

Now the error stays.

The soak plays engines that send heads and bodies without end, 1,500 callers at hosts of 184 MB (shape crowd), and checks the resident memory of hosts and that none ends by itself.

Withdrawn: a number of callers' connections that follows the memory (1,347 at 184 MB). Callers keep connections to all hosts, and new ones waited behind idle ones: not every host served within 12 s.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -19,7 +19,7 @@
 	Binary  string        `long:"binary" required:"true" value-name:"FILE" description:"binary that the hosts run"`
 	Seed    uint64        `long:"seed" description:"first seed; derived from the current time if zero"`
 	Runs    int           `long:"runs" default:"1" description:"number of seeds, one after another"`
-	Shape   string        `long:"shape" default:"small" description:"deployment that is played: small, desk, shop or slow"`
+	Shape   string        `long:"shape" default:"small" description:"deployment that is played: small, desk, shop, slow or crowd"`
 	Hosts   int           `long:"hosts" description:"number of host processes; that of the shape if zero"`
 	Length  time.Duration `long:"length" default:"20s" description:"duration of the fault injection"`
 	Faults  []string      `long:"fault" value-name:"NAME" description:"fault that is injected, may be given several times; all if there is none"`
--- a/exchange/head.go
+++ b/exchange/head.go
@@ -32,22 +32,29 @@
 	loan   *memory.Loan
 	// lent is what was lent for the head.
 	lent memory.Bytes
+	// err is why nothing more is read, or nil. The parser may try again after an error, when
+	// bytes of the head are missing.
+	err error
 }
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.inHead {
+	if !l.inHead && l.err == nil {
 		return l.conn.Read(p)
 	}
 	if l.left == 0 {
-		return 0, errHeadTooLong
+		l.err = errHeadTooLong
+	}
+	if l.err != nil {
+		return 0, l.err
 	}
 	n, err := l.conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
 	l.meter.Add(p[:n])
 	if missing := l.meter.Size() - headAllowance - l.lent; missing > 0 {
 		if !l.loan.GrowAnswer(missing) {
-			return 0, ErrNoMemory
+			l.err = ErrNoMemory
+			return 0, l.err
 		}
 		l.lent += missing
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -286,27 +286,13 @@
 	// connections to targets, out of the 3900 that a host has.
 	maxCallerConnections = 2000
 	maxPeerConnections   = 800
-	// connectionBytes is what an idle connection of a caller holds: its buffers and its
-	// goroutine's stack. Those of all callers hold connectionMemoryShare of the host's memory
-	// at most.
-	connectionBytes       = 20 << 10
-	connectionMemoryShare = 0.15
 )
 
-// callerConnections returns how many connections of callers a host with a memory limit accepts.
-// There is no limit if it is zero.
-func callerConnections(memoryLimit int64) int {
-	if memoryLimit == 0 {
-		return maxCallerConnections
-	}
-	return min(maxCallerConnections, max(1, int(connectionMemoryShare*float64(memoryLimit)/connectionBytes)))
-}
-
 // metricsPath is the path of the metrics at the peer address.
 const metricsPath = "/metrics"
 
 func (g *gateway) listen() error {
-	bounds := listener.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, Connections: callerConnections(g.settings.MemoryLimit), Memory: g.requestMemory}
+	bounds := listener.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, Connections: maxCallerConnections, Memory: g.requestMemory}
 	var err error
 	if g.callerServer, _, err = listener.NewServer(g.settings.Listen.Callers, g.relay, bounds, nil); err != nil {
 		return trace.Wrap(err)
--- a/listener/head.go
+++ b/listener/head.go
@@ -49,18 +49,31 @@
 	loan   *memory.Loan
 	// lent is what was lent for the head.
 	lent memory.Bytes
+	// refused is set once there was no memory for a head. The parser may try again after an
+	// error, when bytes of the head are missing.
+	refused bool
 }
 
 // Read implements net.Conn.
 func (c *meteredConn) Read(p []byte) (int, error) {
+	noMemory := &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errNoMemory}
+	if c.isRefused() {
+		return 0, noMemory
+	}
 	n, err := c.Conn.Read(p)
 	if !c.borrow(p[:n]) {
 		c.refuse()
-		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errNoMemory}
+		return 0, noMemory
 	}
 	return n, err
 }
 
+func (c *meteredConn) isRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
 // borrow borrows the memory for bytes that were read, and reports whether there is room.
 func (c *meteredConn) borrow(p []byte) bool {
 	c.mu.Lock()
@@ -74,6 +87,7 @@
 		return true
 	}
 	if !c.loan.Grow(missing) {
+		c.refused = true
 		return false
 	}
 	c.lent += missing
--- a/listener/head_test.go
+++ b/listener/head_test.go
@@ -156,3 +156,29 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
+
+// Guards against a head that is read on after a part of it found no memory: the rest of it could pass
+// for another request (UNASKED).
+func TestRefusedHeadIsNotReadOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := memory.NewBudget(100<<10, clockwork.NewRealClock())
+		other, ok := budget.Take(90 << 10)
+		must.True(t, ok)
+		near, far := net.Pipe()
+		go func() { _, _ = near.Write([]byte(longHead("/", 60<<10))) }() // its end isn't read
+		go func() { _, _ = http.ReadResponse(bufio.NewReader(near), nil) }()
+		conn := &meteredConn{Conn: far, budget: budget}
+		conn.beginHead()
+		buffer := make([]byte, 4<<10)
+		var err error
+		for err == nil {
+			_, err = conn.Read(buffer)
+		}
+		must.ErrorIs(t, err, errNoMemory)
+		other.Release()
+		_, err = conn.Read(buffer)
+		must.ErrorIs(t, err, errNoMemory)
+		must.NoError(t, conn.Close())
+		must.NoError(t, near.Close())
+	})
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -41,7 +41,7 @@
 		figures.Repeats = max(figures.Repeats, used)
 	}
 	e := s.evidence(arrivals)
-	var over, unanswered []string
+	var over, unanswered, tooLong []string
 	for _, result := range s.callers.calls {
 		at := fmt.Sprintf("%.3f s  %s %s at %s", result.sentAt.Sub(s.startedAt).Seconds(), result.kind.name, result.id, result.host)
 		if e.overAttempts(result) {
@@ -49,6 +49,9 @@
 		}
 		late, overtimed := e.timeLeft(result)
 		figures.LateRepeats, figures.Overtimed = figures.LateRepeats+late, figures.Overtimed+overtimed
+		if overtimed > 0 {
+			tooLong = append(tooLong, at+e.describeArrivals(result))
+		}
 		if e.unanswered(result) {
 			unanswered = append(unanswered, fmt.Sprintf("%s after %v: %v", at, result.endedAt.Sub(result.sentAt).Round(time.Millisecond), result.err))
 		}
@@ -68,6 +71,17 @@
 			report("%s %s", at, v)
 		}
 	}
+	for _, h := range s.hosts {
+		h.mu.Lock()
+		figures.PeakMemory = max(figures.PeakMemory, h.peakMemory)
+		if h.ends > 0 {
+			report("%s ended %d times by itself", h.Name, h.ends)
+		}
+		if allowed := int64(cmp.Or(h.MemoryMB, platformtest.DefaultMemoryMB)); h.peakMemory > allowed*1e6 {
+			report("%s held %d MB; allowed %d MB", h.Name, h.peakMemory/1e6, allowed)
+		}
+		h.mu.Unlock()
+	}
 	figures.OverAttempts, figures.Unanswered = len(over), len(unanswered)
 	if len(over) > maxOverAttempts {
 		report("%d calls ran on more targets than their routes allow:\n  %s", len(over), strings.Join(over, "\n  "))
@@ -76,7 +90,7 @@
 		report("%d calls on kept connections reached a sound target and got no answer:\n  %s", len(unanswered), strings.Join(unanswered, "\n  "))
 	}
 	if overtimed := figures.Overtimed; overtimed > maxOvertimed && float64(overtimed) > overtimedShare*float64(max(figures.LateRepeats, overtimed)) {
-		report("%d requests told targets more time than was left; %d were sent once more late", overtimed, figures.LateRepeats)
+		report("%d requests told targets more time than was left; %d were sent once more late:\n  %s", overtimed, figures.LateRepeats, strings.Join(tooLong, "\n  "))
 	}
 	return violations, figures
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -278,6 +278,8 @@
 	{"engine fails runs", func(s *soak) func() { return s.misbehave(platformtest.FailsRuns, 0.4) }, engineFaultDuration},
 	{"engine answers busy after runs", func(s *soak) func() { return s.misbehave(platformtest.AnswersBusy, 0.3) }, engineFaultDuration},
 	{"engine cuts heads", func(s *soak) func() { return s.misbehave(platformtest.CutsHeads, 0.3) }, engineFaultDuration},
+	{"engine floods heads", func(s *soak) func() { return s.misbehave(platformtest.FloodsHeads, 0.8) }, engineFaultDuration},
+	{"engine floods bodies", func(s *soak) func() { return s.misbehave(platformtest.FloodsBodies, 0.8) }, engineFaultDuration},
 	{"engine breaks off and fails resumptions", func(s *soak) func() { return s.breakStreams(platformtest.FailsResumptions) }, engineFaultDuration},
 	{"engine breaks off and empties resumptions", func(s *soak) func() { return s.breakStreams(platformtest.EmptiesResumptions) }, engineFaultDuration},
 	{"callers repeat at once", func(s *soak) func() {
--- a/soak/host.go
+++ b/soak/host.go
@@ -7,6 +7,8 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -35,6 +37,12 @@
 	starts  int
 	// stops are the times at which the process got the signal to stop.
 	stops []time.Time
+	// stopping is set from the signal to stop until the process is started again, and ends
+	// counts how often it ended without a signal.
+	stopping bool
+	ends     int
+	// peakMemory is the largest resident memory of the host's processes, in bytes.
+	peakMemory int64
 }
 
 // start starts the process unless it is running. bootstrap is the value of its
@@ -60,15 +68,20 @@
 	}
 	h.process, h.exited = command, make(chan struct{})
 	h.starts++
+	h.stopping = false
 	h.disruptions.strike()
 	if h.endStop != nil {
 		h.endStop()
 	}
+	go h.watchMemory(command.Process.Pid, h.exited)
 	go func(exited chan struct{}) {
 		_ = command.Wait() // the cause of the exit is in the process's log
 		_ = log.Close()    // the process has exited, so nothing is written any more
 		h.mu.Lock()
 		h.process = nil
+		if !h.stopping {
+			h.ends++
+		}
 		h.mu.Unlock()
 		close(exited)
 	}(h.exited)
@@ -104,6 +117,7 @@
 	}
 	h.mu.Lock()
 	h.stops = append(h.stops, time.Now())
+	h.stopping = true
 	h.endStop = h.disruptions.begin()
 	h.mu.Unlock()
 	h.signal(s)
@@ -116,6 +130,37 @@
 	<-exited
 }
 
+// memoryInterval is the interval at which the memory of hosts is read.
+const memoryInterval = 200 * time.Millisecond
+
+// watchMemory records the largest resident memory of a process until it has exited.
+func (h *host) watchMemory(pid int, exited chan struct{}) {
+	for {
+		select {
+		case <-exited:
+			return
+		case <-time.After(memoryInterval):
+		}
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		if err != nil {
+			return // it has exited
+		}
+		for line := range strings.Lines(string(status)) {
+			text, ok := strings.CutPrefix(line, "VmHWM:")
+			if !ok {
+				continue
+			}
+			kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(text), " kB"), 10, 64)
+			if err != nil {
+				return // the system doesn't tell
+			}
+			h.mu.Lock()
+			h.peakMemory = max(h.peakMemory, kilobytes<<10)
+			h.mu.Unlock()
+		}
+	}
+}
+
 // freeze stops the process until the returned function is called.
 func (h *host) freeze() (thaw func()) {
 	end := h.disruptions.begin()
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"hawthornway/platform/platformtest"
@@ -21,12 +22,14 @@
 	Unanswered int
 	// Resets are the calls that ended without an answer in all.
 	Resets int
+	// PeakMemory is the largest resident memory of a host, in bytes.
+	PeakMemory int64
 }
 
 // String formats the figures as text.
 func (f Figures) String() string {
-	return fmt.Sprintf("repeats at most %.2f of what is allowed, %d calls over their attempts, %d told too much time (%d late repeats), %d unanswered on kept connections (%d resets)",
-		f.Repeats, f.OverAttempts, f.Overtimed, f.LateRepeats, f.Unanswered, f.Resets)
+	return fmt.Sprintf("repeats at most %.2f of what is allowed, %d calls over their attempts, %d told too much time (%d late repeats), %d unanswered on kept connections (%d resets), %d MB at most",
+		f.Repeats, f.OverAttempts, f.Overtimed, f.LateRepeats, f.Unanswered, f.Resets, f.PeakMemory/1e6)
 }
 
 // The platform's limits.
@@ -98,6 +101,15 @@
 	return late, overtimed
 }
 
+// describeArrivals tells when a call arrived at targets, after it was sent, and what they were told.
+func (e evidence) describeArrivals(c call) string {
+	var text strings.Builder
+	for _, a := range e.arrivals[c.id] {
+		fmt.Fprintf(&text, "; %s after %v, told %v, ran %t", a.Engine, a.At.Sub(c.sentAt).Round(time.Millisecond), a.TimeLeft, a.Ran)
+	}
+	return text.String()
+}
+
 // unanswered reports whether a call on a kept connection reached a sound target and ended without
 // an answer at a host in touch. Disruptions of the store don't excuse calls without a key.
 func (e evidence) unanswered(c call) bool {
--- a/soak/shape.go
+++ b/soak/shape.go
@@ -16,6 +16,8 @@
 	Grace int
 	// RetrySlack is the fleet's number of repeats beside a share of the requests.
 	RetrySlack int
+	// MemoryMB is the hosts' memory in megabytes. It is platformtest's default if it is zero.
+	MemoryMB int
 	// Callers is the number of callers, and CallInterval the pause between the requests of each.
 	Callers      int
 	CallInterval time.Duration
@@ -75,6 +77,12 @@
 		PlainTargets: 3, Slots: 6, Work: 60 * time.Millisecond,
 		kinds: []kind{chat, onceCheck, chat, deskBook, deskRead, chat, deskBook, deskOpen},
 	},
+	{
+		// Many requests are in progress at a time.
+		Name: "crowd", Hosts: 3, Callers: 1500, CallInterval: 20 * time.Millisecond, RetrySlack: 56, MemoryMB: 184,
+		PlainTargets: 3, Slots: 2000, Work: 60 * time.Millisecond,
+		kinds: []kind{deskBook, chat, deskRead, deskBook, deskRead},
+	},
 	{
 		// Requests last nearly as long as the hosts' time to stop.
 		Name: "slow", Hosts: 4, Callers: 24, CallInterval: 40 * time.Millisecond,
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -219,7 +219,7 @@
 			Host:   platformtest.NewHost(fmt.Sprintf("host-%d", i), fmt.Sprintf("zone-%d", i%3)),
 			binary: s.Binary, folder: s.Folder, storeProxy: storeProxy, callerProxy: callerProxy,
 		}
-		h.Grace, h.RetrySlack = s.Shape.Grace, s.Shape.RetrySlack
+		h.Grace, h.RetrySlack, h.MemoryMB = s.Shape.Grace, s.Shape.RetrySlack, s.Shape.MemoryMB
 		callerProxy.upstream = h.Callers
 		s.hosts = append(s.hosts, h)
 		if err := h.start(true); err != nil {
