--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -292,7 +292,7 @@
 const metricsPath = "/metrics"
 
 func (g *gateway) listen() error {
-	bounds := listener.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, Connections: maxCallerConnections, Memory: g.requestMemory}
+	bounds := listener.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, Connections: maxCallerConnections, Memory: g.requestMemory, Log: g.log}
 	var err error
 	if g.callerServer, _, err = listener.NewServer(g.settings.Listen.Callers, g.relay, bounds, nil); err != nil {
 		return trace.Wrap(err)
--- a/listener/head.go
+++ b/listener/head.go
@@ -23,6 +23,7 @@
 type meteredListener struct {
 	net.Listener
 	budget *memory.Budget
+	log    *slog.Logger
 }
 
 // Accept implements net.Listener.
@@ -31,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &meteredConn{Conn: conn, budget: l.budget}
+	c := &meteredConn{Conn: conn, budget: l.budget, log: l.log}
 	c.beginHead()
 	return c, nil
 }
@@ -41,6 +42,7 @@
 type meteredConn struct {
 	net.Conn
 	budget *memory.Budget
+	log    *slog.Logger
 
 	mu sync.Mutex
 	// inHead is set while a head is read.
@@ -96,7 +98,7 @@
 
 // refuse tells the caller when to try again. The server closes the connection.
 func (c *meteredConn) refuse() {
-	slog.Info("listener: no memory for a request's head", "caller", c.RemoteAddr(), "size", c.meter.Size())
+	c.log.Info("listener: no memory for a request's head", "caller", c.RemoteAddr(), "size", c.meter.Size())
 	wait := c.budget.Wait(c.meter.Size()).Seconds()
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout)) // fails only if the connection is closed
 	// The caller may have left.
--- a/listener/head_test.go
+++ b/listener/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -36,7 +37,9 @@
 	server := &http.Server{Handler: handler, MaxHeaderBytes: 64 << 10}
 	limitHeads(server, budget)
 	done := make(chan error)
-	go func() { done <- server.Serve(meteredListener{pipeListener(conns), budget}) }()
+	go func() {
+		done <- server.Serve(meteredListener{pipeListener(conns), budget, slog.New(slog.DiscardHandler)})
+	}()
 	return conns, func() {
 		close(conns)
 		<-done
@@ -167,7 +170,7 @@
 		near, far := net.Pipe()
 		go func() { _, _ = near.Write([]byte(longHead("/", 60<<10))) }() // its end isn't read
 		go func() { _, _ = http.ReadResponse(bufio.NewReader(near), nil) }()
-		conn := &meteredConn{Conn: far, budget: budget}
+		conn := &meteredConn{Conn: far, budget: budget, log: slog.New(slog.DiscardHandler)}
 		conn.beginHead()
 		buffer := make([]byte, 4<<10)
 		var err error
--- a/listener/server.go
+++ b/listener/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -26,6 +27,8 @@
 	// Memory is the budget of which the heads of requests borrow. Without it, they are
 	// limited one by one only. Heads of TLS connections aren't seen.
 	Memory *memory.Budget
+	// Log gets a line for each head that finds no memory. It is needed with Memory.
+	Log *slog.Logger
 	// ConnectionAge is the age after which a connection is closed at the end of
 	// its next request. Zero means never.
 	ConnectionAge time.Duration
@@ -46,7 +49,7 @@
 		tcpListener = newLimitedListener(tcpListener, limits.Connections)
 	}
 	if limits.Memory != nil {
-		tcpListener = meteredListener{tcpListener, limits.Memory}
+		tcpListener = meteredListener{tcpListener, limits.Memory, limits.Log}
 	}
 	options := []khttp.ServerOption{
 		khttp.Address(address),
--- a/servers.go
+++ b/servers.go
@@ -78,6 +78,7 @@
 		Connections:   limits.Connections,
 		ConnectionAge: limits.ConnectionAge,
 		Memory:        h.components.callMemory,
+		Log:           h.options.log,
 	}
 }
 
--- a/soak/mutation_test.go
+++ b/soak/mutation_test.go
@@ -60,6 +60,11 @@
 		before: "if !b.unknownPast || index >= keptBuckets {", after: "if true {",
 		shape: "desk", faults: []string{"service is full", "kill half"}, broken: "repeats arrived",
 	},
+	{
+		name: "heads of answers borrow no memory", file: "exchange/head.go",
+		before: "missing > 0 {", after: "false && missing > 0 {",
+		shape: "crowd", faults: []string{"engine floods heads"}, broken: " held ",
+	},
 }
 
 // mutationSeeds is the number of seeds within which a mutation must be detected.
