--- a/soak/check.go
+++ b/soak/check.go
@@ -71,6 +71,15 @@
 			report("%s %s", at, v)
 		}
 	}
+	sound := func(from, to time.Time) bool {
+		disrupted := func(h *host) bool { return !h.disruptions.calm(from, to) }
+		return s.storeDisruptions.calm(from, to) && !slices.ContainsFunc(s.hosts, disrupted)
+	}
+	for id, left := range s.departures {
+		if n := afterDeparture(left, s.engineProxies[id].accepted(), sound); n > 0 {
+			report("engine %s got %d connections after its departure %.3f s", id, n, left.Sub(s.startedAt).Seconds())
+		}
+	}
 	for _, h := range s.hosts {
 		h.mu.Lock()
 		figures.PeakMemory = max(figures.PeakMemory, h.peakMemory)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -117,6 +117,9 @@
 func (s *soak) unregister(e *platformtest.Engine) func() {
 	return func() {
 		e.Unregister()
+		s.mu.Lock()
+		s.departures[e.ID] = time.Now()
+		s.mu.Unlock()
 		s.recordFault("engine %s is unregistered", e.ID)
 	}
 }
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -34,6 +34,10 @@
 
 // The platform's limits.
 const (
+	// departureDelay is how long hosts may use a target that has left, once they have been in touch
+	// with a sound store for contactTime: two seconds in which a lapsed registration may be renewed,
+	// and two to learn of the removal.
+	departureDelay  = 4 * time.Second
 	maxOverAttempts = 3
 	maxUnanswered   = 3
 	maxOvertimed    = 20
@@ -127,6 +131,19 @@
 	return false
 }
 
+// afterDeparture counts the connections to a target that left at an instant, which hosts opened
+// although all of them should have known that. Sound reports whether the store and all hosts were in
+// touch in a whole span.
+func afterDeparture(left time.Time, connections []time.Time, sound func(from, to time.Time) bool) int {
+	n := 0
+	for _, at := range connections {
+		if from := at.Add(-departureDelay); from.After(left) && sound(from, at) {
+			n++
+		}
+	}
+	return n
+}
+
 // lost reports whether a call that was read whole ended without a complete answer around planned
 // work, without any unplanned fault.
 func (e evidence) lost(c call) bool {
--- a/soak/limits_test.go
+++ b/soak/limits_test.go
@@ -159,3 +159,24 @@
 		})
 	}
 }
+
+// Targets that are used long after they left must be found.
+func TestAfterDeparture(t *testing.T) {
+	cases := []struct {
+		name  string
+		after time.Duration // of the connection, after the departure
+		sound bool
+		found int
+	}{
+		{"at once", time.Second, true, 0},
+		{"before hosts have to know", departureDelay, true, 0},
+		{"later", departureDelay + time.Second, true, 1},
+		{"in an outage", departureDelay + time.Second, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			sound := func(time.Time, time.Time) bool { return tc.sound }
+			must.Eq(t, tc.found, afterDeparture(runStart, []time.Time{runStart.Add(tc.after)}, sound))
+		})
+	}
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 	mu    sync.Mutex
 	mode  mode
 	conns map[net.Conn]bool
+	// accepts are the times at which connections were accepted.
+	accepts []time.Time
 }
 
 func newProxy(upstream string) (*proxy, error) {
@@ -66,6 +69,13 @@
 	}
 }
 
+// accepted returns the times at which connections were accepted.
+func (p *proxy) accepted() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.accepts)
+}
+
 func (p *proxy) currentMode() mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -94,6 +104,9 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		p.accepts = append(p.accepts, time.Now())
+		p.mu.Unlock()
 		go p.forward(client)
 	}
 }
