--- a/relay/time_left_test.go
+++ b/relay/time_left_test.go
@@ -28,7 +28,7 @@
 		t.Run(opening.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				sent := time.Now()
-				var stated, arrived time.Duration
+				seen := make(chan time.Duration, 2) // when the request arrived, and the time that it states
 				dial := func(context.Context, string) (net.Conn, error) {
 					time.Sleep(opening)
 					near, far := net.Pipe()
@@ -38,8 +38,9 @@
 						if err != nil {
 							return
 						}
-						arrived = time.Since(sent)
-						stated, _ = time.ParseDuration(request.Header.Get("Left"))
+						left, _ := time.ParseDuration(request.Header.Get("Left")) // the sum is wrong then
+						seen <- time.Since(sent)
+						seen <- left
 						_, _ = fmt.Fprint(far, "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n") // the test fails
 					}()
 					return near, nil
@@ -63,7 +64,7 @@
 				response := httptest.NewRecorder()
 				handler.ServeHTTP(response, request)
 				must.Eq(t, http.StatusOK, response.Code)
-				must.Eq(t, timeout, arrived+stated)
+				must.Eq(t, timeout, <-seen+<-seen)
 			})
 		})
 	}
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -71,6 +71,8 @@
 		w.period = max(minSilence, silenceGapFactor*stream.MaxGap)
 	}
 	w.enabled = true
+	w.mu.Lock() // the timer may fire before it is assigned
+	defer w.mu.Unlock()
 	w.timer = d.relay.clock.AfterFunc(w.period, w.probeTarget)
 	return w
 }
