relay: an answer without an end is no evidence of a crash

What callers see: requests refused because they have "crashed several targets", after a faulty engine answered them with events without an end.

Cause: an attempt that ends within a response counts as a crash under its request, unless its error is known to be another; the error of an event beyond its limit, and that of one that finds no memory, weren't. Class: an effect of this host's own decision taken for evidence.

TestFaultyAnswersTogetherFitTheMemory (an event without an end) fails before.

--- a/relay/answer_memory_test.go
+++ b/relay/answer_memory_test.go
@@ -52,7 +52,7 @@
 }
 
 // newFloodedRelay returns a relay with a route to the faulty target and one to a sound target.
-func newFloodedRelay(targets floodingTargets, delivery catalog.Delivery, budget *memory.Budget) http.Handler {
+func newFloodedRelay(targets floodingTargets, delivery catalog.Delivery, budget *memory.Budget, env *testEnv) http.Handler {
 	route := func(name string) catalog.Route {
 		r := catalog.Route{
 			Name: catalog.RouteName(name), Host: "a.example", Prefix: "/" + name + "/", Delivery: catalog.AtMostOnce{}, MaxTargets: 1, Timeout: time.Minute,
@@ -72,7 +72,8 @@
 			relay.WithPlacer(&placer{targets: []roster.Target{{ID: "t0", Address: address}}}),
 			relay.WithProber(prober{relay.Busy{}}),
 			relay.WithClient(exchange.New(exchange.WithDial(targets.dial))),
-			relay.WithObserver(&testEnv{}),
+			relay.WithObserver(env),
+			relay.WithQuarantine(env),
 			relay.WithMemory(budget),
 			relay.WithLogger(slog.New(slog.DiscardHandler)),
 		)
@@ -132,7 +133,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				budget := memory.NewBudget(limit, clockwork.NewRealClock())
-				handler := newFloodedRelay(floodingTargets{tc.answer}, tc.delivery, budget)
+				env := &testEnv{}
+				handler := newFloodedRelay(floodingTargets{tc.answer}, tc.delivery, budget, env)
 				call := func(route string, i int) int {
 					request := httptest.NewRequest(http.MethodGet, "/"+route+"/1", http.NoBody)
 					request.Host = "a.example"
@@ -159,6 +161,7 @@
 				}
 				wg.Wait()
 				must.Zero(t, budget.Used())
+				must.SliceEmpty(t, env.crashes, must.Sprint("requests are taken for what crashes the target"))
 			})
 		})
 	}
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -345,7 +346,7 @@
 // comes again.
 func (f *inflight) suspectsOf(r interrupted) []quarantine.Suspect {
 	switch {
-	case r.abandoned || r.silent || r.events > maxEventsAtBeginning || errors.Is(r.err, exchange.ErrDetourBroken) || errors.Is(r.err, errNothingResumed) || errors.Is(r.err, errStatusLine):
+	case r.abandoned || r.silent || r.events > maxEventsAtBeginning || !r.byCrash():
 		return nil
 	case r.began:
 		return f.suspects()
@@ -356,6 +357,13 @@
 	}
 }
 
+// byCrash reports whether the target may have crashed: the error isn't that of another host, nor one
+// that this host found in what the target sent.
+func (r interrupted) byCrash() bool {
+	others := []error{exchange.ErrDetourBroken, exchange.ErrNoMemory, errNothingResumed, errStatusLine, errEventTooLong}
+	return !slices.ContainsFunc(others, func(other error) bool { return errors.Is(r.err, other) })
+}
+
 // connectionEnded reports whether an error means that the other side closed or reset the
 // connection.
 func connectionEnded(err error) bool {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -32,6 +32,9 @@
 // stream has no more of them isn't shown, since the target before broke off.
 var errNothingResumed = errors.New("the target that took up the stream sent no event")
 
+// errEventTooLong means that a target sent an event without an end.
+var errEventTooLong = errors.New("event exceeds the size limit")
+
 // errStatusLine means that a target sent another response within a stream.
 var errStatusLine = errors.New("stream has the status line of another response")
 
@@ -56,7 +59,7 @@
 func (r *eventReader) add(part []byte) error {
 	size := len(r.text) + len(part)
 	if size > maxEventBytes {
-		return errors.New("event exceeds the size limit")
+		return errEventTooLong
 	}
 	if size > cap(r.text) {
 		grown := max(size, 2*cap(r.text), firstEventBytes)
