listener: TLS connections aren't measured; one allowance for heads

The measure saw encrypted bytes as a head that never ends, and would have written a refusal into the stream. No listener with a budget uses TLS yet. TestTLSConnectionsAreNotMeasured fails before. The allowance for heads stood twice; it is head.Allowance now.

--- a/exchange/head.go
+++ b/exchange/head.go
@@ -12,9 +12,6 @@
 // before it.
 const maxHeadBytes = 64 << 10
 
-// headAllowance is what a head may hold in memory without a loan. Usual heads hold less.
-const headAllowance = 8 << 10
-
 var errHeadTooLong = errors.New("response head exceeds the size limit")
 
 // ErrNoMemory means that the host has no memory for what the target sends.
@@ -51,7 +48,7 @@
 	n, err := l.conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
 	l.meter.Add(p[:n])
-	if missing := l.meter.Size() - headAllowance - l.lent; missing > 0 {
+	if missing := l.meter.Size() - head.Allowance - l.lent; missing > 0 {
 		if !l.loan.GrowAnswer(missing) {
 			l.err = ErrNoMemory
 			return 0, l.err
--- a/head/meter.go
+++ b/head/meter.go
@@ -8,6 +8,9 @@
 	"hawthornway/memory"
 )
 
+// Allowance is what a head may hold in memory without a loan. Usual heads hold less.
+const Allowance = 8 << 10
+
 const (
 	// bytesFactor is how often the bytes of a head are held while it is parsed.
 	bytesFactor = 2
--- a/listener/head.go
+++ b/listener/head.go
@@ -13,9 +13,6 @@
 	"hawthornway/memory"
 )
 
-// headAllowance is what a request's head may hold in memory without a loan. Usual heads hold less.
-const headAllowance = 8 << 10
-
 // errNoMemory means that there is no memory for a request's head.
 var errNoMemory = errors.New("no memory for the request's head")
 
@@ -84,7 +81,7 @@
 		return true
 	}
 	c.meter.Add(p)
-	missing := c.meter.Size() - headAllowance - c.lent
+	missing := c.meter.Size() - head.Allowance - c.lent
 	if missing <= 0 {
 		return true
 	}
--- a/listener/head_test.go
+++ b/listener/head_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -185,3 +187,22 @@
 		must.NoError(t, near.Close())
 	})
 }
+
+// Guards against encrypted bytes that are measured as a head which never ends, so that a connection
+// is refused in the middle of a request.
+func TestTLSConnectionsAreNotMeasured(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	limits := Limits{Memory: memory.NewBudget(64<<10, clockwork.NewRealClock()), Log: slog.New(slog.DiscardHandler)}
+	read := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	server, address, err := NewServer("127.0.0.1:0", read, limits, certified.TLS)
+	must.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- server.Start(context.Background()) }()
+	response, err := certified.Client().Post("https://"+address.String(), "", strings.NewReader(strings.Repeat("x\n", 1<<20)))
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.NoError(t, server.Stop(context.Background()))
+	must.NoError(t, <-done)
+}
--- a/listener/server.go
+++ b/listener/server.go
@@ -25,7 +25,8 @@
 	// in the kernel's accept queue.
 	Connections int
 	// Memory is the budget of which the heads of requests borrow. Without it, they are
-	// limited one by one only. Heads of TLS connections aren't seen.
+	// limited one by one only, and so are those of TLS connections, which are encrypted where
+	// they would be measured.
 	Memory *memory.Budget
 	// Log gets a line for each head that finds no memory. It is needed with Memory.
 	Log *slog.Logger
@@ -48,6 +49,9 @@
 	if limits.Connections > 0 {
 		tcpListener = newLimitedListener(tcpListener, limits.Connections)
 	}
+	if config != nil {
+		limits.Memory = nil
+	}
 	if limits.Memory != nil {
 		tcpListener = meteredListener{tcpListener, limits.Memory, limits.Log}
 	}
