soak: a call whose own time is over has not left its caller

Since a stream that was cut at the end of its time wasn't counted as lost in planned runs, as it was before: the call's own timeout passed for a caller that leaves.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -146,7 +146,7 @@
 	return fmt.Sprintf("key-%d", current)
 }
 
-func (c *callers) call(ctx context.Context, client *client, h *host, key string, caller, n int) call {
+func (c *callers) call(callerCtx context.Context, client *client, h *host, key string, caller, n int) call {
 	c.mu.Lock()
 	c.lastID++
 	kinds := c.soak.Shape.kinds
@@ -155,7 +155,7 @@
 	if !result.kind.open {
 		result.key = key
 	}
-	ctx, cancel := context.WithTimeout(ctx, result.kind.timeout)
+	ctx, cancel := context.WithTimeout(callerCtx, result.kind.timeout)
 	defer cancel()
 	request := platformtest.Call{ID: result.id, Key: result.key, Timeout: result.kind.timeout, Path: result.kind.path, Body: `{"call":"` + result.id + `"}`}
 	if result.kind.stream {
@@ -171,7 +171,7 @@
 	}
 	seen, err := client.do(ctx, req, pause)
 	result.err, result.endedAt, result.kept, result.wholeAt = err, time.Now(), seen.kept, seen.sentAt
-	result.left = ctx.Err() != nil
+	result.left = callerCtx.Err() != nil // not if only the time of the call is over
 	if resp := seen.response; resp != nil {
 		result.status, result.body, result.complete = resp.StatusCode, string(seen.body), err == nil
 		if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
--- a/soak/limits_test.go
+++ b/soak/limits_test.go
@@ -126,6 +126,8 @@
 		{"crossed the close", func(c *call, e *evidence) { e.arrivals, c.endedAt = nil, runStart.Add(lossSlack) }, false},
 		{"not sent whole", func(c *call, e *evidence) { e.arrivals, c.wholeAt = nil, time.Time{} }, false},
 		{"answered", func(c *call, _ *evidence) { c.status, c.complete = 503, true }, false},
+		{"a stream cut at the end of its time", func(c *call, _ *evidence) { c.status, c.endedAt = 200, runStart.Add(c.kind.timeout) }, true},
+		{"the caller left", func(c *call, _ *evidence) { c.left = true }, false},
 		{"an unplanned fault", func(_ *call, e *evidence) { e.calm = func(time.Time, time.Time) bool { return false } }, false},
 	}
 	for _, tc := range cases {
