--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,7 +149,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.requestMemory, g.reportMemory = g.share(requestMemoryShare), g.share(reportMemoryShare)
+	g.requestMemory, g.reportMemory = g.memoryBudget(requestMemoryShare, 0), g.memoryBudget(reportMemoryShare, 0)
 	g.metrics = metric.New()
 	g.roster = roster.New(g.bootClock, roster.WithLogger(g.log))
 	g.limits = pace.NewLimits(g.bootClock)
@@ -174,7 +174,7 @@
 	s := g.settings
 	g.links = peer.New(peer.WithSelf(self), peer.WithSecret([]byte(peerSecret)), peer.WithClock(g.clock), peer.WithLogger(g.log),
 		peer.WithHTTPClient(&http.Client{Transport: &http.Transport{}}))
-	g.store = platform.NewMetadata(s.Store, platform.WithStoreMemory(g.share(storeMemoryShare)))
+	g.store = platform.NewMetadata(s.Store, platform.WithStoreMemory(g.memoryBudget(storeMemoryShare, platform.MinStoreMemory)))
 	storeProxy := coordinator.NewStoreProxy(g.links, g.store, g.clock, func() int { return g.coordinator.Hosts() })
 	opts := []election.Option{
 		election.WithBackup(storeProxy),
@@ -262,9 +262,13 @@
 	reportMemoryShare  = 0.05
 )
 
-// share returns a budget of a fraction of the host's memory.
-func (g *gateway) share(fraction float64) *memory.Budget {
-	return memory.NewBudget(memory.Bytes(fraction*float64(g.settings.MemoryLimit)), g.clock)
+// memoryBudget returns a budget of a fraction of the host's memory, or of a least amount. It has no
+// limit if the host has none.
+func (g *gateway) memoryBudget(fraction float64, least memory.Bytes) *memory.Budget {
+	if g.settings.MemoryLimit == 0 {
+		return memory.NewBudget(0, g.clock)
+	}
+	return memory.NewBudget(max(least, memory.Bytes(fraction*float64(g.settings.MemoryLimit))), g.clock)
 }
 
 // Hosts with less than minCoordinatorCores, if their share of cores is known,
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -6,7 +6,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"hawthornway/exchange"
 	"hawthornway/platform"
@@ -31,9 +30,6 @@
 	start roster.StartID
 }
 
-// sharedProbeTimeout limits one probe, whatever time the request has left that began it.
-const sharedProbeTimeout = 300 * time.Millisecond
-
 // sharedProbe is a probe in progress. Its liveness is set once it is done.
 type sharedProbe struct {
 	done     chan struct{}
@@ -93,7 +89,7 @@
 		p.mu.Unlock()
 		close(shared.done)
 	}()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sharedProbeTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), relay.ProbeTimeout)
 	defer cancel()
 	shared.liveness = p.probeNoting(ctx, t)
 }
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -22,8 +22,8 @@
 	// minSilence is the shortest time after which a target counts as silent. A
 	// few queued requests delay a response by less.
 	minSilence = 300 * time.Millisecond
-	// probeTimeout limits one probe.
-	probeTimeout = 300 * time.Millisecond
+	// ProbeTimeout limits one probe.
+	ProbeTimeout = 300 * time.Millisecond
 	// A stream counts as silent after silenceGapFactor times its longest
 	// allowed gap between events.
 	silenceGapFactor = 3
@@ -113,7 +113,7 @@
 	silentPeriods, silence := w.silentPeriods, w.clock.Since(w.lastActivity)
 	w.mu.Unlock()
 	next := w.period
-	ctx, cancel := context.WithTimeout(w.ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(w.ctx, ProbeTimeout)
 	defer cancel()
 	switch w.pathLiveness(w.prober.Probe(ctx, w.target)).(type) {
 	case Dead:
