--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -151,3 +151,14 @@
 		must.NoError(t, err)
 	}
 }
+
+// Statements of one engine must not overlap: a check of the first would go on after the second ended
+// both.
+func TestLimitsOfOneEngineDoNotOverlap(t *testing.T) {
+	s := &soak{stating: map[string]bool{}}
+	must.True(t, s.beginLimit("i-1"))
+	must.False(t, s.beginLimit("i-1"))
+	must.True(t, s.beginLimit("i-2"))
+	s.recordLimit(statedLimit{engine: &platformtest.Engine{ID: "i-1"}})
+	must.True(t, s.beginLimit("i-1"))
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -65,6 +65,9 @@
 	{"engine states a limit", func(s *soak) func() {
 		e := s.engines[s.random.IntN(len(s.engines))]
 		rate := limitRates[s.random.IntN(len(limitRates))]
+		if !s.beginLimit(e.ID) {
+			return nil // the end of one statement would be taken for that of the other
+		}
 		s.recordFault("engine %s states a limit of %g a second", e.ID, rate)
 		e.StateLimit(fmt.Sprint(rate))
 		from := time.Now()
@@ -100,9 +103,22 @@
 	from, to time.Time
 }
 
+// beginLimit reports whether an engine may begin to state a limit: it states none.
+func (s *soak) beginLimit(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stating[id] {
+		return false
+	}
+	s.stating[id] = true
+	return true
+}
+
+// recordLimit records a limit that an engine has stated until now.
 func (s *soak) recordLimit(l statedLimit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.stating, l.engine.ID)
 	s.limits = append(s.limits, l)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -95,6 +95,7 @@
 	mu             sync.Mutex
 	states         map[string]*targetState // by target
 	departures     map[string]time.Time    // by target, when its registration was removed
+	stating        map[string]bool         // by engine, whether it states a limit
 	startedAt      time.Time
 	faults         []string
 	configVersion  int
@@ -114,7 +115,7 @@
 	}
 	s := &soak{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, o.Seed)), store: platformtest.NewStore(), startedAt: time.Now(),
-		engineProxies: map[string]*proxy{}, drainStarts: map[string]time.Time{}, states: map[string]*targetState{}, departures: map[string]time.Time{},
+		engineProxies: map[string]*proxy{}, drainStarts: map[string]time.Time{}, states: map[string]*targetState{}, departures: map[string]time.Time{}, stating: map[string]bool{},
 	}
 	defer s.store.Close()
 	s.applyConfig()
