--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -96,6 +96,37 @@
 	return best, found
 }
 
+// Full reports whether all candidates that aren't backing off have as many requests as they can
+// run well. It reports false if there are none.
+func (b *Balancer) Full(candidates []roster.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	found := false
+	for _, t := range candidates {
+		s := b.state(t.ID)
+		if now.Before(s.backoffUntil) {
+			continue
+		}
+		found = true
+		if s.load(now) < capacity(t) {
+			return false
+		}
+	}
+	return found
+}
+
+// load returns the known number of requests at a target.
+func (s *targetState) load(now time.Time) int {
+	if now.Sub(s.loadReportedAt) < maxLoadAge {
+		return s.running + s.otherHostsLoad
+	}
+	return s.running
+}
+
+// capacity returns the number of requests that a target can run well at the same time.
+func capacity(t roster.Target) int { return max(1, min(t.Slots, fullLoad)) }
+
 // isBetter compares two targets by cost, or by their rank for the session if
 // the costs are close.
 func isBetter(cost float64, rank uint64, bestCost float64, bestRank uint64) bool {
@@ -108,11 +139,7 @@
 // cost returns a target's load as a fraction of full load, plus the added
 // costs.
 func (b *Balancer) cost(t roster.Target, s *targetState, now time.Time) float64 {
-	load := s.running
-	if now.Sub(s.loadReportedAt) < maxLoadAge {
-		load += s.otherHostsLoad
-	}
-	cost := float64(load)/float64(max(1, min(t.Slots, fullLoad))) + failureCost*s.failureRate
+	cost := float64(s.load(now))/float64(capacity(t)) + failureCost*s.failureRate
 	if t.Domain != b.domain {
 		cost += remoteDomainCost
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"hawthornway/fleet"
 	"hawthornway/model"
 	"hawthornway/target"
 	"hawthornway/team"
@@ -64,6 +65,8 @@
 	// Sticky routes benefit from sending a session's requests to the same
 	// target.
 	Sticky bool
+	// Homes lists the regions in which the route's requests may run. Empty means anywhere.
+	Homes []fleet.RegionID
 	// Invalid routes have settings that can't be used. Their requests are refused, and not
 	// handled as those of a route with a shorter prefix.
 	Invalid bool
@@ -118,6 +121,17 @@
 	// Engines describes the pool's targets if they are model engines, and is
 	// nil otherwise.
 	Engines *Engines
+	// Warming is what the pool's targets bear while they are cold, or nil if they bear as much
+	// as ever.
+	Warming *Warming
+}
+
+// Warming describes targets that are cold for some time.
+type Warming struct {
+	// Rate is the number of requests per second that a cold target bears.
+	Rate float64
+	// Duration is the time for which a target is cold after its start.
+	Duration time.Duration
 }
 
 // Engines describes the model engines of a pool, which are identical.
@@ -155,6 +169,8 @@
 	// Limit is nil for a team without a limit.
 	Limit *Limit
 	Keys  []Key
+	// Homes lists the regions in which the team's requests may run. Empty means anywhere.
+	Homes []fleet.RegionID
 	// Invalid teams have settings that can't be used. Their requests are refused.
 	Invalid bool
 }
@@ -281,3 +297,21 @@
 	}
 	return r.Pools[len(r.Pools)-1].Pool
 }
+
+// Homes returns the regions in which a team's requests on a route may run. It reports false if
+// there are none, since the route and the team have homes, both bind, and no region is in both.
+func Homes(r Route, t Team) (fleet.RegionSet, bool) {
+	switch {
+	case len(r.Homes) == 0:
+		return fleet.NewRegionSet(t.Homes...), true
+	case len(t.Homes) == 0:
+		return fleet.NewRegionSet(r.Homes...), true
+	}
+	var both []fleet.RegionID
+	for _, home := range r.Homes {
+		if slices.Contains(t.Homes, home) {
+			both = append(both, home)
+		}
+	}
+	return fleet.NewRegionSet(both...), len(both) > 0
+}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -99,6 +99,9 @@
 type ViewReceiver interface {
 	// UpdateTargets applies changes of the registered targets.
 	UpdateTargets(changes roster.Changes)
+	// UpdateEvacuations applies which failure domains are evacuated, unless this host knows
+	// newer ones.
+	UpdateEvacuations(e roster.Evacuations)
 	// Digests returns the digests of the targets that this host knows, without those that
 	// have lapsed. Lapses returns how often any have lapsed so far.
 	Digests() roster.Digests
@@ -469,7 +472,7 @@
 	leader := c.leader
 	c.mu.Unlock()
 	request := wireLoadRequest{
-		Pool: need.Pool, Model: need.Model, Adapter: need.Adapter, TargetVersion: need.Version,
+		Pool: need.Pool, Model: need.Model, Adapter: need.Adapter, TargetVersion: need.Version, Homes: need.Homes,
 		Waiting: waiting.Total, OnTime: waiting.OnTime, Priority: priority,
 	}
 	if leader.Host == c.mesh.Self().Host {
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -65,7 +65,16 @@
 	}
 	c.adoptQuarantined(view)
 	c.adoptLimits(view)
-	if !leads {
+	read := view.ReadRevision
+	switch {
+	case leads:
+	case view.Evacuated == nil:
+		// A coordinator of an older build relays no evacuations, so that this host reads
+		// what it has relayed itself once there is none.
+		read = 0
+		c.receiver.UpdateTargets(c.newerTargets(view))
+	default:
+		c.receiver.UpdateEvacuations(roster.NewEvacuations(view.Evacuated.Domains, view.Evacuated.At))
 		c.receiver.UpdateTargets(c.newerTargets(view))
 	}
 	if !view.Answer || sent == 0 || !complete {
@@ -79,7 +88,7 @@
 	c.confirmedAt = at
 	c.mu.Unlock()
 	if !leads {
-		c.receiver.ConfirmCurrent(view.Config, view.ReadRevision, at)
+		c.receiver.ConfirmCurrent(view.Config, read, at)
 	}
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -24,6 +24,7 @@
 	"hawthornway/placement"
 	"hawthornway/quarantine"
 	"hawthornway/quota"
+	"hawthornway/roster"
 	"hawthornway/target"
 	"hawthornway/team"
 )
@@ -122,6 +123,8 @@
 	// digest of the limits that hosts were last sent.
 	lines      *pace.Schedule
 	sentLimits uint64
+	// sentEvacuations is the store revision of the evacuations that hosts were last sent.
+	sentEvacuations keyvalue.Revision
 	// forecasts holds when models that only the weight store has are expected to be
 	// loaded, and changedForecasts the models of which hosts don't know that yet.
 	forecasts            map[model.Name]time.Time
@@ -138,6 +141,9 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
+	if o.roster == nil {
+		o.roster = roster.New(o.boot)
+	}
 	if o.limits == nil {
 		o.limits = pace.NewLimits(o.boot)
 	}
@@ -165,7 +171,7 @@
 	c.dirty = map[*engine]bool{}
 	c.forecasts = map[model.Name]time.Time{}
 	c.changedForecasts = map[model.Name]bool{}
-	c.version = 0
+	c.version, c.sentEvacuations = 0, 0
 	c.newestConfig, c.newestHost = 0, ""
 	c.failedLoads = placement.NewFailedLoads()
 	c.lines, c.sentLimits = pace.NewSchedule(c.clock.Now(), nil), 0
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -294,6 +294,7 @@
 
 func (loneMesh) Term() (target.Fence, bool, bool)                                    { return 1, true, true }
 func (loneMesh) StoreChanges() (int, keyvalue.Revision)                              { return 0, 0 }
+func (loneMesh) UpdateEvacuations(roster.Evacuations)                                {}
 func (loneMesh) UpdateTargets(roster.Changes)                                        {}
 func (loneMesh) ConfirmCurrent(catalog.Version, keyvalue.Revision, boottime.Instant) {}
 func (loneMesh) Digests() roster.Digests                                             { return roster.Digests{} }
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -23,11 +23,13 @@
 	// Version is the version of the engines that can serve the requests, or empty if any
 	// engine can.
 	Version target.Version
+	// Homes are the regions of the engines that may serve the requests.
+	Homes fleet.RegionSet
 }
 
 // servedBy reports whether an engine can serve the requests once it holds the model.
-func (n Need) servedBy(t roster.Target) bool {
-	return t.Pool == n.Pool && (n.Version == "" || n.Version == t.Version)
+func (n Need) servedBy(t roster.Target, regions fleet.Regions) bool {
+	return t.Pool == n.Pool && (n.Version == "" || n.Version == t.Version) && n.Homes.Includes(regions[t.Domain])
 }
 
 // loadRequest combines the load requests of all hosts for one model or adapter.
@@ -199,7 +201,7 @@
 	if !c.leading {
 		return
 	}
-	key := Need{request.Pool, request.Model, request.Adapter, request.TargetVersion}
+	key := Need{request.Pool, request.Model, request.Adapter, request.TargetVersion, request.Homes}
 	entry, ok := c.loadRequests[key]
 	if !ok {
 		entry = &loadRequest{since: c.clock.Now(), byHost: map[fleet.HostID]hostLoadRequest{}, priority: request.Priority}
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -169,12 +169,16 @@
 	return w
 }
 
-// limited reports whether an engine takes a limited number of requests only.
-func (c *Coordinator) limited(e *engine) bool {
-	_, limited := c.limits.Limit(pace.KeyOf(e.target))
-	return limited
+// mayLoad reports whether an engine may be ordered to load models for requests. Those of an
+// evacuated domain get none.
+func (c *Coordinator) mayLoad(e *engine) bool {
+	return e.usable() && !c.roster.Evacuations().Includes(e.target.Domain)
 }
 
+// limited reports whether an engine takes a limited number of requests only, for longer than it
+// takes to warm up.
+func (c *Coordinator) limited(e *engine) bool { return c.limits.Stated(pace.KeyOf(e.target)) }
+
 // plannerEngine returns the engine's state as input for the planner.
 func (e *engine) plannerEngine(pool catalog.Pool, running map[runningKey]int, now time.Time) placement.Engine {
 	state := placement.Engine{
@@ -307,7 +311,7 @@
 // startJob passes a job to its engine's worker.
 func (c *Coordinator) startJob(pool catalog.Pool, job placement.Job) {
 	e, ok := c.engines[job.Engine]
-	if !ok || e.job != nil || !e.usable() {
+	if !ok || e.job != nil || !c.mayLoad(e) {
 		return // the engine has changed since the plan was made
 	}
 	now := c.clock.Now()
@@ -352,7 +356,7 @@
 	job := adapterJob{need.Model, need.Adapter}
 	var best *engine
 	for _, e := range c.engines {
-		if !need.servedBy(e.target) || !e.usable() || !e.has(job.model, "") {
+		if !need.servedBy(e.target, c.regions) || !c.mayLoad(e) || !e.has(job.model, "") {
 			continue
 		}
 		if e.has(job.model, job.adapter) {
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -62,9 +62,11 @@
 	Adapter model.Name  `cbor:"adapter"`
 	// TargetVersion is the version of the engines that can serve the requests, or empty.
 	TargetVersion target.Version `cbor:"target-version,omitempty"`
-	Waiting       int            `cbor:"waiting"`
-	OnTime        int            `cbor:"on-time"`
-	Priority      int            `cbor:"priority"`
+	// Homes are the regions of the engines that may serve the requests.
+	Homes    fleet.RegionSet `cbor:"homes,omitempty"`
+	Waiting  int             `cbor:"waiting"`
+	OnTime   int             `cbor:"on-time"`
+	Priority int             `cbor:"priority"`
 }
 
 // wireRenew asks another host to renew a lease in the store.
@@ -239,6 +241,15 @@
 	Limits      []wireLimit `cbor:"limits,omitempty"`
 	// More is set if further changes follow in the answer to the next report.
 	More bool `cbor:"more"`
+	// Evacuated lists the failure domains whose targets are to get no requests, as of
+	// ReadRevision at least. Older builds don't send it.
+	Evacuated *wireEvacuations `cbor:"evacuated,omitempty"`
+}
+
+// wireEvacuations lists the domains that are evacuated as of a store revision.
+type wireEvacuations struct {
+	Domains []fleet.DomainID  `cbor:"1,keyasint,omitempty"`
+	At      keyvalue.Revision `cbor:"2,keyasint"`
 }
 
 // The elements of views have numeric keys to keep messages small, since there are
--- a/coordinator/neighbour_test.go
+++ b/coordinator/neighbour_test.go
@@ -62,6 +62,7 @@
 }
 
 func (*partialMesh) StoreChanges() (int, keyvalue.Revision) { return 0, 0 }
+func (*partialMesh) UpdateEvacuations(roster.Evacuations)   {}
 func (*partialMesh) UpdateTargets(roster.Changes)           {}
 func (*partialMesh) Digests() roster.Digests                { return roster.Digests{} }
 
--- a/coordinator/new_term_test.go
+++ b/coordinator/new_term_test.go
@@ -159,7 +159,8 @@
 	*roster.Roster
 }
 
-func (r rosterReceiver) UpdateTargets(changes roster.Changes) { r.Update(changes) }
+func (r rosterReceiver) UpdateEvacuations(e roster.Evacuations) { r.SetEvacuations(e, 0) }
+func (r rosterReceiver) UpdateTargets(changes roster.Changes)   { r.Update(changes) }
 
 func (r rosterReceiver) Digests() roster.Digests { return r.Roster.Digests() }
 func (r rosterReceiver) Lapses() int             { return r.Roster.Lapses() }
--- a/coordinator/options.go
+++ b/coordinator/options.go
@@ -25,6 +25,8 @@
 	catalogs  func() *catalog.Catalog
 	engineAPI platform.Engines
 	bounds    platform.Bounds
+	// regions holds the regions of failure domains.
+	regions fleet.Regions
 	// deliverLocal passes broadcast views to this host's own client.
 	deliverLocal func(wireView)
 	// confirmedAge returns the time since the store confirmed this host's configuration
@@ -75,6 +77,9 @@
 // WithBounds sets the limits that were agreed with the platform's users.
 func WithBounds(b platform.Bounds) Option { return func(o *options) { o.bounds = b } }
 
+// WithRegions sets the regions of failure domains.
+func WithRegions(regions fleet.Regions) Option { return func(o *options) { o.regions = regions } }
+
 // WithConfirmedAge sets the function that returns the time since the store confirmed
 // this host's configuration and targets.
 func WithConfirmedAge(age func() time.Duration) Option {
--- a/coordinator/pace.go
+++ b/coordinator/pace.go
@@ -25,16 +25,64 @@
 	Ago int64 `cbor:"5,keyasint"`
 	// Room is the number of requests that the target may have at a time, or zero.
 	Room int `cbor:"6,keyasint,omitempty"`
+	// ColdRate is the number of requests per second that the target bears while it is cold, and
+	// ColdLeft the time in milliseconds until it is warm, which is negative if it has passed.
+	// Period identifies the span, and is zero if there is none. Older builds don't send these.
+	ColdRate float64     `cbor:"7,keyasint,omitempty"`
+	ColdLeft int64       `cbor:"8,keyasint,omitempty"`
+	Period   pace.Period `cbor:"9,keyasint,omitempty"`
+	// Assumed is set if the target hasn't said itself that it is cold.
+	Assumed bool `cbor:"10,keyasint,omitempty"`
 }
 
 func newWireLimits(statements []pace.Statement, now boottime.Instant) []wireLimit {
 	var wire []wireLimit
 	for _, s := range statements {
-		wire = append(wire, wireLimit{Target: s.Target, Start: s.Start, Rate: float64(s.Rate), Room: s.Room, Ended: s.Ended, Ago: now.Sub(s.At).Milliseconds()})
+		w := wireLimit{Target: s.Target, Start: s.Start, Rate: float64(s.Rate), Room: s.Room, Ended: s.Ended, Ago: now.Sub(s.At).Milliseconds()}
+		if s.Cold.Period != 0 {
+			w.Rate, w.Ended = float64(s.StatedRate), s.StatedRate == 0 && s.Room == 0
+			w.addWarming(s.Cold, now)
+		}
+		wire = append(wire, w)
+	}
+	return wire
+}
+
+// addWarming adds a span in which the target is cold.
+func (w *wireLimit) addWarming(cold pace.Warming, now boottime.Instant) {
+	w.ColdRate, w.ColdLeft, w.Period, w.Assumed = float64(cold.Rate), cold.Until.Sub(now).Milliseconds(), cold.Period, cold.Assumed
+}
+
+// wireLimitsOf returns all that a host knows of the limits of targets. Older builds take an entry
+// of a cold target for one that states no limit.
+func wireLimitsOf(limits *pace.Limits, now boottime.Instant) []wireLimit {
+	wire := newWireLimits(limits.List(), now)
+	for _, cold := range limits.WarmingList() {
+		w := wireLimit{Target: cold.Target, Start: cold.Start, Ended: true, Ago: time.Duration(now).Milliseconds()}
+		w.addWarming(cold, now)
+		wire = append(wire, w)
 	}
 	return wire
 }
 
+// warming returns the span in which the target is cold, and false if the entry has none.
+func (w wireLimit) warming(now boottime.Instant) (pace.Warming, bool) {
+	return pace.Warming{
+		Key: pace.Key{Target: w.Target, Start: w.Start}, Period: w.Period, Rate: pace.Rate(w.ColdRate),
+		Until: now.Add(time.Duration(w.ColdLeft) * time.Millisecond), Assumed: w.Assumed,
+	}, w.Period != 0 && w.ColdRate > 0
+}
+
+// recordLimit records what another host knows of the limit of a target, and reports whether that
+// is news.
+func recordLimit(limits *pace.Limits, w wireLimit, now boottime.Instant) bool {
+	changed := limits.Record(w.statement(now))
+	if cold, ok := w.warming(now); ok {
+		changed = limits.RecordWarming(cold) || changed
+	}
+	return changed
+}
+
 func (w wireLimit) statement(now boottime.Instant) pace.Statement {
 	return pace.Statement{
 		Key: pace.Key{Target: w.Target, Start: w.Start}, Rate: pace.Rate(w.Rate), Room: w.Room, Ended: w.Ended,
@@ -61,6 +109,8 @@
 	Refused bool  `cbor:"refused,omitempty"`
 	Full    bool  `cbor:"full,omitempty"`
 	Held    bool  `cbor:"held,omitempty"`
+	// Warm is set if the place begins when the target is warm.
+	Warm bool `cbor:"warm,omitempty"`
 }
 
 // wireRelease gives back room at a target.
@@ -94,6 +144,7 @@
 		Refused: place.Refused,
 		Full:    place.Full,
 		Held:    place.Held,
+		Warm:    place.Warm,
 	}, nil
 }
 
@@ -161,14 +212,14 @@
 		if !limited {
 			return wirePlace{Target: w.Target, Start: w.Start}, nil // its limit has ended
 		}
-		candidates = append(candidates, pace.Candidate{Key: key, Rate: limit.Rate * share, Room: limit.Room})
+		candidates = append(candidates, pace.Candidate{Key: key, Rate: limit.Rate * share, Room: limit.Room, WarmIn: limit.WarmIn(c.boot.Now())})
 	}
 	maxWait := time.Duration(request.MaxWait) * time.Millisecond
 	hold := time.Duration(request.Hold) * time.Millisecond
 	grant := c.lines.Reserve(c.clock.Now(), candidates, maxWait, hold)
 	return wirePlace{
 		Target: grant.Key.Target, Start: grant.Key.Start, Wait: grant.Wait.Milliseconds(),
-		Refused: grant.Refused, Full: grant.Full, Held: grant.Held,
+		Refused: grant.Refused, Full: grant.Full, Held: grant.Held, Warm: grant.Warm,
 	}, nil
 }
 
@@ -176,8 +227,8 @@
 func (c *Coordinator) recordLimits(host fleet.HostID, wire []wireLimit) {
 	now := c.boot.Now()
 	for _, w := range wire {
-		if c.limits.Record(w.statement(now)) {
-			c.log.Info("coordinator: limit of a target has changed", "target", w.Target, "start", w.Start, "requests-per-second", w.Rate, "ended", w.Ended, "host", host)
+		if recordLimit(c.limits, w, now) {
+			c.log.Info("coordinator: limit of a target has changed", "target", w.Target, "start", w.Start, "requests-per-second", w.Rate, "ended", w.Ended, "cold-ms", w.ColdLeft, "host", host)
 			c.wake()
 		}
 	}
@@ -186,7 +237,7 @@
 // addLimits adds the limits of targets to the answer to a report, if the host knows others.
 func (c *Coordinator) addLimits(report wireReport, view *wireView) {
 	if report.LimitDigest != view.LimitDigest {
-		view.Limits = newWireLimits(c.limits.List(), c.boot.Now())
+		view.Limits = wireLimitsOf(c.limits, c.boot.Now())
 	}
 }
 
@@ -198,17 +249,26 @@
 	same := report.LimitDigest == c.fleetLimits
 	c.mu.Unlock()
 	if !same {
-		report.Limits = newWireLimits(limits.List(), c.boot.Now())
+		report.Limits = wireLimitsOf(limits, c.boot.Now())
 	}
 }
 
 // adoptLimits records the limits of targets in a view.
 func (c *Client) adoptLimits(view wireView) {
 	now := c.boot.Now()
+	cold := 0
 	for _, w := range view.Limits {
-		if c.local.limits.Record(w.statement(now)) {
-			c.log.Info("coordinator: learned the limit of a target", "target", w.Target, "start", w.Start, "requests-per-second", w.Rate, "ended", w.Ended)
+		if !recordLimit(c.local.limits, w, now) {
+			continue
+		}
+		if w.Period != 0 {
+			cold++
+			continue
 		}
+		c.log.Info("coordinator: learned the limit of a target", "target", w.Target, "start", w.Start, "requests-per-second", w.Rate, "ended", w.Ended)
+	}
+	if cold > 0 {
+		c.log.Info("coordinator: learned that targets are cold", "targets", cold)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/plan_state.go
+++ b/coordinator/plan_state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornway/catalog"
+	"hawthornway/fleet"
 	"hawthornway/model"
 	"hawthornway/placement"
 	"hawthornway/target"
@@ -58,7 +59,7 @@
 		if s.Held[key.Model] {
 			continue
 		}
-		request := placement.LoadRequest{Model: key.Model, Version: key.Version, Priority: pending.priority, Since: pending.since}
+		request := placement.LoadRequest{Model: key.Model, Version: key.Version, Domains: c.domainsIn(key.Homes), Priority: pending.priority, Since: pending.since}
 		for _, h := range pending.byHost {
 			request.Waiting += h.waiting
 			request.OnTime += h.onTime
@@ -67,16 +68,35 @@
 	}
 	running := c.runningRequests(now)
 	for _, e := range c.engines {
-		if e.target.Pool == pool.Name && e.usable() {
-			engine := e.plannerEngine(pool, running, now)
-			engine.Limited = c.limited(e)
+		if e.target.Pool != pool.Name || !e.usable() {
+			continue
+		}
+		engine := e.plannerEngine(pool, running, now)
+		engine.Limited = c.limited(e)
+		if c.mayLoad(e) {
 			s.Engines = append(s.Engines, engine)
+		} else {
+			s.Evacuated = append(s.Evacuated, engine)
 		}
 	}
 	sortEngines(s.Engines)
 	return s
 }
 
+// domainsIn returns the failure domains in a set of regions, or nil if it has all.
+func (c *Coordinator) domainsIn(homes fleet.RegionSet) map[fleet.DomainID]bool {
+	if !homes.Limited() {
+		return nil
+	}
+	domains := map[fleet.DomainID]bool{}
+	for domain, region := range c.regions {
+		if homes.Includes(region) {
+			domains[domain] = true
+		}
+	}
+	return domains
+}
+
 // runningKey identifies a model at an engine, or the whole engine if model is empty.
 type runningKey struct {
 	target target.ID
--- a/coordinator/view.go
+++ b/coordinator/view.go
@@ -16,7 +16,7 @@
 func (c *Coordinator) announce(current *catalog.Catalog) {
 	read := c.readRevision() // before reading the roster, which is then at least as new
 	changed, removed := c.registered.update(read, c.roster.All(), c.version+1, c.published, c.roster.RemovedAt)
-	if len(changed) == 0 && len(removed) == 0 && len(c.dirty) == 0 && len(c.changedForecasts) == 0 && current.Version == c.config && !c.quarantineChanged && c.limits.Digest() == c.sentLimits {
+	if len(changed) == 0 && len(removed) == 0 && len(c.dirty) == 0 && len(c.changedForecasts) == 0 && current.Version == c.config && !c.quarantineChanged && c.limits.Digest() == c.sentLimits && c.roster.Evacuations().At == c.sentEvacuations {
 		return
 	}
 	since := c.version
@@ -25,9 +25,10 @@
 	view := c.newView()
 	view.Since = since
 	view.Targets, view.Removed = changed, removed
+	c.sentEvacuations = c.roster.Evacuations().At
 	if view.LimitDigest != c.sentLimits {
 		c.sentLimits = view.LimitDigest
-		view.Limits = newWireLimits(c.limits.List(), c.boot.Now())
+		view.Limits = wireLimitsOf(c.limits, c.boot.Now())
 	}
 	for e := range c.dirty {
 		e.version = c.version
@@ -76,6 +77,8 @@
 	view.ReadRevision = c.registered.readRevision
 	view.Quarantined = c.wireQuarantined(c.clock.Now())
 	view.LimitDigest = c.limits.Digest()
+	evacuations := c.roster.Evacuations()
+	view.Evacuated = &wireEvacuations{Domains: evacuations.Domains, At: max(evacuations.At, view.ReadRevision)}
 	view.OrdersIn = c.terms.OrderDelay().Milliseconds()
 	if current := c.catalogs(); current != nil {
 		view.Config = current.Version
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -15,6 +15,7 @@
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
 	"hawthornway/model"
+	"hawthornway/pace"
 	"hawthornway/peer"
 	"hawthornway/roster"
 	"hawthornway/target"
@@ -38,6 +39,8 @@
 
 func (r *recordingReceiver) Prefer(fleet.HostID) {}
 
+func (*recordingReceiver) UpdateEvacuations(roster.Evacuations) {}
+
 func (r *recordingReceiver) UpdateTargets(changes roster.Changes) {
 	for _, t := range changes.Changed {
 		r.targets[t.ID] = t
@@ -256,3 +259,71 @@
 		})
 	}
 }
+
+// Guards against a host that isn't told of an evacuation, or of its end, since the view with it was
+// lost, and against one that takes a coordinator of an older build for one that knows of none.
+func TestEvacuationsReachHosts(t *testing.T) {
+	f := newLapsingFleet(t)
+	set := func(at keyvalue.Revision, domains ...fleet.DomainID) {
+		f.roster.SetEvacuations(roster.NewEvacuations(domains, at), 0)
+		f.read = at
+	}
+	set(11, "z")
+	f.announce()
+	must.Eq(t, []fleet.DomainID{"z"}, f.host.Evacuations().Domains)
+	must.SliceEmpty(t, f.host.Ready("p"))
+
+	deliver := f.coordinator.deliverLocal
+	f.coordinator.deliverLocal = func(wireView) {} // lost
+	set(12)
+	f.announce()
+	must.SliceEmpty(t, f.host.Ready("p"))
+	f.coordinator.deliverLocal = deliver
+	f.report(t)
+	must.SliceLen(t, 3, f.host.Ready("p"))
+
+	set(13, "z")
+	f.announce()
+	relayed := f.receiver.relayed
+	view, err := f.coordinator.report("h", wireReport{Since: f.client.version, Fence: f.client.fence})
+	must.NoError(t, err)
+	view.Evacuated, view.ReadRevision = nil, 20
+	f.client.applyView(view, 1)
+	must.Eq(t, []fleet.DomainID{"z"}, f.host.Evacuations().Domains)
+	must.Eq(t, relayed, f.receiver.relayed, must.Sprint("what an older build relays is read again"))
+
+	f.lead(roster.New(f.clock)) // has read the store up to 30, where nothing is evacuated
+	f.read = 30
+	f.announce()
+	must.SliceEmpty(t, f.host.Evacuations().Domains)
+}
+
+// Guards against a cold target of which hosts aren't told together with its registration, or whose
+// limit hosts take for one that it states for good.
+func TestColdTargetsReachHosts(t *testing.T) {
+	f := newLapsingFleet(t)
+	f.client.boot = f.clock
+	f.client.local = New(WithMesh(peer.New()), WithBootClock(f.clock), WithLogger(slog.New(slog.DiscardHandler)))
+	cold := pace.Key{Target: "i-1", Start: 1}
+	f.coordinator.limits.Observe(cold, 11, 7, 3*time.Second)
+	f.announce()
+	s, limited := f.client.local.limits.Limit(cold)
+	must.True(t, limited)
+	must.Eq(t, 7, s.Rate)
+	must.Eq(t, f.coordinator.limits.Digest(), f.client.local.limits.Digest())
+
+	// A host that knows of another target asks for a place at it.
+	other := pace.NewLimits(f.clock)
+	asked := pace.Key{Target: "i-2", Start: 1}
+	other.Observe(asked, 12, 5, 2*time.Second)
+	place, err := f.coordinator.reserve("h", wireReserve{Limits: newWireLimits(other.Statements([]pace.Key{asked}), f.clock.Now()), MaxWait: 1000})
+	must.NoError(t, err)
+	must.Eq(t, "i-2", place.Target)
+	must.Positive(t, place.Wait)
+	must.False(t, f.coordinator.limits.Stated(asked))
+	f.clock.Advance(4 * time.Second)
+	for _, key := range []pace.Key{cold, asked} {
+		_, limited := f.coordinator.limits.Limit(key)
+		must.False(t, limited, must.Sprint("it is warm"))
+	}
+}
--- a/detour/dialer.go
+++ b/detour/dialer.go
@@ -43,12 +43,30 @@
 	// detoured is called with an address that is reached by a detour only, and whether that
 	// shows that this host is cut off.
 	detoured func(address string, cut bool)
+	// admits reports whether requests to an address may pass through a host.
+	admits func(address string, through fleet.Member) bool
+}
+
+// DialerOption sets an option of a Dialer.
+type DialerOption func(*Dialer)
+
+// WithAdmission sets the function that reports whether requests to an address may pass through
+// a host.
+func WithAdmission(admits func(address string, through fleet.Member) bool) DialerOption {
+	return func(d *Dialer) { d.admits = admits }
 }
 
 // NewDialer returns a Dialer. It asks the neighbours for detours, and calls detoured with each
 // address that it reaches by a detour only, and whether that shows that this host is cut off.
-func NewDialer(direct func(ctx context.Context, network, address string) (net.Conn, error), connector Connector, neighbours func() []fleet.Member, paths *Paths, clock clockwork.Clock, log *slog.Logger, detoured func(address string, cut bool)) *Dialer {
-	return &Dialer{direct: direct, connector: connector, neighbours: neighbours, paths: paths, clock: clock, log: log, detoured: detoured}
+func NewDialer(direct func(ctx context.Context, network, address string) (net.Conn, error), connector Connector, neighbours func() []fleet.Member, paths *Paths, clock clockwork.Clock, log *slog.Logger, detoured func(address string, cut bool), opts ...DialerOption) *Dialer {
+	d := &Dialer{
+		direct: direct, connector: connector, neighbours: neighbours, paths: paths, clock: clock, log: log, detoured: detoured,
+		admits: func(string, fleet.Member) bool { return true },
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // result is the result of trying one path.
@@ -162,6 +180,10 @@
 	if err != nil {
 		return nil, wireOpened{}, trace.Wrap(err)
 	}
+	if !d.admits(address, through) {
+		_ = ws.CloseNow() // nothing was sent
+		return nil, wireOpened{}, trace.AccessDenied("requests must not pass through domain %q", through.Domain)
+	}
 	opened, err := exchangeOpen(askCtx, ws, address)
 	if err != nil || opened.Refusal != "" {
 		_ = ws.CloseNow()
--- a/detour/tunnel_test.go
+++ b/detour/tunnel_test.go
@@ -75,7 +75,9 @@
 var errCut = errors.New("cut")
 
 // newDialer returns the dialer of a host that reaches no target directly.
-func newDialer(ways ...*way) (*detour.Dialer, *detour.Paths) {
+func newDialer(ways ...*way) (*detour.Dialer, *detour.Paths) { return newDialerWith(nil, ways...) }
+
+func newDialerWith(opts []detour.DialerOption, ways ...*way) (*detour.Dialer, *detour.Paths) {
 	log := slog.New(slog.DiscardHandler)
 	links := peer.New(peer.WithSelf(fleet.Member{Host: "cut", Domain: "d", Incarnation: 1}), peer.WithSecret([]byte(secret)), peer.WithLogger(log))
 	paths := detour.NewPaths(clockwork.NewRealClock())
@@ -86,7 +88,22 @@
 		return members
 	}
 	cut := func(context.Context, string, string) (net.Conn, error) { return nil, errCut }
-	return detour.NewDialer(cut, links, neighbours, paths, clockwork.NewRealClock(), log, func(string, bool) {}), paths
+	return detour.NewDialer(cut, links, neighbours, paths, clockwork.NewRealClock(), log, func(string, bool) {}, opts...), paths
+}
+
+// Guards against a request that passes through a host where it must not: the address that is asked
+// for shows that only hosts which may pass it on are told it.
+func TestDetourLeadsThroughAdmittedHostsOnly(t *testing.T) {
+	abroad, home := newWay(t, "abroad"), newWay(t, "home")
+	admission := detour.WithAdmission(func(_ string, through fleet.Member) bool { return through.Host == "home" })
+	dialer, _ := newDialerWith([]detour.DialerOption{admission}, abroad, home)
+	conn, err := dialer.DialContext(t.Context(), "tcp", newTarget(t, echo))
+	must.NoError(t, err)
+	must.Eq(t, "home", conn.LocalAddr().String())
+	must.NoError(t, conn.Close())
+	dialer, _ = newDialerWith([]detour.DialerOption{admission}, abroad)
+	_, err = dialer.DialContext(t.Context(), "tcp", newTarget(t, echo))
+	must.ErrorIs(t, err, errCut)
 }
 
 // target is a server that handles each connection in the same way.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,6 +202,7 @@
 		coordinator.WithNewerConfig(g.newerConfig),
 		coordinator.WithEngines(platform.NewEngines(platform.WithLeaving(g.targetLeaves), platform.WithEngineDial(g.dialEngine), platform.WithReportMemory(g.reportMemory))),
 		coordinator.WithBounds(s.Bounds),
+		coordinator.WithRegions(s.Regions),
 		coordinator.WithConfirmedAge(g.freshness.age),
 		coordinator.WithConfigEntry(func() (keyvalue.Entry, bool) { return g.follower.ConfigEntry() }),
 		coordinator.WithReadRevision(func() keyvalue.Revision { return g.follower.ReadRevision() }),
@@ -218,7 +219,7 @@
 	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
 	g.placer = &placer{gateway: g, usage: usage, pacer: pacer}
 	g.tunnels = detour.NewServer(g.links, tunnelTargets{g}, g.targetDial, g.paths, g.log)
-	g.dialer = detour.NewDialer(g.targetDial, g.links, g.coordinatorClient.Neighbours, g.paths, g.clock, g.log, g.detoured)
+	g.dialer = detour.NewDialer(g.targetDial, g.links, g.coordinatorClient.Neighbours, g.paths, g.clock, g.log, g.detoured, detour.WithAdmission(g.admitsDetour))
 	g.targetClient = exchange.New(exchange.WithClock(g.clock), exchange.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
 		return g.dialTarget(ctx, "tcp", address)
 	}))
@@ -456,6 +457,7 @@
 func (g *gateway) cleanup(ctx context.Context) error {
 	for ctx.Err() == nil {
 		g.balancer.Forget(time.Minute)
+		g.recordColdTargets()
 		select {
 		case <-ctx.Done():
 		case <-g.clock.After(cleanupInterval):
@@ -474,7 +476,10 @@
 }
 
 // Registered implements platform.Listener.
-func (g *gateway) Registered(t roster.Target) { g.roster.Put(t) }
+func (g *gateway) Registered(t roster.Target) {
+	g.observeWarming(t) // before the target can be chosen
+	g.roster.Put(t)
+}
 
 // targetLeaves keeps requests from a target that says that it leaves.
 func (g *gateway) targetLeaves(t roster.Target) {
@@ -490,6 +495,9 @@
 
 // Listed implements platform.Listener. It replaces all registrations.
 func (g *gateway) Listed(targets []roster.Target, at keyvalue.Revision) {
+	for _, t := range targets {
+		g.observeWarming(t)
+	}
 	g.roster.Replace(targets, at)
 	g.targetsListed.Store(true)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,6 +39,9 @@
 	path   string
 }
 
+// evacuationTime is the time within which an evacuated zone has to be empty.
+const evacuationTime = 3 * time.Second
+
 func newFleet(t *testing.T, config platformtest.Config, hosts int) *fleet {
 	t.Helper()
 	return newFleetWithBrokenModel(t, config, hosts, "")
@@ -86,6 +89,7 @@
 func (f *fleet) launch(name string, firstStart bool, opts ...gateway.Option) *host {
 	f.t.Helper()
 	h := &host{Host: platformtest.NewHost(name, "zone-0"), ended: make(chan struct{}), reload: make(chan os.Signal, 1)}
+	h.Regions, h.EvacuationTime = map[string]string{"zone-0": "west", "zone-1": "west", "zone-2": "east"}, evacuationTime
 	h.path = filepath.Join(f.t.TempDir(), name+".toml")
 	must.NoError(f.t, h.WriteSettings(h.path, f.store.Address(), firstStart))
 	load := func() (platform.Settings, error) { return platform.LoadSettings(h.path) }
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -52,6 +52,20 @@
 	return targetOf(place.Key, c.limited)
 }
 
+// askCold returns a cold target that can take the request at once, since the warm ones that could
+// run it are full.
+func (l *lineWait) askCold(ctx context.Context, now time.Time, cold []roster.Target, request relay.PlacementRequest) (roster.Target, bool) {
+	if len(cold) == 0 || l.place != nil {
+		return roster.Target{}, false
+	}
+	place, _, ok := l.pacer.Reserve(ctx, keysOf(cold), 0, request.Deadline.Sub(now))
+	if !ok {
+		return roster.Target{}, false
+	}
+	l.taken = place
+	return targetOf(place.Key, cold)
+}
+
 // wait returns the target at which it is the request's turn, if any. It gets a place in the
 // line of one of the targets unless the request has one.
 func (l *lineWait) wait(ctx context.Context, clock clockwork.Clock, limited []roster.Target, request relay.PlacementRequest) (roster.Target, bool) {
@@ -59,6 +73,9 @@
 	if l.place != nil {
 		if _, ok := targetOf(l.place.Key, limited); !ok {
 			l.leave() // the target can't run the request any more
+		} else if !clock.Now().Before(l.place.At) && !l.pacer.Valid(*l.place) {
+			l.pacer.Release(*l.place, false)
+			l.place = nil
 		}
 	}
 	if l.place == nil && len(limited) > 0 {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -62,9 +62,12 @@
 		if refusal := request.Refusal(); refusal != nil {
 			return relay.Placement{}, refusal
 		}
-		ready := ofVersion(g.roster.Ready(request.Pool), request.Version)
+		ready := atHome(ofVersion(g.roster.Ready(request.Pool), request.Version), request.Homes, g.settings.Regions)
 		c := p.candidates(ready, request)
 		t, ok := line.ask(ctx, g.clock.Now(), c, request)
+		if !ok && g.balancer.Full(c.eligible) {
+			t, ok = line.askCold(ctx, g.clock.Now(), g.coldOf(c.limited), request)
+		}
 		if !ok {
 			t, ok = p.choose(c, request)
 		}
@@ -154,17 +157,34 @@
 	g := p.gateway
 	var c candidates
 	p.limitNewTargets(ready)
+	evacuations := g.roster.Evacuations()
+	var evacuated []roster.Target
 	for _, t := range ready {
-		if request.Model != "" && (!g.coordinatorClient.Holdings(t).Has(request.Model, request.Adapter) || p.usage.recentlyNotLoaded(t.ID, request, g.clock.Now())) {
+		if evacuations.Includes(t.Domain) {
+			evacuated = append(evacuated, t)
 			continue
 		}
-		_, limited := g.limits.Limit(pace.KeyOf(t))
-		c.add(t, limited, request.Avoid[t.ID], g.balancer.BackingOff(t.ID))
+		p.addCandidate(&c, t, request)
+	}
+	if len(c.eligible)+len(c.limited) == 0 {
+		for _, t := range evacuated {
+			p.addCandidate(&c, t, request)
+		}
 	}
 	c.addLastResort()
 	return c
 }
 
+// addCandidate adds a target to the candidates if it can run a request.
+func (p *placer) addCandidate(c *candidates, t roster.Target, request relay.PlacementRequest) {
+	g := p.gateway
+	if request.Model != "" && (!g.coordinatorClient.Holdings(t).Has(request.Model, request.Adapter) || p.usage.recentlyNotLoaded(t.ID, request, g.clock.Now())) {
+		return
+	}
+	_, limited := g.limits.Limit(pace.KeyOf(t))
+	c.add(t, limited, request.Avoid[t.ID], g.balancer.BackingOff(t.ID))
+}
+
 // roomShare is the share of a target's slots that it is sent requests for while it can't bear
 // turning many away. Connections and health checks take slots for moments as well.
 const roomShare = 0.85
@@ -250,6 +270,8 @@
 		}
 	}
 	switch {
+	case len(ready) == 0 && request.Homes.Limited() && len(g.roster.Ready(request.Pool)) > 0:
+		return &outcome.NotRun{Reason: outcome.ReasonHomes, RetryAfter: emptyPoolRetryAfter, Detail: "no target is left in the home regions of the route and the team"}
 	case len(ready) == 0 && request.Version != "":
 		return &outcome.NotRun{Reason: outcome.ReasonVersion, RetryAfter: emptyPoolRetryAfter, Detail: "no target has the software version that began the stream"}
 	case len(ready) == 0:
@@ -269,11 +291,9 @@
 
 // pausedFor returns the targets that could run the request and ask for a pause.
 func (g *gateway) pausedFor(request relay.PlacementRequest) []roster.PausedTarget {
-	paused := g.roster.Paused(request.Pool)
-	if request.Version == "" {
-		return paused
-	}
-	return slices.DeleteFunc(paused, func(t roster.PausedTarget) bool { return t.Version != request.Version })
+	return slices.DeleteFunc(g.roster.Paused(request.Pool), func(t roster.PausedTarget) bool {
+		return request.Version != "" && t.Version != request.Version || !request.Homes.Includes(g.settings.Regions[t.Domain])
+	})
 }
 
 // heldFor returns the time until the request's model and adapter may be loaded again, if
@@ -353,6 +373,8 @@
 		p.gateway.tunnels.Notify(t.Address, false, n.For)
 		p.gateway.roster.Pause(t.ID, t.Start, n.For)
 		p.gateway.log.Info("gateway: target asks for a pause", "target", t.ID, "for", n.For)
+	case relay.Cold:
+		p.gateway.hearCold(t, n.For)
 	case relay.Limited:
 		statement := pace.Statement{Key: pace.KeyOf(t), Rate: n.Rate}
 		if n.Brittle {
@@ -442,7 +464,7 @@
 
 // needOf returns what a waiting request needs.
 func needOf(request relay.PlacementRequest) coordinator.Need {
-	return coordinator.Need{Pool: request.Pool, Model: request.Model, Adapter: request.Adapter, Version: request.Version}
+	return coordinator.Need{Pool: request.Pool, Model: request.Model, Adapter: request.Adapter, Version: request.Version, Homes: request.Homes}
 }
 
 func newUsageTracker() *usageTracker {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -62,6 +62,7 @@
 	ReasonConfiguration      Reason = "configuration"
 	ReasonVersion            Reason = "version"
 	ReasonStaleConfiguration Reason = "stale-configuration"
+	ReasonHomes              Reason = "homes"
 )
 
 // Header returns "served".
--- a/pace/limits.go
+++ b/pace/limits.go
@@ -45,6 +45,20 @@
 	Room  int
 	Ended bool
 	At    boottime.Instant
+	// Cold is the span in which the target is cold now, or zero. Until it ends, Rate is at most
+	// what the target bears while it is cold, and StatedRate is what it states beside that, or
+	// zero.
+	Cold       Warming
+	StatedRate Rate
+}
+
+// WarmIn returns the time from now after which the target's rate is no longer limited, or zero if
+// that isn't because the target is cold.
+func (s Statement) WarmIn(now boottime.Instant) time.Duration {
+	if s.Cold.Until == 0 || s.StatedRate > 0 {
+		return 0
+	}
+	return max(0, s.Cold.Until.Sub(now))
 }
 
 // minRate is the rate at which targets are asked that state a lower one, since only their
@@ -63,17 +77,23 @@
 
 	mu    sync.Mutex
 	known map[Key]Statement
+	// warming holds the last span in which each target was cold.
+	warming map[Key]Warming
 }
 
 // activeLimits are the limits in force, with their digest.
 type activeLimits struct {
 	limits map[Key]Statement
 	digest uint64
+	// cold is the number of known spans of cold targets, and validUntil when the first of them
+	// ends or is forgotten, or zero.
+	cold       int
+	validUntil boottime.Instant
 }
 
 // NewLimits returns Limits without statements.
 func NewLimits(clock boottime.Clock) *Limits {
-	l := &Limits{clock: clock, known: map[Key]Statement{}}
+	l := &Limits{clock: clock, known: map[Key]Statement{}, warming: map[Key]Warming{}}
 	l.active.Store(&activeLimits{})
 	return l
 }
@@ -86,6 +106,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s.Cold, s.StatedRate = Warming{}, 0
 	previous, known := l.known[s.Key]
 	switch {
 	case known && s.At < previous.At:
@@ -107,8 +128,9 @@
 	return true
 }
 
-// activate computes the limits in force.
+// activate computes the limits in force. The caller holds the lock.
 func (l *Limits) activate() {
+	now := l.clock.Now()
 	a := &activeLimits{limits: map[Key]Statement{}}
 	for key, s := range l.known {
 		if s.Ended {
@@ -121,18 +143,63 @@
 		}
 		a.digest ^= xxhash.Sum64(text)
 	}
+	for key, w := range l.warming {
+		if warmingOver(w, now) {
+			delete(l.warming, key)
+			continue
+		}
+		a.digest ^= w.digest()
+		a.cold++
+		ends := w.Until
+		if now.Before(w.Until) {
+			a.limits[key] = whileCold(a.limits[key], w)
+		} else {
+			ends = w.Until.Add(warmingTTL)
+		}
+		if a.validUntil == 0 || ends.Before(a.validUntil) {
+			a.validUntil = ends
+		}
+	}
 	l.active.Store(a)
 }
 
+// whileCold returns the limit in force of a target that is cold and may state a limit too.
+func whileCold(stated Statement, w Warming) Statement {
+	s := stated
+	s.Key, s.StatedRate, s.Rate, s.Cold = w.Key, stated.Rate, w.Rate, w
+	if stated.Rate > 0 {
+		s.Rate = min(stated.Rate, w.Rate)
+	}
+	return s
+}
+
+// current returns the limits in force now.
+func (l *Limits) current() *activeLimits {
+	a := l.active.Load()
+	if a.validUntil == 0 || l.clock.Now().Before(a.validUntil) {
+		return a
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.activate()
+	return l.active.Load()
+}
+
 // Limit returns the statement in force of a target, and false if it has no limit.
 func (l *Limits) Limit(key Key) (Statement, bool) {
-	s, limited := l.active.Load().limits[key]
+	s, limited := l.current().limits[key]
 	return s, limited
 }
 
+// Stated reports whether a target states a limit itself, beside being cold.
+func (l *Limits) Stated(key Key) bool {
+	s, limited := l.current().limits[key]
+	return limited && (s.Cold.Until == 0 || s.StatedRate > 0 || s.Room > 0)
+}
+
 // AnyRoom reports whether a target has stated that it can't bear turning requests away.
 func (l *Limits) AnyRoom() bool {
-	for _, s := range l.active.Load().limits {
+	for _, s := range l.current().limits {
 		if s.Room > 0 {
 			return true
 		}
@@ -149,7 +216,7 @@
 }
 
 // Digest returns a hash of the limits in force. Limits with equal digests are the same.
-func (l *Limits) Digest() uint64 { return l.active.Load().digest }
+func (l *Limits) Digest() uint64 { return l.current().digest }
 
 // List returns all statements, in order of their targets.
 func (l *Limits) List() []Statement {
@@ -158,12 +225,11 @@
 	return slices.SortedFunc(maps.Values(l.known), func(a, b Statement) int { return strings.Compare(string(a.Target), string(b.Target)) })
 }
 
-// Statements returns the statements of those keys that have a limit.
+// Statements returns the statements in force of those keys that have a limit.
 func (l *Limits) Statements(keys []Key) (limited []Statement) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	current := l.current()
 	for _, key := range keys {
-		if s, ok := l.known[key]; ok && !s.Ended {
+		if s, ok := current.limits[key]; ok {
 			limited = append(limited, s)
 		}
 	}
--- a/pace/pacer.go
+++ b/pace/pacer.go
@@ -54,6 +54,8 @@
 	// Held is set if the reservation has to be released. The room is this host's own part
 	// if own is set.
 	Held, own bool
+	// warm is set if the place begins when the target is warm.
+	warm bool
 }
 
 // Pacer gets the places that the requests of one host need. It is safe for concurrent use.
@@ -131,7 +133,17 @@
 	case grant.Refused:
 		return Reservation{}, grant.Wait, false
 	}
-	return Reservation{Key: grant.Key, At: p.clock.Now().Add(grant.Wait), Held: grant.Held, own: own}, 0, true
+	return Reservation{Key: grant.Key, At: p.clock.Now().Add(grant.Wait), Held: grant.Held, own: own, warm: grant.Warm}, 0, true
+}
+
+// Valid reports whether a place may still be used. One for the time when its target is warm may
+// not if the target has turned cold again meanwhile.
+func (p *Pacer) Valid(r Reservation) bool {
+	if !r.warm {
+		return true
+	}
+	s, limited := p.limits.Limit(r.Key)
+	return !limited || s.Cold.Until == 0
 }
 
 // knownWithoutRoom reports whether none of the targets had room a moment ago.
@@ -223,7 +235,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := slices.IndexFunc(p.unused, func(r Reservation) bool {
-		return now.Sub(r.At) <= unusedTTL && r.At.Sub(now) <= maxWait && slices.Contains(targets, r.Key)
+		return now.Sub(r.At) <= unusedTTL && r.At.Sub(now) <= maxWait && slices.Contains(targets, r.Key) && (r.At.After(now) || p.Valid(r))
 	})
 	if i < 0 {
 		return Reservation{}, false
@@ -317,7 +329,7 @@
 		if s.Room > 0 && room == 0 {
 			continue // this host's part is less than one request
 		}
-		candidates = append(candidates, Candidate{s.Key, s.Rate * ownShare / Rate(hosts), room})
+		candidates = append(candidates, Candidate{Key: s.Key, Rate: s.Rate * ownShare / Rate(hosts), Room: room, WarmIn: s.WarmIn(p.limits.clock.Now())})
 	}
 	if len(candidates) == 0 {
 		return Grant{Refused: true, Wait: max(retryDelay, maxWait)}
--- a/pace/schedule.go
+++ b/pace/schedule.go
@@ -12,6 +12,8 @@
 	Key
 	Rate Rate
 	Room int
+	// WarmIn is the time after which the rate is no longer limited, or zero if it stays so.
+	WarmIn time.Duration
 }
 
 // Grant is the answer to a request for a place in the line of a target.
@@ -25,6 +27,9 @@
 	Full bool
 	// Held is set if the request takes some of the target's room until it is released.
 	Held bool
+	// Warm is set if the place begins when the target is warm, and takes none of what the target
+	// bears while it is cold.
+	Warm bool
 }
 
 // Schedule gives out the places in the lines of targets with a limit, in the order of
@@ -110,7 +115,9 @@
 		grant.Refused, grant.Held = true, false
 		return grant
 	}
-	best.line.level--
+	if grant.Warm = best.WarmIn > 0 && best.wait >= best.WarmIn; !grant.Warm {
+		best.line.level--
+	}
 	if grant.Held {
 		best.line.held = append(best.line.held, now.Add(best.wait+hold))
 		slices.SortFunc(best.line.held, time.Time.Compare)
@@ -160,7 +167,11 @@
 	if c.Room > 0 {
 		l.updateRoom(now, c.Room)
 	}
-	return l, max(0, time.Duration(min((1-l.level)/rate, longestWait.Seconds())*float64(time.Second)))
+	wait := max(0, time.Duration(min((1-l.level)/rate, longestWait.Seconds())*float64(time.Second)))
+	if c.WarmIn > 0 {
+		wait = min(wait, c.WarmIn)
+	}
+	return l, wait
 }
 
 // unlimitedRate is the rate, in requests per second, of a target that limits its room only.
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -17,7 +17,10 @@
 type State struct {
 	Now     time.Time
 	Engines []Engine
-	Models  map[model.Name]catalog.Model
+	// Evacuated are engines that get no requests and load nothing until their domain is taken
+	// back.
+	Evacuated []Engine
+	Models    map[model.Name]catalog.Model
 	// LoadRequests lists the models that requests wait for.
 	LoadRequests []LoadRequest
 	// Held are models that must not be loaded now.
@@ -89,6 +92,9 @@
 	// Version is the version of the engines that can serve the requests, or empty if any
 	// engine can.
 	Version target.Version
+	// Domains holds the failure domains of the engines that can serve the requests, or is nil
+	// if any engine can.
+	Domains map[fleet.DomainID]bool
 	Waiting int
 	// OnTime is the number of waiting requests that still meet their deadlines if the
 	// model is loaded now from an engine's disk.
@@ -128,6 +134,7 @@
 	ReasonSpread    Reason = "spread"
 	ReasonStandby   Reason = "standby"
 	ReasonPrefetch  Reason = "prefetch"
+	ReasonEvacuated Reason = "evacuated"
 )
 
 // The limits and cost weights of placement.
@@ -159,6 +166,10 @@
 	// second engine in another domain, so that the loss of one engine causes no cold
 	// start.
 	minStandbyRate = 0.8
+	// minReplaceRate is the number of requests per second from which a model is loaded anew
+	// that only evacuated engines hold: one is likely to come within a few seconds, the time
+	// that callers wait.
+	minReplaceRate = 0.1
 	// maxInUseWait is the age of a load request from which waiting for an engine whose
 	// models are all in use costs more and more, since hot models may always be in use.
 	// It is longer than responses and loads from memory or disk take.
@@ -188,6 +199,7 @@
 	p := newPlanner(s)
 	p.spread(urgentFactor)
 	p.loadRequested()
+	p.replace()
 	p.spread(1)
 	p.standby()
 	p.prefetch()
@@ -312,24 +324,46 @@
 	for _, request := range p.requestsByUrgency() {
 		late := max(0, p.Now.Sub(request.Since)-maxInUseWait)
 		switch {
-		case request.Version != "":
-			p.loadAtVersion(request, late)
+		case request.Version != "" || request.Domains != nil:
+			p.loadWhereAllowed(request, late)
 		case !p.served(request.Model):
 			p.place(request.Model, ReasonRequested, late, anyEngine)
 		}
 	}
 }
 
-// loadAtVersion plans a load for requests that only engines of a version can serve, unless
-// one of them holds the model.
-func (p *planner) loadAtVersion(request LoadRequest, late time.Duration) {
-	ofVersion := func(e *Engine) bool { return e.Version == request.Version }
+// loadWhereAllowed plans a load for requests that only engines of a version or of some domains can
+// serve, unless one of them holds the model.
+func (p *planner) loadWhereAllowed(request LoadRequest, late time.Duration) {
+	allowed := func(e *Engine) bool {
+		return (request.Version == "" || e.Version == request.Version) && (request.Domains == nil || request.Domains[e.Domain])
+	}
 	for i := range p.engines {
-		if e := &p.engines[i]; ofVersion(e) && e.holds(request.Model) {
+		if e := &p.engines[i]; allowed(e) && e.holds(request.Model) {
 			return
 		}
 	}
-	p.place(request.Model, ReasonRequested, late, ofVersion)
+	p.place(request.Model, ReasonRequested, late, allowed)
+}
+
+// replace plans loads of recently requested models that only evacuated engines hold, the most
+// requested first, so that fewer requests have to wait for a load once these get none.
+func (p *planner) replace() {
+	held := map[model.Name]bool{}
+	for _, e := range p.Evacuated {
+		for _, r := range e.Resident {
+			if p.replicas[r.Model] == 0 && p.Rates[r.Model] >= minReplaceRate {
+				held[r.Model] = true
+			}
+		}
+	}
+	names := sortedNames(held)
+	slices.SortStableFunc(names, func(a, b model.Name) int { return cmp.Compare(p.Rates[b], p.Rates[a]) })
+	for _, name := range names {
+		if p.replicas[name] == 0 {
+			p.place(name, ReasonEvacuated, 0, anyEngine)
+		}
+	}
 }
 
 // spread plans another engine for each model whose demand exceeds the given multiple of
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -431,3 +431,31 @@
 		})
 	}
 }
+
+// Load: a domain is evacuated that alone holds models in demand. Guards against requests that wait
+// for a load only after the domain is empty, and against loads on its engines.
+func TestModelsOfEvacuatedEnginesAreLoadedElsewhere(t *testing.T) {
+	s := newState(9, 4)
+	s.Evacuated, s.Engines = s.Engines[:1], s.Engines[1:]
+	s.Rates["m0"], s.Rates["m1"], s.Rates["m2"] = 0.4, 2, 0.01
+	jobs := placement.Plan(s)
+	must.SliceNotEmpty(t, jobs)
+	must.Eq(t, "m1", jobs[0].Load, must.Sprint("what is in most demand comes first"))
+	must.Eq(t, placement.ReasonEvacuated, jobs[0].Reason)
+	for _, job := range jobs {
+		must.NotEq(t, s.Evacuated[0].ID, job.Engine)
+		must.False(t, job.Load == "m2" && job.Reason == placement.ReasonEvacuated)
+	}
+}
+
+// Guards against a model that is loaded where the requests that wait for it may not run, and
+// against one that counts as loaded there.
+func TestRequestsWithHomesAreLoadedAtHome(t *testing.T) {
+	s := newState(9, 4) // e0 in d0 holds m0, and e3 in d0 nothing
+	s.LoadRequests = []placement.LoadRequest{{Model: "m0", Domains: map[fleet.DomainID]bool{"d1": true}, Waiting: 1, Since: now}}
+	jobs := placement.Plan(s)
+	must.SliceLen(t, 1, jobs)
+	must.Eq(t, "e1", jobs[0].Engine)
+	s.LoadRequests[0].Domains = map[fleet.DomainID]bool{"d0": true}
+	must.SliceEmpty(t, placement.Plan(s))
+}
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -80,6 +80,7 @@
 		Model:        f.req.Model,
 		Adapter:      f.req.Adapter,
 		Version:      f.version,
+		Homes:        f.homes,
 		Session:      f.req.Session,
 		PromptTokens: f.req.promptTokens(),
 		Avoid:        f.avoid,
@@ -104,6 +105,9 @@
 	if info.Pause > 0 {
 		p.Notice(Paused{info.Pause})
 	}
+	if info.Cold > 0 && !info.Replaced {
+		p.Notice(Cold{info.Cold})
+	}
 	switch {
 	case info.Replaced:
 	case info.Limit != nil:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/exchange"
+	"hawthornway/fleet"
 	"hawthornway/lineage"
 	"hawthornway/memory"
 	"hawthornway/outcome"
@@ -273,7 +274,7 @@
 	}
 	r := &Relay{options: o, startedAt: o.clock.Now()}
 	r.budgets = newPoolBudgets(func() retry.Budget { return o.newBudget(o.clock) })
-	r.steps = []step{r.readRequest, r.resolveRoute, r.authenticate, r.admitWhileStopping, r.screen, r.findVersion, r.charge, r.dispatch}
+	r.steps = []step{r.readRequest, r.resolveRoute, r.authenticate, r.findHomes, r.admitWhileStopping, r.screen, r.findVersion, r.charge, r.dispatch}
 	return r
 }
 
@@ -312,6 +313,8 @@
 	responseStarted bool // a target's response headers have been set
 	// version is the version of the targets that may run the request, or empty if all may.
 	version target.Version
+	// homes are the regions in which the request may run.
+	homes   fleet.RegionSet
 	resumed int
 	// serverError is a target's 5xx response. It is passed on if no other
 	// target responds.
--- a/relay/request.go
+++ b/relay/request.go
@@ -6,6 +6,7 @@
 
 	"hawthornway/catalog"
 	"hawthornway/exchange"
+	"hawthornway/fleet"
 	"hawthornway/model"
 	"hawthornway/outcome"
 	"hawthornway/pace"
@@ -105,6 +106,8 @@
 	Limit *pace.Rate
 	// Brittle is set if the target says that it can't bear turning many requests away.
 	Brittle bool
+	// Cold is how long the target says that it stays cold, or zero.
+	Cold time.Duration
 }
 
 // TargetLoad is the number of requests at a target and its slots.
@@ -137,6 +140,8 @@
 	Adapter model.Name
 	// Version is the version of the target, or empty if any will do.
 	Version target.Version
+	// Homes are the regions in which the request may run.
+	Homes   fleet.RegionSet
 	Session string
 	// PromptTokens is the size of the prompt.
 	PromptTokens team.Tokens
@@ -167,8 +172,8 @@
 	Done func(Result)
 }
 
-// Notice is what a target says of itself beside a response: Leaving, Paused, Limited or
-// Unlimited.
+// Notice is what a target says of itself beside a response: Leaving, Paused, Limited,
+// Unlimited or Cold.
 type Notice interface{ notice() }
 
 // Leaving means that the target leaves and wants no further requests.
@@ -187,6 +192,10 @@
 // Unlimited means that the target states no limit.
 type Unlimited struct{}
 
+// Cold means that the target bears few requests for some time.
+type Cold struct{ For time.Duration }
+
+func (Cold) notice()      {}
 func (Leaving) notice()   {}
 func (Paused) notice()    {}
 func (Limited) notice()   {}
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -134,6 +134,16 @@
 	return nil
 }
 
+// findHomes finds the regions in which the request may run.
+func (r *Relay) findHomes(_ context.Context, f *inflight) outcome.Outcome {
+	homes, possible := catalog.Homes(f.route, f.team)
+	if !possible {
+		return outcome.NotRun{Reason: outcome.ReasonHomes, Detail: "the route and the team have no home region in common"}
+	}
+	f.homes = homes
+	return nil
+}
+
 // screen refuses a request that would crash its target.
 func (r *Relay) screen(_ context.Context, f *inflight) outcome.Outcome {
 	if refusal := r.quarantined(f); refusal != nil {
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -76,7 +76,7 @@
 	var paused []PausedTarget
 	for _, t := range r.all {
 		until := r.pausedUntil[startKey{t.ID, t.Start}]
-		if t.Pool == pool && !t.Draining && now.Before(until) {
+		if t.Pool == pool && !t.Draining && !r.evacuations.Includes(t.Domain) && now.Before(until) {
 			paused = append(paused, PausedTarget{Target: t, Rest: until.Sub(now)})
 		}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -47,6 +47,8 @@
 	// is when the target is gone unless it has been renewed. It is NotBeforeReturn while the
 	// store is away again.
 	ExpiresAt boottime.Instant
+	// ColdLeft is how long the target stays cold, as of the registration. It isn't relayed.
+	ColdLeft time.Duration
 }
 
 // NotBeforeReturn is later than any instant. A target can't renew its registration before the
@@ -173,6 +175,10 @@
 	// pruned when there are pruneAt.
 	removals map[target.ID]removal
 	pruneAt  int
+	// evacuations are the failure domains whose targets are to get no requests.
+	evacuations Evacuations
+	// emptyAt holds, for each evacuated domain, when its targets get no requests any more.
+	emptyAt map[fleet.DomainID]boottime.Instant
 }
 
 // removal is the end of a registration.
@@ -222,6 +228,7 @@
 		clock: clock, log: slog.New(slog.DiscardHandler), targets: map[target.ID]entry{}, addresses: map[string][]target.ID{}, changed: make(chan struct{}),
 		versions: map[target.Pool]map[target.Version]int{}, versionsChanged: make(chan struct{}),
 		leaving: map[startKey]boottime.Instant{}, pausedUntil: map[startKey]boottime.Instant{}, removals: map[target.ID]removal{}, pruneAt: minPrune,
+		emptyAt: map[fleet.DomainID]boottime.Instant{},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -665,6 +672,7 @@
 		}
 		switch {
 		case t.Draining:
+		case r.emptied(t.Domain, now):
 		case now.Before(until):
 			if r.listsValidUntil == 0 || until.Before(r.listsValidUntil) {
 				r.listsValidUntil = until
