config, admin, cmd: evacuation of domains and homes on the product's own interface

Cause: operators could neither empty a failure domain nor keep requests in regions.

Change: evacuations are a kind of entry of the configuration; commands and calls begin and end them, status and a metric show them. Homes of teams and routes bind router and loads.

Result: the end-to-end scenario empties a domain and takes it back. It failed at first: hosts were answered replicas of the evacuated domain until its next report; groups of evacuated domains aren't asked any more.

--- a/admin/client.go
+++ b/admin/client.go
@@ -159,6 +159,17 @@
 	return c.call(ctx, http.MethodPost, "/v1/domain/forget", wireForget{domain, host}, &wireForget{})
 }
 
+// Evacuate keeps requests from the targets of a failure domain, or gives them requests again. It is
+// idempotent.
+func (c *Client) Evacuate(ctx context.Context, domain fleet.DomainID, evacuated bool, author config.Author) (Evacuation, error) {
+	method := http.MethodPost
+	if !evacuated {
+		method = http.MethodDelete
+	}
+	var state Evacuation
+	return state, c.call(ctx, method, "/v1/evacuations/"+url.PathEscape(string(domain)), wireAuthor{author}, &state)
+}
+
 // Burn returns the error budget report.
 func (c *Client) Burn(ctx context.Context) (burn.Report, error) {
 	var report burn.Report
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -86,6 +86,8 @@
 	mux.HandleFunc("GET /v1/status", h.serve(defaultTimeout, h.status))
 	mux.HandleFunc("POST /v1/drain", h.serve(defaultTimeout, h.drain))
 	mux.HandleFunc("POST /v1/domain/forget", h.serve(defaultTimeout, h.forget))
+	mux.HandleFunc("POST /v1/evacuations/{domain}", h.serve(applyTimeout, h.evacuate))
+	mux.HandleFunc("DELETE /v1/evacuations/{domain}", h.serve(applyTimeout, h.endEvacuation))
 	mux.HandleFunc("GET /v1/burn", h.serve(defaultTimeout, h.burn))
 	return h.authorized(mux)
 }
--- a/admin/status.go
+++ b/admin/status.go
@@ -28,6 +28,8 @@
 	Limits   []LimitStatus   `json:"limits"`
 	// CutOff lists what the host can't reach: names of domains, or "platform".
 	CutOff []string `json:"cut-off"`
+	// Evacuated lists the failure domains whose targets get no requests.
+	Evacuated []fleet.DomainID `json:"evacuated"`
 }
 
 // ConfigStatus is the current configuration of the host.
--- a/cmd/hawthornway/operator_test.go
+++ b/cmd/hawthornway/operator_test.go
@@ -74,6 +74,7 @@
 	folder := writeFolder(t, "teams: [{name: rafiq, rate: 5, burst: 10}]")
 	changedFolder := writeFolder(t, "teams: [{name: rafiq, rate: 7, burst: 10}]")
 	invalidFolder := writeFolder(t, "teams: [{name: rafiq, rate: fast}]")
+	domainsFolder := writeFolder(t, "domains: [{name: a}, {name: b}]\nteams: [{name: rafiq, rate: 7, burst: 10}]")
 	page := filepath.Join(t.TempDir(), "burn.html")
 	cases := []struct {
 		name   string
@@ -105,6 +106,13 @@
 		{"status as JSON", []string{"status", "--json"}, exitOK, `"cut-off": [`, ""},
 		{"drain", []string{"drain"}, exitOK, "2 requests still run", ""},
 		{"forget", []string{"domain", "forget", "a", "a9"}, exitOK, "a9 is no longer a member of a", ""},
+		{"evacuate an unknown domain", []string{"domain", "evacuate", "a"}, exitFailed, "", `domain "a" does not exist`},
+		{"apply domains", []string{"apply", domainsFolder, "--base", "3"}, exitOK, "accepted: revision 4", ""},
+		{"evacuate", []string{"domain", "evacuate", "a"}, exitOK, "domain a gets no further requests: revision 5", ""},
+		{"evacuate again", []string{"domain", "evacuate", "a", "--json"}, exitOK, `"changed": false`, ""},
+		{"apply a folder from before", []string{"apply", domainsFolder}, exitConflict, "", `added evacuations "a"`},
+		{"restore", []string{"domain", "restore", "a"}, exitOK, "domain a gets requests again: revision 6", ""},
+		{"evacuate nothing", []string{"domain", "evacuate"}, exitUsage, "", "required"},
 		{"burn", []string{"burn", "--html", page}, exitOK, "without an answer: [b1]", ""},
 		{"unreachable", []string{"status", "--host-address", "127.0.0.1:1"}, exitUnreachable, "", "did not answer"},
 		{"no token", []string{"status", "--token-file", "/dev/null"}, exitFailed, "", "token is missing or wrong"},
--- a/cmd/hawthornway/status.go
+++ b/cmd/hawthornway/status.go
@@ -41,6 +41,9 @@
 	if len(s.CutOff) > 0 {
 		fmt.Fprintf(w, "cut off from: %s\n", strings.Join(s.CutOff, ", "))
 	}
+	for _, domain := range s.Evacuated {
+		fmt.Fprintf(w, "evacuated: %s\n", domain)
+	}
 	table := newTable(w)
 	fmt.Fprintln(table, "\nHOST\tDOMAIN\tINCARNATION\tSTATE\tHEARD")
 	for _, h := range s.Hosts {
--- a/components.go
+++ b/components.go
@@ -125,6 +125,7 @@
 		replica.WithOwnership(c.members),
 		replica.WithStore(o.store),
 		replica.WithDraining(c.hostList.Draining),
+		replica.WithDraining(c.directory.Evacuated),
 		replica.WithClock(o.clock),
 		replica.WithLogger(o.log),
 	}
@@ -137,6 +138,7 @@
 		route.WithReplicas(c.replicas),
 		route.WithDomain(self.Domain),
 		route.WithDraining(c.hostList.Draining),
+		route.WithDraining(c.directory.Evacuated),
 		route.WithClock(o.clock),
 	)
 	c.gate = gate.New(c.directory.Queue, c.poolLoad, c.hostCount, o.clock)
@@ -212,6 +214,34 @@
 	}
 }
 
+// followEvacuations logs and counts the evacuated failure domains of each new configuration.
+func (c *components) followEvacuations(ctx context.Context) error {
+	updates, end := c.configs.Subscribe()
+	defer end()
+	evacuated := map[fleet.DomainID]bool{}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case next := <-updates:
+			previous := evacuated
+			evacuated = map[fleet.DomainID]bool{}
+			for _, e := range next.Config().Evacuations {
+				evacuated[e.Domain] = true
+				if !previous[e.Domain] {
+					c.log.Info("host: domain is evacuated", "domain", e.Domain, "revision", next.Revision())
+				}
+			}
+			for domain := range previous {
+				if !evacuated[domain] {
+					c.log.Info("host: domain is no longer evacuated", "domain", domain, "revision", next.Revision())
+				}
+			}
+			c.metrics.Scope().Gauge("evacuated_domains").Update(float64(len(evacuated)))
+		}
+	}
+}
+
 // addCallerHandler creates the handler of the callers' requests with its filter
 // chain.
 func (c *components) addCallerHandler(s settings.Settings, o *options) {
@@ -227,10 +257,11 @@
 		gate:             c.gate,
 		pool:             directory.PoolOf,
 		priority:         priority,
+		homes:            func(c *call.Call) func(fleet.DomainID) bool { return directory.Homes(c.Team, nil) },
 		expectedSlotWait: c.expectedSlotWait,
 	}
 	generator := openai.NewGenerator(engines, budget, o.clock, priority)
-	forwarder := service.NewForwarder(&servicePlacer{router: c.router, expectedSlotWait: c.expectedSlotWait}, budget, o.clock)
+	forwarder := service.NewForwarder(&servicePlacer{router: c.router, homes: directory.Homes, expectedSlotWait: c.expectedSlotWait}, budget, o.clock)
 	c.callMemory = memory.NewBudget(memory.Bytes(s.Limits.MemoryBytes), o.clock)
 	entries := []call.Entry{
 		{Priority: call.PriorityHost, Filter: caller.HostConcurrencyFilter(s.Limits.Streams, o.clock)},
@@ -268,6 +299,7 @@
 		{"gate", c.gate.Run},
 		{"claim", c.claims.Run},
 		{"burn", c.followObjectives},
+		{"evacuation", c.followEvacuations},
 	}
 	for _, ctrl := range controllers {
 		running.Go(func() {
--- a/config/check.go
+++ b/config/check.go
@@ -61,6 +61,7 @@
 	failedFields map[string]bool
 
 	domains  map[fleet.DomainID]bool
+	regions  map[fleet.RegionID]bool
 	pools    map[target.Pool]pool
 	models   map[model.Name]Model
 	adapters map[model.Name]Adapter
@@ -88,6 +89,7 @@
 	checkEach(c, KindTeam, config.Teams, c.team)
 	checkEach(c, KindRoute, config.Routes, c.route)
 	checkEach(c, KindObjective, config.Objectives, c.objective)
+	checkEach(c, KindEvacuation, config.Evacuations, c.evacuation)
 	checkUnique(c, KindTarget, "address", config.Targets, func(t Target) string { return t.Address })
 	checkUnique(c, KindRoute, "path", config.Routes, func(r Route) string { return strings.TrimRight(r.Path, "/") })
 }
@@ -99,8 +101,12 @@
 	c.adapters = map[model.Name]Adapter{}
 	c.teams = map[team.ID]bool{}
 	c.routes = map[RouteName]bool{}
+	c.regions = map[fleet.RegionID]bool{}
 	for _, d := range config.Domains {
 		c.domains[d.Name] = true
+		if d.Region != "" {
+			c.regions[d.Region] = true
+		}
 	}
 	for _, t := range config.Targets {
 		known, exists := c.pools[t.Pool]
@@ -200,7 +206,7 @@
 func (c *checker) domain(e entryChecker, d Domain) {
 	e.name("name", string(d.Name))
 	if d.Region != "" {
-		e.name("region", d.Region)
+		e.name("region", string(d.Region))
 	}
 }
 
@@ -280,6 +286,22 @@
 	checkRange(e, "streams", t.Streams, 1, maxQueue)
 	checkReferences(e, "models", t.Models, "model or adapter", c.hasModel)
 	checkReferences(e, "routes", t.Routes, "route", func(r RouteName) bool { return c.routes[r] })
+	c.homes(e, t.Homes)
+}
+
+// homes checks the home regions of a team or a route. An empty list would mean that its requests
+// may run nowhere.
+func (c *checker) homes(e entryChecker, homes []fleet.RegionID) {
+	if homes != nil && len(homes) == 0 {
+		e.fail("homes", "must name a region, or be left out if requests may run anywhere")
+	}
+	checkReferences(e, "homes", homes, "region", func(r fleet.RegionID) bool { return c.regions[r] })
+}
+
+func (c *checker) evacuation(e entryChecker, v Evacuation) {
+	if !c.domains[v.Domain] {
+		e.fail("domain", "domain %q does not exist", v.Domain)
+	}
 }
 
 func (c *checker) hasModel(name model.Name) bool {
@@ -317,6 +339,7 @@
 	checkRange(e, "cost", r.Cost, 0, maxTokens)
 	checkRange(e, "deadline", r.Deadline, time.Millisecond, maxDeadline)
 	checkRange(e, "body-bytes", r.BodyBytes, 0, maxBodyBytes)
+	c.homes(e, r.Homes)
 }
 
 func (c *checker) routePath(e entryChecker, value string) {
--- a/config/config.go
+++ b/config/config.go
@@ -23,13 +23,20 @@
 	Teams      []Team      `yaml:"teams" json:"teams"`
 	Routes     []Route     `yaml:"routes" json:"routes"`
 	Objectives []Objective `yaml:"objectives" json:"objectives"`
+	// Evacuations lists the failure domains whose targets are to get no requests.
+	Evacuations []Evacuation `yaml:"evacuations" json:"evacuations"`
+}
+
+// Evacuation keeps requests from the targets of a failure domain.
+type Evacuation struct {
+	Domain fleet.DomainID `yaml:"domain" json:"domain"`
 }
 
 // Domain is a failure domain, which has its own hosts and targets.
 type Domain struct {
 	Name fleet.DomainID `yaml:"name" json:"name"`
 	// Region groups domains that are close to each other.
-	Region string `yaml:"region" json:"region"`
+	Region fleet.RegionID `yaml:"region" json:"region"`
 }
 
 // Target is a back end: an engine or a service.
@@ -100,8 +107,11 @@
 	// Models lists the models and adapters that the team may use.
 	Models []model.Name `yaml:"models" json:"models"`
 	// Routes lists the routes that the team may use.
-	Routes     []RouteName  `yaml:"routes" json:"routes"`
-	WhenCutOff CutOffPolicy `yaml:"when-cut-off" json:"when-cut-off"`
+	Routes []RouteName `yaml:"routes" json:"routes"`
+	// Homes lists the regions in which the team's requests may run. Without it, they may run
+	// anywhere.
+	Homes      []fleet.RegionID `yaml:"homes" json:"homes"`
+	WhenCutOff CutOffPolicy     `yaml:"when-cut-off" json:"when-cut-off"`
 	// QueueEntries and QueueBytes limit the number and the total size of the team's
 	// requests that wait in one pool's queue on a host.
 	QueueEntries int   `yaml:"queue-entries" json:"queue-entries"`
@@ -129,6 +139,9 @@
 	Deadline time.Duration `yaml:"deadline" json:"deadline"`
 	// BodyBytes is the maximum size of a request's body.
 	BodyBytes int64 `yaml:"body-bytes" json:"body-bytes"`
+	// Homes lists the regions in which the route's requests may run. Without it, they may run
+	// anywhere.
+	Homes []fleet.RegionID `yaml:"homes" json:"homes"`
 }
 
 // Objective is a service-level objective for a team and a model. An empty team
--- a/config/merge.go
+++ b/config/merge.go
@@ -110,6 +110,7 @@
 	mergeKind(m, doc, KindTeam, &m.config.Teams, c.Teams)
 	mergeKind(m, doc, KindRoute, &m.config.Routes, c.Routes)
 	mergeKind(m, doc, KindObjective, &m.config.Objectives, c.Objectives)
+	mergeKind(m, doc, KindEvacuation, &m.config.Evacuations, c.Evacuations)
 }
 
 // mergeKind merges one file's entries of a kind into those of earlier files.
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -30,6 +30,9 @@
 	adapters map[model.Name]Adapter
 	teams    map[team.ID]Team
 	routes   map[string]Route
+	// evacuated holds the domains that are evacuated, and regions the regions of all domains.
+	evacuated map[fleet.DomainID]bool
+	regions   fleet.Regions
 }
 
 // NewSnapshot indexes a merged configuration.
@@ -45,6 +48,13 @@
 		teams:    indexBy(c.Teams, func(t Team) team.ID { return t.Name }),
 		routes:   indexBy(c.Routes, func(r Route) string { return strings.TrimRight(r.Path, "/") }),
 	}
+	s.evacuated, s.regions = map[fleet.DomainID]bool{}, fleet.Regions{}
+	for _, e := range c.Evacuations {
+		s.evacuated[e.Domain] = true
+	}
+	for _, d := range c.Domains {
+		s.regions[d.Name] = d.Region
+	}
 	for _, t := range c.Targets {
 		s.pools[t.Pool] = append(s.pools[t.Pool], t)
 	}
@@ -86,6 +96,12 @@
 	return t, ok
 }
 
+// Evacuated reports whether the targets of a failure domain are to get no requests.
+func (s *Snapshot) Evacuated(domain fleet.DomainID) bool { return s.evacuated[domain] }
+
+// Regions returns the regions of the failure domains. The caller must not modify them.
+func (s *Snapshot) Regions() fleet.Regions { return s.regions }
+
 // Pool returns the targets of a pool. The caller must not modify them.
 func (s *Snapshot) Pool(name target.Pool) []Target { return s.pools[name] }
 
--- a/directory.go
+++ b/directory.go
@@ -53,6 +53,40 @@
 	return names
 }
 
+// EvacuatedDomains returns the failure domains whose targets are to get no requests.
+func (d directory) EvacuatedDomains() []fleet.DomainID {
+	evacuated := []fleet.DomainID{}
+	for _, e := range d.Config().Evacuations {
+		evacuated = append(evacuated, e.Domain)
+	}
+	return evacuated
+}
+
+// Evacuated reports whether a target is in an evacuated failure domain.
+func (d directory) Evacuated(id target.ID) bool {
+	snapshot := d.current()
+	t, ok := snapshot.Target(id)
+	return ok && snapshot.Evacuated(t.Domain)
+}
+
+// Homes returns which failure domains the requests of a team may run in, on a route unless that is
+// nil. It returns nil if they may run in any.
+func (d directory) Homes(id team.ID, route *config.Route) func(fleet.DomainID) bool {
+	snapshot := d.current()
+	teamConfig, _ := snapshot.Team(id)
+	teamHomes, routeHomes := fleet.NewRegionSet(teamConfig.Homes...), fleet.RegionSet("")
+	if route != nil {
+		routeHomes = fleet.NewRegionSet(route.Homes...)
+	}
+	if !teamHomes.Limited() && !routeHomes.Limited() {
+		return nil
+	}
+	regions := snapshot.Regions()
+	return func(domain fleet.DomainID) bool {
+		return teamHomes.Includes(regions[domain]) && routeHomes.Includes(regions[domain])
+	}
+}
+
 // Teams returns the configured teams.
 func (d directory) Teams() []team.ID {
 	var names []team.ID
--- a/operators.go
+++ b/operators.go
@@ -40,6 +40,8 @@
 		Replicas: o.replicas(),
 		Limits:   []admin.LimitStatus{},
 		CutOff:   o.cutOff(),
+
+		Evacuated: c.directory.EvacuatedDomains(),
 	}, nil
 }
 
--- a/placers.go
+++ b/placers.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hawthornway/call"
+	"hawthornway/config"
 	"hawthornway/fair"
+	"hawthornway/fleet"
 	"hawthornway/gate"
 	"hawthornway/model"
 	"hawthornway/openai"
@@ -30,6 +33,8 @@
 	// pool returns the pool whose engines serve a model or an adapter.
 	pool     func(name model.Name) target.Pool
 	priority func(c *call.Call) int
+	// homes returns which failure domains a call may run in, or nil if any.
+	homes func(c *call.Call) func(fleet.DomainID) bool
 	// expectedSlotWait returns the expected time until a pool has a free slot.
 	expectedSlotWait func(pool target.Pool) time.Duration
 }
@@ -43,7 +48,8 @@
 // Place picks a ready replica, or waits until one is loaded. Only the first
 // attempt of a call waits in the pool's queue; retries don't queue again.
 func (p *enginePlacer) Place(ctx context.Context, c *call.Call, gen *call.Generation, tried []target.ID) (openai.Placement, *outcome.NotRun) {
-	cold := len(p.replicas.Ready(gen.Model)) == 0
+	homes := p.homes(c)
+	cold := !slices.ContainsFunc(p.replicas.Ready(gen.Model), func(r replica.Replica) bool { return homes == nil || homes(r.Domain) })
 	if cold {
 		if refused := p.ensureLoaded(ctx, c, gen.Model); refused != nil {
 			return openai.Placement{}, refused
@@ -105,6 +111,7 @@
 		Model:    gen.Model,
 		Prefix:   route.PrefixHash(gen.PrefixHash),
 		Priority: p.priority(c),
+		Homes:    p.homes(c),
 		Exclude:  tried,
 	}
 	return pickAndStart(p.router, request)
@@ -143,6 +150,7 @@
 		Model:    name,
 		Team:     c.Team,
 		Deadline: c.Deadline,
+		Homes:    p.homes(c),
 	})
 	return refused
 }
@@ -150,13 +158,21 @@
 // servicePlacer finds services for routes.
 type servicePlacer struct {
 	router route.Router
+	// homes returns which failure domains a team's calls of a route may run in, or nil if any.
+	homes func(id team.ID, route *config.Route) func(fleet.DomainID) bool
 	// expectedSlotWait returns the expected time until a pool has a free slot.
 	expectedSlotWait func(pool target.Pool) time.Duration
 }
 
 // Place picks a service of the route's pool that was not tried yet.
-func (p *servicePlacer) Place(_ context.Context, _ *call.Call, s *call.Service, tried []target.ID) (service.Placement, *outcome.NotRun) {
-	choice, ok := pickAndStart(p.router, route.Request{Pool: s.Route.Pool, Exclude: tried})
+func (p *servicePlacer) Place(_ context.Context, c *call.Call, s *call.Service, tried []target.ID) (service.Placement, *outcome.NotRun) {
+	homes := p.homes(c.Team, &s.Route)
+	choice, ok := pickAndStart(p.router, route.Request{Pool: s.Route.Pool, Exclude: tried, Homes: homes})
+	if !ok && homes != nil && len(tried) == 0 {
+		return service.Placement{}, &outcome.NotRun{
+			Reason: outcome.ReasonHomes, RetryAfter: p.expectedSlotWait(s.Route.Pool), Detail: "no target in the home regions takes the call",
+		}
+	}
 	if !ok {
 		return service.Placement{}, &outcome.NotRun{
 			Reason:     outcome.ReasonNoTarget,
--- a/replica/layout.go
+++ b/replica/layout.go
@@ -59,6 +59,8 @@
 	targetsByID map[target.ID]config.Target
 	groupOf     map[target.ID]GroupKey
 	catalog     *Catalog
+	// evacuated holds the failure domains whose targets get no requests.
+	evacuated map[fleet.DomainID]bool
 }
 
 // newLayout returns the layout of a configuration.
@@ -77,6 +79,10 @@
 		targetsByID: make(map[target.ID]config.Target),
 		groupOf:     make(map[target.ID]GroupKey),
 		catalog:     NewCatalog(cfg),
+		evacuated:   make(map[fleet.DomainID]bool),
+	}
+	for _, e := range cfg.Evacuations {
+		l.evacuated[e.Domain] = true
 	}
 	for _, t := range cfg.Targets {
 		parts := groupParts(sizes[domainPool{t.Domain, t.Pool}])
--- a/replica/loadrequest.go
+++ b/replica/loadrequest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -52,6 +53,21 @@
 // errNotOwner is the answer of a host that does not act for a group.
 var errNotOwner = errors.New("host does not act for the group")
 
+// evacuatedRetryAfter is sent as Retry-After if all domains where a call may run are evacuated. An
+// operator ends that.
+const evacuatedRetryAfter = 5 * time.Second
+
+// mayLoad returns the groups that may load the model of a request: those in its home regions whose
+// domains aren't evacuated.
+func (l *layout) mayLoad(groups []GroupKey, request LoadRequest) []GroupKey {
+	if request.Homes == nil && len(l.evacuated) == 0 {
+		return groups
+	}
+	return slices.DeleteFunc(slices.Clone(groups), func(key GroupKey) bool {
+		return l.evacuated[key.Domain] || request.Homes != nil && !request.Homes(key.Domain)
+	})
+}
+
 // Ensure waits for a replica of a model.
 func (c *controller) Ensure(ctx context.Context, request LoadRequest) (LoadResult, *outcome.NotRun) {
 	c.updateLayout() // the caller may have read a newer configuration than the last step did
@@ -77,6 +93,13 @@
 		if len(ranked) == 0 {
 			return LoadResult{}, &outcome.NotRun{Reason: outcome.ReasonUnknownModel, Detail: refusalDetail(outcome.ReasonUnknownModel)}
 		}
+		if ranked = l.mayLoad(ranked, request); len(ranked) == 0 {
+			reason := outcome.ReasonNoTarget
+			if request.Homes != nil {
+				reason = outcome.ReasonHomes
+			}
+			return LoadResult{}, &outcome.NotRun{Reason: reason, RetryAfter: evacuatedRetryAfter, Detail: "No engine is left in the failure domains where the call may run."}
+		}
 		if result, refusal, done := c.askGroups(ctx, ranked, request); done && !ownerConfigOutdated(refusal) {
 			return result, refusal
 		}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -20,6 +20,9 @@
 	Team  team.ID
 	// Deadline is the time by which the request must be answered.
 	Deadline time.Time
+	// Homes reports whether the replica may be in a failure domain. If it is nil, it may be in
+	// any.
+	Homes func(fleet.DomainID) bool
 }
 
 // LoadResult describes how a load request was answered.
--- a/route/router.go
+++ b/route/router.go
@@ -36,6 +36,9 @@
 	Prefix PrefixHash
 	// Priority is the request's priority; higher goes first at engines.
 	Priority int
+	// Homes reports whether the request may run in a failure domain. If it is nil, it may run
+	// in any.
+	Homes func(fleet.DomainID) bool
 	// Exclude lists the targets that were already tried.
 	Exclude []target.ID
 }
@@ -275,7 +278,7 @@
 // appendCandidate appends a target with its score and cost, unless it was
 // already tried or accepts no requests.
 func (r *router) appendCandidate(c Choice, request Request, seed uint64, dst []candidate) []candidate {
-	if slices.Contains(request.Exclude, c.Target) {
+	if slices.Contains(request.Exclude, c.Target) || request.Homes != nil && !request.Homes(c.Domain) {
 		return dst
 	}
 	for _, draining := range r.draining {
