soak: evacuations, cold engines and homes, each with a check

Three protections that are switched off for the checks to find; the long runs of TestMutations weren't run yet.

--- a/soak/check.go
+++ b/soak/check.go
@@ -23,6 +23,9 @@
 		}
 	}
 	s.checkLimits(report)
+	s.checkEvacuations(engines, report)
+	s.checkCold(report)
+	s.checkHomes(engines, report)
 	s.checkCrashes(engines, report)
 	arrivals := map[string]history{platformtest.ModelService: arrivalsAt(engines), platformtest.PlainService: arrivalsAt(s.plainTargets)}
 	for _, e := range append(engines, s.plainTargets...) {
@@ -71,12 +74,8 @@
 			report("%s %s", at, v)
 		}
 	}
-	sound := func(from, to time.Time) bool {
-		disrupted := func(h *host) bool { return !h.disruptions.calm(from, to) }
-		return s.storeDisruptions.calm(from, to) && !slices.ContainsFunc(s.hosts, disrupted)
-	}
 	for id, left := range s.departures {
-		if n := afterDeparture(left, s.engineProxies[id].accepted(), sound); n > 0 {
+		if n := afterDeparture(left, s.engineProxies[id].accepted(), s.inTouch); n > 0 {
 			report("engine %s got %d connections after its departure %.3f s", id, n, left.Sub(s.startedAt).Seconds())
 		}
 	}
@@ -104,6 +103,65 @@
 	return violations, figures
 }
 
+// checkEvacuations checks that nothing ran in an evacuated zone once all hosts, in touch with a sound
+// store, had time to learn of it.
+func (s *soak) checkEvacuations(engines []*platformtest.Engine, report func(string, ...any)) {
+	for _, evacuated := range s.evacuations {
+		for _, e := range append(slices.Clone(engines), s.plainTargets...) {
+			if e.Zone() != evacuated.zone {
+				continue
+			}
+			for _, a := range e.Arrived() {
+				if a.Ran && a.At.After(evacuated.from.Add(evacuationTime)) && a.At.Before(evacuated.to) && s.inTouch(evacuated.from, a.At) {
+					report("engine %s ran %s %v after the evacuation of %s", e.ID, a.ID, a.At.Sub(evacuated.from).Round(time.Millisecond), evacuated.zone)
+					break
+				}
+			}
+		}
+	}
+}
+
+// The platform's limit for requests to a cold engine within a second, over all hosts, from coldDelay
+// after the engine has said that it is cold.
+const (
+	coldOvershoot = 1.5
+	coldSlack     = 5
+	coldDelay     = 1500 * time.Millisecond
+)
+
+// checkCold checks that engines got as many requests as they bore while they were cold.
+func (s *soak) checkCold(report func(string, ...any)) {
+	for _, cold := range s.coldSpans {
+		var ran []time.Time
+		for _, a := range cold.engine.Arrived() {
+			if a.Ran && a.At.After(cold.from.Add(coldDelay)) && a.At.Before(cold.to) && s.inTouch(cold.from, a.At) {
+				ran = append(ran, a.At)
+			}
+		}
+		for i, at := range ran {
+			if n := countBetween(ran, at.Add(-time.Second), at); float64(n) > coldRate*coldOvershoot+coldSlack {
+				report("engine %s ran %d requests in a second, %v after it had turned cold", cold.engine.ID, n, ran[i].Sub(cold.from).Round(time.Millisecond))
+				break
+			}
+		}
+	}
+}
+
+// checkHomes checks that nothing ran outside of the home regions.
+func (s *soak) checkHomes(engines []*platformtest.Engine, report func(string, ...any)) {
+	for _, e := range append(slices.Clone(engines), s.plainTargets...) {
+		if len(s.Shape.Homes) > 0 && !slices.Contains(s.Shape.Homes, regions[e.Zone()]) && len(e.Runs()) > 0 {
+			report("engine %s ran %d requests outside of their home regions", e.ID, len(e.Runs()))
+		}
+	}
+}
+
+// inTouch reports whether the store and all hosts were in touch in a whole span.
+func (s *soak) inTouch(from, to time.Time) bool {
+	disrupted := func(h *host) bool { return !h.disruptions.calm(from, to) }
+	return s.storeDisruptions.calm(from, to) && !slices.ContainsFunc(s.hosts, disrupted)
+}
+
 // evidence returns what the checks of single calls know of the run.
 func (s *soak) evidence(arrivals map[string]history) evidence {
 	e := evidence{
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -76,6 +76,31 @@
 			s.recordLimit(statedLimit{e, rate, from, time.Now()})
 		}
 	}, limitDuration},
+	{"domain is evacuated", func(s *soak) func() {
+		zone := fmt.Sprintf("zone-%d", s.random.IntN(zoneCount))
+		if !s.beginEvacuation(zone) {
+			return nil
+		}
+		s.recordFault("%s is evacuated", zone)
+		platformtest.Evacuate(s.store, zone)
+		from := time.Now()
+		return func() {
+			s.endEvacuation(evacuation{zone, span{from, time.Now()}})
+			platformtest.TakeBack(s.store, zone)
+			s.recordFault("%s is taken back", zone)
+		}
+	}, evacuationDuration},
+	{"engines of a domain turn cold", func(s *soak) func() {
+		zone := fmt.Sprintf("zone-%d", s.random.IntN(zoneCount))
+		s.recordFault("engines of %s turn cold", zone)
+		for _, e := range s.engines {
+			if e.Zone() == zone {
+				e.TurnCold(coldDuration)
+				s.coldSpans = append(s.coldSpans, coldSpan{e, span{time.Now(), time.Now().Add(coldDuration)}})
+			}
+		}
+		return nil
+	}, 0},
 	{"engine drains", func(s *soak) func() {
 		if len(s.engines) < engineCount {
 			return nil
@@ -96,6 +121,48 @@
 
 const limitDuration = 8 * time.Second
 
+// zoneCount is the number of zones, and evacuationTime the time within which an evacuated one has
+// to be empty. Evacuations last for evacuationDuration, and engines stay cold for coldDuration, in
+// which they bear coldRate requests per second.
+const (
+	zoneCount          = 3
+	evacuationTime     = 3 * time.Second
+	evacuationDuration = 7 * time.Second
+	coldDuration       = 4 * time.Second
+	coldRate           = 5
+)
+
+// evacuation is a time in which a zone was to get no requests.
+type evacuation struct {
+	zone string
+	span
+}
+
+// coldSpan is a time in which an engine was cold.
+type coldSpan struct {
+	engine *platformtest.Engine
+	span
+}
+
+// beginEvacuation reports whether a zone may be evacuated: none is.
+func (s *soak) beginEvacuation(zone string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.evacuating != "" {
+		return false
+	}
+	s.evacuating = zone
+	return true
+}
+
+// endEvacuation records an evacuation that ends.
+func (s *soak) endEvacuation(e evacuation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuating = ""
+	s.evacuations = append(s.evacuations, e)
+}
+
 // statedLimit is a limit that an engine stated for some time.
 type statedLimit struct {
 	engine   *platformtest.Engine
--- a/soak/mutation_test.go
+++ b/soak/mutation_test.go
@@ -35,6 +35,21 @@
 		before: "case t.Draining:", after: "case false:",
 		planned: true, broken: "after it said that it leaves",
 	},
+	{
+		name: "evacuated domains get requests", file: "roster/roster.go",
+		before: "case r.emptied(t.Domain, now):", after: "case r.emptied(t.Domain, now) && false:",
+		planned: true, faults: []string{"domain is evacuated"}, broken: "after the evacuation of",
+	},
+	{
+		name: "cold engines get any number of requests", file: "gateway/placer.go",
+		before: "_, limited := g.limits.Limit(pace.KeyOf(t))", after: "limited := false",
+		planned: true, faults: []string{"engines of a domain turn cold"}, broken: "after it had turned cold",
+	},
+	{
+		name: "requests leave their home regions", file: "gateway/domain.go",
+		before: "if !homes.Limited() {", after: "if true {",
+		planned: true, shape: "shop", faults: []string{"reload"}, broken: "outside of their home regions",
+	},
 	{
 		name: "an attempt uses the connection of an earlier one", file: "exchange/client.go",
 		before: "if attempts.include(candidate) {", after: "if false && attempts.include(candidate) {",
--- a/soak/shape.go
+++ b/soak/shape.go
@@ -28,10 +28,15 @@
 	Work         time.Duration
 	// EventGap is the time between the events of a stream. It is short if it is zero.
 	EventGap time.Duration
+	// Homes are the regions in which requests may run, or empty if they may run anywhere.
+	Homes []string
 	// kinds are the kinds of request, which callers send in turn.
 	kinds []kind
 }
 
+// regions holds the regions of zones.
+var regions = map[string]string{"zone-0": "west", "zone-1": "west", "zone-2": "east"}
+
 // kind is a kind of request.
 type kind struct {
 	name string
@@ -91,7 +96,7 @@
 	},
 	{
 		Name: "shop", Hosts: 9, Grace: 8, RetrySlack: 58, Callers: 48, CallInterval: 300 * time.Millisecond,
-		PlainTargets: 3, Slots: 6, Work: 15 * time.Millisecond,
+		PlainTargets: 3, Slots: 6, Work: 15 * time.Millisecond, Homes: []string{"west"},
 		kinds: []kind{chat, chat, deskBook, onceCheck, deskRead, chat, deskBook, deskOpen},
 	},
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -87,8 +87,13 @@
 	// requests that crash engines, each sent several times.
 	limits           []statedLimit
 	crashingRequests int
-	hosts            []*host
-	callers          *callers
+	// evacuating is the zone that is evacuated, or empty, and evacuations are those that have
+	// ended. ColdSpans are the times in which engines were cold.
+	evacuating  string
+	evacuations []evacuation
+	coldSpans   []coldSpan
+	hosts       []*host
+	callers     *callers
 	// unplanned are the times of unplanned faults, and storeDisruptions those of the store.
 	unplanned, storeDisruptions disruptions
 
@@ -165,7 +170,10 @@
 
 func (s *soak) applyConfig() {
 	s.configVersion += 1 + s.random.IntN(3)
-	c := platformtest.Config{Version: s.configVersion, Keys: []string{s.currentKey()}, Resumable: true, AllKinds: true}
+	c := platformtest.Config{
+		Version: s.configVersion, Keys: []string{s.currentKey()}, Resumable: true, AllKinds: true,
+		ColdPerSecond: coldRate, ColdTime: coldDuration, RouteHomes: s.Shape.Homes,
+	}
 	for i := range modelCount {
 		c.Models = append(c.Models, fmt.Sprintf("m%d", i))
 	}
@@ -222,6 +230,7 @@
 			binary: s.Binary, folder: s.Folder, storeProxy: storeProxy, callerProxy: callerProxy,
 		}
 		h.Grace, h.RetrySlack, h.MemoryMB = s.Shape.Grace, s.Shape.RetrySlack, s.Shape.MemoryMB
+		h.Regions, h.EvacuationTime = regions, evacuationTime
 		callerProxy.upstream = h.Callers
 		s.hosts = append(s.hosts, h)
 		if err := h.start(true); err != nil {
