slowdown, balance, placement: targets of different speed, models that become popular at once

Cause: hosts took all targets for equally fast, used a stated load as its answer ended, seconds late, and knew little of what other hosts send to an engine. The planner loaded a model that lacks engines on one further engine at a time.

Change: hosts collect the gaps between events, the coordinator learns from them how slow each engine is and sends it back with the engine's load; the fourth figure of X-Instance-Load counts at the host that hears it, from the head of the answer. Choice by weights, so that hosts don't all choose the same engine. Models far below their demand are loaded side by side.

Tried and taken out, no gain: requests that wait at hosts while engines are full; a shorter average of demand (docs/design/slowdown.md).

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -4,6 +4,8 @@
 
 import (
 	"hash/fnv"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"hawthornway/fleet"
 	"hawthornway/roster"
+	"hawthornway/slowdown"
 	"hawthornway/target"
 )
 
@@ -66,6 +69,11 @@
 	backoffUntil time.Time
 	nextBackoff  time.Duration
 	lastUsed     time.Time
+	// stated is what the target says of its machine, and learned how slow it has been, or zero
+	// if that isn't known. Uneven is set if either has been reported.
+	stated  slowdown.Statement
+	learned slowdown.Factor
+	uneven  bool
 }
 
 // New returns a new Balancer for a host in the given domain.
@@ -79,6 +87,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	if b.uneven(candidates) {
+		return b.chooseByWeight(candidates, session, now)
+	}
 	best, found := roster.Target{}, false
 	bestCost := 0.0
 	var bestRank uint64
@@ -96,6 +107,62 @@
 	return best, found
 }
 
+// uneven reports whether it is known of a candidate how long work takes there.
+func (b *Balancer) uneven(candidates []roster.Target) bool {
+	return slices.ContainsFunc(candidates, func(t roster.Target) bool {
+		s, ok := b.states[t.ID]
+		return ok && s.uneven
+	})
+}
+
+// chooseByWeight returns one of the candidates by weighted rendezvous hashing of the session. A
+// target's weight falls with the square of the expected time that it takes. All hosts learn the
+// load and speed of targets a little late, and would all choose the best one until they learn that
+// it no longer is.
+func (b *Balancer) chooseByWeight(candidates []roster.Target, session string, now time.Time) (best roster.Target, found bool) {
+	bestScore := 0.0
+	for _, t := range candidates {
+		s := b.state(t.ID)
+		if now.Before(s.backoffUntil) {
+			continue
+		}
+		expected := s.slowdown(now)*(1+float64(s.load(now))/float64(capacity(t))) + failureCost*s.failureRate
+		if t.Domain != b.domain {
+			expected += remoteDomainCost
+		}
+		uniform := (float64(mix(sessionRank(session, t.ID))>>11) + 0.5) / (1 << 53)
+		if score := -math.Log(uniform) * expected * expected; !found || score < bestScore {
+			best, bestScore, found = t, score, true
+		}
+	}
+	return best, found
+}
+
+// slowdown returns how many times as long as usual work takes at a target.
+func (s *targetState) slowdown(now time.Time) float64 {
+	learned := slowdown.Usual
+	if s.learned > 0 {
+		learned = s.learned
+	}
+	return float64(learned * s.stated.Now(now))
+}
+
+// ReportStated records what a target says of how long work takes on its machine.
+func (b *Balancer) ReportStated(id target.ID, factor slowdown.Factor) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	s.stated, s.uneven = slowdown.Statement{Factor: factor, At: b.clock.Now()}, true
+}
+
+// ReportLearned records how slow a target has been, as all hosts see it.
+func (b *Balancer) ReportLearned(id target.ID, factor slowdown.Factor) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	s.learned, s.uneven = factor, true
+}
+
 // Full reports whether all candidates that aren't backing off have as many requests as they can
 // run well. It reports false if there are none.
 func (b *Balancer) Full(candidates []roster.Target) bool {
@@ -155,6 +222,16 @@
 	return h.Sum64()
 }
 
+// mix scrambles the bits of x, of which similar IDs change only some. It is the finalizer of
+// SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // state returns the state of a target, which it creates if there is none, and
 // records the use of the target.
 func (b *Balancer) state(id target.ID) *targetState {
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -10,6 +10,7 @@
 
 	"hawthornway/balance"
 	"hawthornway/roster"
+	"hawthornway/slowdown"
 	"hawthornway/target"
 )
 
@@ -141,3 +142,97 @@
 		}
 	}
 }
+
+// Load: 59 hosts choose among targets of different speed, and learn loads a second late. Guards
+// against slow targets that get as much as fast ones, and against hosts that all choose the one
+// target that was free a moment ago.
+func TestUnevenTargetsShareRequestsBySpeed(t *testing.T) {
+	const hosts, rounds, perRound, serviceRounds = 59, 60, 40, 3
+	clock := clockwork.NewFakeClock()
+	factors := map[target.ID]slowdown.Factor{"t0": 0.6, "t1": 1, "t2": 1, "t3": 1.6}
+	all := targets(4)
+	for i := range all {
+		all[i].Slots = 64
+	}
+	balancers := make([]*balance.Balancer, hosts)
+	for i := range balancers {
+		balancers[i] = balance.New("d", clock)
+	}
+	counts, most := map[target.ID]int{}, 0
+	var inProgress []map[target.ID]int
+	for round := range rounds {
+		running := map[target.ID]int{}
+		for _, started := range inProgress[max(0, len(inProgress)-serviceRounds):] {
+			for id, n := range started {
+				running[id] += n
+			}
+		}
+		started := map[target.ID]int{}
+		for i, b := range balancers {
+			for id, factor := range factors {
+				b.ReportLoad(id, running[id])
+				b.ReportLearned(id, factor)
+			}
+			for n := range perRound / 10 {
+				if (i+n+round)%6 != 0 {
+					continue
+				}
+				chosen, ok := b.Choose(all, fmt.Sprint("session ", round, i, n))
+				must.True(t, ok)
+				started[chosen.ID]++
+				counts[chosen.ID]++
+			}
+		}
+		for _, n := range started {
+			most = max(most, n)
+		}
+		inProgress = append(inProgress, started)
+		clock.Advance(time.Second)
+	}
+	must.Greater(t, counts["t1"], counts["t0"])
+	must.Greater(t, counts["t3"], counts["t1"])
+	total := counts["t0"] + counts["t1"] + counts["t2"] + counts["t3"]
+	must.Less(t, 2*total/rounds/3, most, must.Sprint("most of a second's requests at one target"))
+}
+
+// Guards against sessions that lose their cached prompts because their targets state how long work
+// takes, and against a statement that outlasts the moment.
+func TestSessionsReturnToEvenTargetsThatStateTheirSpeed(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := balance.New("d", clock)
+	all := targets(4)
+	for _, candidate := range all {
+		b.ReportStated(candidate.ID, 1)
+	}
+	first, _ := b.Choose(all, "session")
+	for range 20 {
+		again, ok := b.Choose(all, "session")
+		must.True(t, ok)
+		must.Eq(t, first.ID, again.ID)
+	}
+	b.ReportStated(first.ID, 8)
+	other, _ := b.Choose(all, "session")
+	must.NotEq(t, first.ID, other.ID)
+	clock.Advance(time.Second)
+	again, _ := b.Choose(all, "session")
+	must.Eq(t, first.ID, again.ID)
+}
+
+// Guards against cold targets that are used although warm ones have room, or left out although all
+// of those are full.
+func TestFull(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := balance.New("d", clock)
+	two := []roster.Target{{ID: "a", Domain: "d", Slots: 2}, {ID: "b", Domain: "d", Slots: 64}}
+	must.False(t, b.Full(nil))
+	must.False(t, b.Full(two))
+	b.ReportLoad("a", 2)
+	must.False(t, b.Full(two))
+	b.ReportLoad("b", 12)
+	must.True(t, b.Full(two))
+	clock.Advance(3 * time.Second)
+	must.False(t, b.Full(two), must.Sprint("the loads are old"))
+	b.RequestStarted("a")
+	b.RequestEnded("a", balance.Unreachable)
+	must.False(t, b.Full(two[:1]), must.Sprint("none can be chosen"))
+}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -20,6 +20,7 @@
 	"hawthornway/quarantine"
 	"hawthornway/quota"
 	"hawthornway/roster"
+	"hawthornway/slowdown"
 	"hawthornway/target"
 	"hawthornway/team"
 )
@@ -74,6 +75,8 @@
 type Usage struct {
 	Demand  []Demand
 	Running []Running
+	// Gaps are those between the events of streams from targets that state how long work takes.
+	Gaps []slowdown.Gaps
 }
 
 // Demand counts the requests for a model since the last report.
@@ -167,6 +170,8 @@
 	// can't reach the coordinator.
 	reserveShares func() map[team.ID]float64
 	updateLoad    func(id target.ID, work int)
+	// updateSlowdown is called with how long work takes at targets that state it.
+	updateSlowdown func(id target.ID, factor slowdown.Factor)
 	// connected is set by each view of the coordinator and cleared by a failed report.
 	connected bool
 	// fleetLimits is the digest of the limits of targets that the coordinator knows.
@@ -200,6 +205,11 @@
 	return func(c *Client) { c.screen = screen }
 }
 
+// WithSlowdowns sets the function that is called with how long work takes at targets.
+func WithSlowdowns(update func(id target.ID, factor slowdown.Factor)) ClientOption {
+	return func(c *Client) { c.updateSlowdown = update }
+}
+
 // WithLeaving sets the function that returns the targets that have told this host that
 // they leave.
 func WithLeaving(leaving func() []roster.Target) ClientOption {
@@ -228,6 +238,7 @@
 		requestedAt:    map[Need]time.Time{},
 		changed:        make(chan struct{}),
 		leaderChanged:  make(chan struct{}, 1),
+		updateSlowdown: func(target.ID, slowdown.Factor) {},
 		leaving:        func() []roster.Target { return nil },
 		reserveShares:  func() map[team.ID]float64 { return nil },
 	}
@@ -347,6 +358,9 @@
 	if current := c.local.catalogs(); current != nil {
 		report.Config = current.Version
 	}
+	for _, g := range usage.Gaps {
+		report.Gaps = append(report.Gaps, wireGaps{g.Target, g.Start, g.Sum.Microseconds(), g.Count})
+	}
 	c.addEvidence(&report)
 	c.addLimits(&report)
 	for _, t := range c.leaving() {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -119,6 +119,11 @@
 	quarantineChanged bool
 	// failedLoads decides which models are held back because their loads fail.
 	failedLoads *placement.FailedLoads
+	// slowdowns holds how long work takes at the targets of each pool that state it.
+	slowdowns slowdownsOf
+	// lastLoads are the loads as of loadsAt.
+	loadsAt   time.Time
+	lastLoads []wireLoad
 	// lines gives out the places in the lines of targets with a limit, and sentLimits is the
 	// digest of the limits that hosts were last sent.
 	lines      *pace.Schedule
@@ -174,6 +179,7 @@
 	c.version, c.sentEvacuations = 0, 0
 	c.newestConfig, c.newestHost = 0, ""
 	c.failedLoads = placement.NewFailedLoads()
+	c.slowdowns, c.loadsAt, c.lastLoads = slowdownsOf{}, time.Time{}, nil
 	c.lines, c.sentLimits = pace.NewSchedule(c.clock.Now(), nil), 0
 	c.detector, c.quarantineChanged = quarantine.NewDetector(), false
 }
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -116,6 +116,7 @@
 		}
 	}
 	c.recordLimits(host, report.Limits)
+	c.recordGaps(report.Gaps, now)
 	sound := c.recordEvidence(host, report, now)
 	since := report.Since
 	if report.Fence != c.fence {
@@ -125,6 +126,7 @@
 	view.Since = since
 	view.Answer, view.Sound = true, sound
 	c.addLimits(report, &view)
+	view.Loads = c.loads(now)
 	view.Neighbours = c.dueNeighbours(host, now)
 	switch {
 	case since > 0 && len(report.Targets) == roster.Buckets:
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -144,6 +144,26 @@
 
 	Demand  []wireDemand  `cbor:"asked"`
 	Running []wireRunning `cbor:"running"`
+	// Gaps are the gaps between the events of streams since the last report, from targets that
+	// state how long work takes.
+	Gaps []wireGaps `cbor:"gaps,omitempty"`
+}
+
+// wireGaps are the gaps between the events of streams from one target.
+type wireGaps struct {
+	Target target.ID      `cbor:"1,keyasint"`
+	Start  roster.StartID `cbor:"2,keyasint"`
+	// Sum is the total length of Count gaps, in microseconds.
+	Sum   int64 `cbor:"3,keyasint"`
+	Count int   `cbor:"4,keyasint"`
+}
+
+// wireLoad is the load of a target that states how long work takes, over all hosts.
+type wireLoad struct {
+	Target  target.ID `cbor:"1,keyasint"`
+	Running int       `cbor:"2,keyasint,omitempty"`
+	// Slowdown is how long work has taken, in percent of the usual.
+	Slowdown int `cbor:"3,keyasint,omitempty"`
 }
 
 // wireReserveShares holds the fractions of teams' rates that a host may spend from its reserves.
@@ -244,6 +264,9 @@
 	// Evacuated lists the failure domains whose targets are to get no requests, as of
 	// ReadRevision at least. Older builds don't send it.
 	Evacuated *wireEvacuations `cbor:"evacuated,omitempty"`
+	// Loads are the loads of targets that state how long work takes. They are only sent in
+	// answers to reports.
+	Loads []wireLoad `cbor:"loads,omitempty"`
 }
 
 // wireEvacuations lists the domains that are evacuated as of a store revision.
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"log/slog"
 	"slices"
 	"testing"
@@ -18,6 +19,7 @@
 	"hawthornway/pace"
 	"hawthornway/peer"
 	"hawthornway/roster"
+	"hawthornway/slowdown"
 	"hawthornway/target"
 	"hawthornway/team"
 )
@@ -327,3 +329,33 @@
 		must.False(t, limited, must.Sprint("it is warm"))
 	}
 }
+
+// Guards against hosts that don't learn how slow an engine is, or what others send there, and
+// against loads that are sent of pools whose targets don't state how long work takes.
+func TestLoadsOfUnevenTargetsReachHosts(t *testing.T) {
+	f := newLapsingFleet(t)
+	loads, factors := map[target.ID]int{}, map[target.ID]slowdown.Factor{}
+	f.client.updateLoad = func(id target.ID, n int) { loads[id] = n }
+	f.client.updateSlowdown = func(id target.ID, factor slowdown.Factor) { factors[id] = factor }
+	for i := range 3 {
+		registered := newRegistered(i, 1)
+		f.coordinator.engines[registered.ID] = &engine{target: registered, start: 1}
+	}
+	running := []wireRunning{{Target: "i-0", Model: "m", Count: 5}}
+	_, err := f.coordinator.report("other", wireReport{Fence: f.client.fence, Running: running})
+	must.NoError(t, err)
+	f.report(t)
+	must.MapEmpty(t, loads)
+
+	var gaps []wireGaps
+	for i, sum := range []int64{40, 40, 120} {
+		gaps = append(gaps, wireGaps{target.ID(fmt.Sprint("i-", i)), 1, sum * 1000 * 500, 500})
+	}
+	_, err = f.coordinator.report("other", wireReport{Fence: f.client.fence, Running: running, Gaps: append(gaps, wireGaps{"unknown", 1, 1, 1})})
+	must.NoError(t, err)
+	f.report(t)
+	must.Eq(t, 5, loads["i-0"])
+	must.Greater(t, 2, factors["i-2"])
+	must.Less(t, 1.1, factors["i-1"])
+	must.MapNotContainsKey(t, factors, "unknown")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -214,6 +214,7 @@
 	usage := newUsageTracker()
 	g.screen = quarantine.NewScreen(g.clock, g.log)
 	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(func() bool { return weak || g.cutFromEngines() }), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving),
+		coordinator.WithSlowdowns(g.balancer.ReportLearned),
 		coordinator.WithReserveShares(func() map[team.ID]float64 { return g.tokens.ReserveShares() }))
 	g.tokens = quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime, quota.WithRandom(rand.Float64))
 	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -16,6 +16,7 @@
 	"hawthornway/quarantine"
 	"hawthornway/relay"
 	"hawthornway/roster"
+	"hawthornway/slowdown"
 	"hawthornway/target"
 	"hawthornway/team"
 )
@@ -373,6 +374,9 @@
 		p.gateway.tunnels.Notify(t.Address, false, n.For)
 		p.gateway.roster.Pause(t.ID, t.Start, n.For)
 		p.gateway.log.Info("gateway: target asks for a pause", "target", t.ID, "for", n.For)
+	case relay.Loaded:
+		p.gateway.balancer.ReportLoad(t.ID, n.Running+n.Waiting)
+		p.gateway.balancer.ReportStated(t.ID, n.Slowdown)
 	case relay.Cold:
 		p.gateway.hearCold(t, n.For)
 	case relay.Limited:
@@ -406,7 +410,11 @@
 	switch r := result.(type) {
 	case relay.Served:
 		g.balancer.RequestEnded(t.ID, balance.Succeeded)
-		if r.Load != nil {
+		switch {
+		case r.Load == nil:
+		case r.Load.Slowdown > 0: // its load was recorded as the response began
+			p.usage.gaps.Add(slowdown.Gaps{Target: t.ID, Start: t.Start, Sum: r.GapSum, Count: r.Gaps})
+		default:
 			g.balancer.ReportLoad(t.ID, r.Load.Running+r.Load.Waiting)
 		}
 	case relay.Refused:
@@ -439,6 +447,8 @@
 	waiting map[coordinator.Need][]time.Time
 	// notLoaded holds when a target last refused a model.
 	notLoaded map[targetModel]time.Time
+	// gaps are those between the events of streams from targets that state how long work takes.
+	gaps *slowdown.Collector
 }
 
 type targetModel struct {
@@ -473,6 +483,7 @@
 		demand:    map[poolModel]demand{},
 		waiting:   map[coordinator.Need][]time.Time{},
 		notLoaded: map[targetModel]time.Time{},
+		gaps:      slowdown.NewCollector(),
 	}
 }
 
@@ -566,6 +577,7 @@
 		u.Demand = append(u.Demand, coordinator.Demand{Pool: key.pool, Model: key.model, Adapter: key.adapter, Count: d.count, Prompt: d.promptTokens})
 	}
 	clear(tracker.demand)
+	u.Gaps = tracker.gaps.Take()
 	for key, n := range tracker.running {
 		u.Running = append(u.Running, coordinator.Running{Target: key.target, Model: key.model, Adapter: key.adapter, Count: n})
 	}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -378,18 +378,25 @@
 	}
 	for _, name := range sortedNames(p.Rates) {
 		replicas := float64(p.replicas[name])
-		if replicas == 0 || p.loading[name] {
+		if replicas == 0 || p.loading[name] && !p.farBelowDemand(name) {
 			continue
 		}
-		slotsFull := slots[name] > 0 && float64(work[name]) >= spreadSlotShare*factor*float64(slots[name]) && p.Rates[name] >= minSpreadRate
+		slotsFull := !p.loading[name] && slots[name] > 0 && float64(work[name]) >= spreadSlotShare*factor*float64(slots[name]) && p.Rates[name] >= minSpreadRate
 		prefillFull := p.PromptRates[name] > replicas*prefillTokensPerSecond*maxPrefillShare*factor
-		adaptersFull := p.AdapterSlots > 0 && float64(p.RecentAdapters[name]) > replicas*float64(p.AdapterSlots)*factor
+		adaptersFull := !p.loading[name] && p.AdapterSlots > 0 && float64(p.RecentAdapters[name]) > replicas*float64(p.AdapterSlots)*factor
 		if slotsFull || prefillFull || adaptersFull {
 			p.place(name, ReasonSpread, 0, func(e *Engine) bool { return !e.holds(name) })
 		}
 	}
 }
 
+// farBelowDemand reports whether the engines that hold or load a model can read less than half of
+// the prompts for it. Loads for it then run side by side: one after another, they would take longer
+// than its callers wait.
+func (p *planner) farBelowDemand(name model.Name) bool {
+	return p.PromptRates[name] > float64(p.replicas[name])*prefillTokensPerSecond*maxPrefillShare*urgentFactor
+}
+
 // prefillLoad returns the share of an engine's time that prefill takes.
 func (p *planner) prefillLoad(e *Engine) float64 {
 	sum := 0.0
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -459,3 +459,34 @@
 	s.LoadRequests[0].Domains = map[fleet.DomainID]bool{"d0": true}
 	must.SliceEmpty(t, placement.Plan(s))
 }
+
+// Load: a model that one engine holds becomes popular at once. Guards against further engines that
+// load it one after another, each for seconds, while its callers miss their objective.
+func TestModelFarBelowItsDemandIsLoadedSideBySide(t *testing.T) {
+	loads := func(prompts float64) int {
+		s := newState(9, 12)
+		s.Rates["m0"], s.PromptRates["m0"] = 2, prompts
+		for i := range s.Engines {
+			s.Engines[i].OnDisk["m0"] = true
+		}
+		n := 0
+		for range 10 { // plans while no load ends
+			for _, job := range placement.Plan(s) {
+				if job.Load != "m0" || job.Reason != placement.ReasonSpread {
+					continue
+				}
+				n++
+				for i := range s.Engines {
+					if e := &s.Engines[i]; e.ID == job.Engine {
+						e.Loading, e.LoadingFrom, e.Busy, e.FreeAt = job.Load, job.Source, true, now.Add(time.Second)
+					}
+				}
+			}
+		}
+		return n
+	}
+	must.Eq(t, 0, loads(4_000))
+	must.Eq(t, 1, loads(6_000), must.Sprint("one at a time while one more is enough"))
+	must.Eq(t, 1, loads(18_000))
+	must.Eq(t, 3, loads(38_000), must.Sprint("until the engines read half of the prompts"))
+}
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -105,6 +105,9 @@
 	if info.Pause > 0 {
 		p.Notice(Paused{info.Pause})
 	}
+	if info.Load != nil && info.Load.Slowdown > 0 && !info.Replaced {
+		p.Notice(Loaded{*info.Load})
+	}
 	if info.Cold > 0 && !info.Replaced {
 		p.Notice(Cold{info.Cold})
 	}
@@ -285,6 +288,9 @@
 	// the answer is a success whose end is marked by a length or by chunks. The end of a
 	// connection may also be that of the target.
 	answered bool
+	// gapSum is the total time between gaps events of a stream.
+	gapSum time.Duration
+	gaps   int
 }
 
 // completedBy returns the result of a response that was passed on in full.
@@ -389,7 +395,10 @@
 	}
 }
 
-func (r completed) placerResult() Result { return Served{Load: r.load} }
+func (r completed) placerResult() Result {
+	return Served{Load: r.load, GapSum: r.gapSum, Gaps: r.gaps}
+}
+
 func (r refused) placerResult() Result {
 	if r.replaced {
 		return Failed{Unreachable: true}
--- a/relay/request.go
+++ b/relay/request.go
@@ -12,6 +12,7 @@
 	"hawthornway/pace"
 	"hawthornway/quarantine"
 	"hawthornway/roster"
+	"hawthornway/slowdown"
 	"hawthornway/target"
 	"hawthornway/team"
 )
@@ -115,6 +116,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how long work takes on the target's machine at this moment, or zero if the
+	// target doesn't state it.
+	Slowdown slowdown.Factor
 }
 
 // Dialect translates between requests and the headers of callers and targets.
@@ -173,7 +177,7 @@
 }
 
 // Notice is what a target says of itself beside a response: Leaving, Paused, Limited,
-// Unlimited or Cold.
+// Unlimited, Cold or Loaded.
 type Notice interface{ notice() }
 
 // Leaving means that the target leaves and wants no further requests.
@@ -195,6 +199,10 @@
 // Cold means that the target bears few requests for some time.
 type Cold struct{ For time.Duration }
 
+// Loaded is the load of a target that also states how long work takes there.
+type Loaded struct{ TargetLoad }
+
+func (Loaded) notice()    {}
 func (Cold) notice()      {}
 func (Leaving) notice()   {}
 func (Paused) notice()    {}
@@ -206,7 +214,12 @@
 type Result interface{ sealed() }
 
 // Served means that the target responded.
-type Served struct{ Load *TargetLoad }
+type Served struct {
+	Load *TargetLoad
+	// GapSum is the total time between Gaps events of a stream, and zero for other responses.
+	GapSum time.Duration
+	Gaps   int
+}
 
 // Refused means that the target did not run the request.
 type Refused struct {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"hawthornway/exchange"
 	"hawthornway/lineage"
@@ -140,13 +141,21 @@
 	}
 	flusher := http.NewResponseController(f.w)
 	reader := newEventReader(resp, f.loan)
+	var firstEvent, lastEvent time.Time
 	for events := 0; ; events++ {
 		e, err := reader.read()
 		if err == io.EOF && resumed && d.lastEventID == before {
 			err = errNothingResumed
 		}
 		if err == io.EOF {
-			return completedBy(resp, info)
+			done := completedBy(resp, info)
+			if events > 1 {
+				done.gapSum, done.gaps = lastEvent.Sub(firstEvent), events-1
+			}
+			return done
+		}
+		if lastEvent = r.clock.Now(); events == 0 {
+			firstEvent = lastEvent
 		}
 		if err != nil {
 			// Delivers the complete events that were written so far.
