relay: callers that don't read are left a second after their deadline

Cause: writes to callers on the platform's edge had no time limit. A caller that stopped reading held its request's memory and its connection to a target for as long as it liked. Shown by two tests, a stream and a long response: neither had ended after 5 s with a deadline of 0.4 s. The product's own edge has such a limit.

Change: the deadline of writes is a second after the request's. balance: the hash of a known library instead of a copy of a mixing function.

Result: both end within 2 s.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"hawthornway/fleet"
@@ -130,7 +131,8 @@
 		if t.Domain != b.domain {
 			expected += remoteDomainCost
 		}
-		uniform := (float64(mix(sessionRank(session, t.ID))>>11) + 0.5) / (1 << 53)
+		hash := xxhash.Sum64String(session + "\x00" + string(t.ID))
+		uniform := (float64(hash>>11) + 0.5) / (1 << 53) // the bits that a float64 holds
 		if score := -math.Log(uniform) * expected * expected; !found || score < bestScore {
 			best, bestScore, found = t, score, true
 		}
@@ -222,16 +224,6 @@
 	return h.Sum64()
 }
 
-// mix scrambles the bits of x, of which similar IDs change only some. It is the finalizer of
-// SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // state returns the state of a target, which it creates if there is none, and
 // records the use of the target.
 func (b *Balancer) state(id target.ID) *targetState {
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -102,9 +103,23 @@
 		timeout = defaultTimeout
 	}
 	f.deadline = f.received.Add(timeout)
+	r.limitWriting(f)
 	return nil
 }
 
+// maxUnread is how long after its deadline a caller may take to read what has been written. Until
+// then, an answer that is ready is delivered, though late.
+const maxUnread = time.Second
+
+// limitWriting lets writes to the caller fail some time after its deadline. One that doesn't read
+// would otherwise hold the request's memory, and its target, for as long as it likes.
+func (r *Relay) limitWriting(f *inflight) {
+	left := f.deadline.Add(maxUnread).Sub(r.clock.Now())
+	if err := http.NewResponseController(f.w).SetWriteDeadline(time.Now().Add(left)); err != nil {
+		r.log.Debug("relay: the time to write a response isn't limited", "request", f.req.ID, "error", err)
+	}
+}
+
 // defaultTimeout applies if neither the caller nor the route sets a timeout.
 const defaultTimeout = time.Minute
 
