coordinator: answers have a bounded number of loads, of engines whose load has changed

Change: loads are sent in steps of four requests and ten percent, once they have changed, a hundred an answer at most; hosts keep the others. Their table is ordered by changes, so that an answer doesn't look at all engines.

A test with 1,000 engines whose loads change meanwhile.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -172,6 +172,10 @@
 	updateLoad    func(id target.ID, work int)
 	// updateSlowdown is called with how long work takes at targets that state it.
 	updateSlowdown func(id target.ID, factor slowdown.Factor)
+	// loads are the loads of targets as of loadsSeen, a version of the term with loadsFence.
+	loads      map[target.ID]wireLoad
+	loadsSeen  uint64
+	loadsFence target.Fence
 	// connected is set by each view of the coordinator and cleared by a failed report.
 	connected bool
 	// fleetLimits is the digest of the limits of targets that the coordinator knows.
@@ -343,6 +347,9 @@
 	c.mu.Lock()
 	leader := c.leader
 	report := wireReport{Since: c.version, Fence: c.fence, Hosts: c.hosts, Weak: c.weak()}
+	if c.loadsFence == c.fence {
+		report.LoadsSeen = c.loadsSeen
+	}
 	c.mu.Unlock()
 	if leader.Host == "" {
 		return
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -121,9 +121,8 @@
 	failedLoads *placement.FailedLoads
 	// slowdowns holds how long work takes at the targets of each pool that state it.
 	slowdowns slowdownsOf
-	// lastLoads are the loads as of loadsAt.
-	loadsAt   time.Time
-	lastLoads []wireLoad
+	// loads are the loads of the targets in these pools.
+	loads *loadTable
 	// lines gives out the places in the lines of targets with a limit, and sentLimits is the
 	// digest of the limits that hosts were last sent.
 	lines      *pace.Schedule
@@ -179,7 +178,7 @@
 	c.version, c.sentEvacuations = 0, 0
 	c.newestConfig, c.newestHost = 0, ""
 	c.failedLoads = placement.NewFailedLoads()
-	c.slowdowns, c.loadsAt, c.lastLoads = slowdownsOf{}, time.Time{}, nil
+	c.slowdowns, c.loads = slowdownsOf{}, newLoadTable()
 	c.lines, c.sentLimits = pace.NewSchedule(c.clock.Now(), nil), 0
 	c.detector, c.quarantineChanged = quarantine.NewDetector(), false
 }
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -126,7 +126,7 @@
 	view.Since = since
 	view.Answer, view.Sound = true, sound
 	c.addLimits(report, &view)
-	view.Loads = c.loads(now)
+	c.addLoads(report, &view, now)
 	view.Neighbours = c.dueNeighbours(host, now)
 	switch {
 	case since > 0 && len(report.Targets) == roster.Buckets:
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -147,6 +147,8 @@
 	// Gaps are the gaps between the events of streams since the last report, from targets that
 	// state how long work takes.
 	Gaps []wireGaps `cbor:"gaps,omitempty"`
+	// LoadsSeen is the LoadsVersion of the newest answer of the term.
+	LoadsSeen uint64 `cbor:"loads-seen,omitempty"`
 }
 
 // wireGaps are the gaps between the events of streams from one target.
@@ -264,9 +266,10 @@
 	// Evacuated lists the failure domains whose targets are to get no requests, as of
 	// ReadRevision at least. Older builds don't send it.
 	Evacuated *wireEvacuations `cbor:"evacuated,omitempty"`
-	// Loads are the loads of targets that state how long work takes. They are only sent in
-	// answers to reports.
-	Loads []wireLoad `cbor:"loads,omitempty"`
+	// Loads are changed loads of targets that state how long work takes, up to LoadsVersion.
+	// They are only sent in answers to reports.
+	Loads        []wireLoad `cbor:"loads,omitempty"`
+	LoadsVersion uint64     `cbor:"loads-version,omitempty"`
 }
 
 // wireEvacuations lists the domains that are evacuated as of a store revision.
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -341,7 +341,7 @@
 		registered := newRegistered(i, 1)
 		f.coordinator.engines[registered.ID] = &engine{target: registered, start: 1}
 	}
-	running := []wireRunning{{Target: "i-0", Model: "m", Count: 5}}
+	running := []wireRunning{{Target: "i-0", Model: "m", Count: 8}}
 	_, err := f.coordinator.report("other", wireReport{Fence: f.client.fence, Running: running})
 	must.NoError(t, err)
 	f.report(t)
@@ -354,8 +354,46 @@
 	_, err = f.coordinator.report("other", wireReport{Fence: f.client.fence, Running: running, Gaps: append(gaps, wireGaps{"unknown", 1, 1, 1})})
 	must.NoError(t, err)
 	f.report(t)
-	must.Eq(t, 5, loads["i-0"])
+	must.Eq(t, 8, loads["i-0"])
 	must.Greater(t, 2, factors["i-2"])
 	must.Less(t, 1.1, factors["i-1"])
 	must.MapNotContainsKey(t, factors, "unknown")
 }
+
+// Load: thousands of engines whose loads change, and hundreds of hosts. Guards against answers that
+// grow with the number of engines, and against loads that a host never gets.
+func TestLoadsAreSentInParts(t *testing.T) {
+	table := newLoadTable()
+	const engines = 1000
+	for i := range engines {
+		table.set(wireLoad{Target: target.ID(fmt.Sprint("i-", i)), Running: 8, Slowdown: 100})
+	}
+	got := map[target.ID]wireLoad{}
+	seen := uint64(0)
+	answers := 0
+	receive := func() int {
+		loads, upTo := table.since(seen)
+		seen = upTo
+		for _, l := range loads {
+			got[l.Target] = l
+		}
+		must.LessEq(t, maxLoadsPerAnswer, len(loads))
+		return len(loads)
+	}
+	for answers < 100 && receive() > 0 {
+		if answers++; answers <= 20 { // some change while others are yet to be sent
+			table.set(wireLoad{Target: target.ID(fmt.Sprint("i-", answers)), Running: 8 + 4*answers, Slowdown: 100})
+		}
+	}
+	must.MapLen(t, engines, got)
+	for id, current := range table.current {
+		must.Eq(t, current.load, got[id])
+	}
+	table.set(wireLoad{Target: "i-999", Running: 9, Slowdown: 103})
+	must.Zero(t, receive(), must.Sprint("a change that doesn't matter"))
+	for i := range 10 * engines {
+		table.set(wireLoad{Target: "i-0", Running: 4 * i, Slowdown: 100})
+	}
+	must.Eq(t, 1, receive())
+	must.LessEq(t, 3*engines, len(table.changes))
+}
