overload: hosts refuse at once what engines can't read in time

Cause: while a model has become popular and one or two engines hold it, hosts send them several times the prompts that they read.

Change: the coordinator divides the room of engines among models, then by urgency, then among teams by weighted max-min (overload.Allocate), from demand, unread prompts and reading speed that hosts report. Hosts admit shares of the requests, spread them over engines by room, and refuse the rest with Retry-After. Pools whose targets state how long work takes only.

How slow an engine is comes from what it states instead of gaps between events: statements hold the machine's speed (0.6, 1, 1.6) as well as what others do there. The planner prefers engines that read fast. Loads of engines that have left are removed at the coordinator and at hosts.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -70,8 +70,8 @@
 	backoffUntil time.Time
 	nextBackoff  time.Duration
 	lastUsed     time.Time
-	// stated is what the target says of its machine, and learned how slow it has been, or zero
-	// if that isn't known. Uneven is set if either has been reported.
+	// stated is how long work takes there now, as the target says, and learned how long it has
+	// taken, or zero if that isn't known. Uneven is set if either has been reported.
 	stated  slowdown.Statement
 	learned slowdown.Factor
 	uneven  bool
@@ -116,6 +116,34 @@
 	})
 }
 
+// ChooseByRoom returns one of the candidates in proportion to their room, or false if those with room
+// are backing off. Requests of one session go to the same target while the rooms change little.
+func (b *Balancer) ChooseByRoom(candidates []roster.Target, session string, rooms map[target.ID]float64) (best roster.Target, found bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	bestScore := 0.0
+	for _, t := range candidates {
+		s := b.state(t.ID)
+		if now.Before(s.backoffUntil) || rooms[t.ID] <= 0 {
+			continue
+		}
+		failures := 1 + failureCost*s.failureRate
+		if score := rendezvousScore(session, t.ID, rooms[t.ID]/(failures*failures)); !found || score < bestScore {
+			best, bestScore, found = t, score, true
+		}
+	}
+	return best, found
+}
+
+// rendezvousScore returns the score of a target for a session. The target with the lowest score is
+// chosen, and of many sessions each target gets a number in proportion to its weight.
+func rendezvousScore(session string, id target.ID, weight float64) float64 {
+	hash := xxhash.Sum64String(session + "\x00" + string(id))
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53) // the bits that a float64 holds
+	return -math.Log(uniform) / weight
+}
+
 // chooseByWeight returns one of the candidates by weighted rendezvous hashing of the session. A
 // target's weight falls with the square of the expected time that it takes. All hosts learn the
 // load and speed of targets a little late, and would all choose the best one until they learn that
@@ -131,9 +159,7 @@
 		if t.Domain != b.domain {
 			expected += remoteDomainCost
 		}
-		hash := xxhash.Sum64String(session + "\x00" + string(t.ID))
-		uniform := (float64(hash>>11) + 0.5) / (1 << 53) // the bits that a float64 holds
-		if score := -math.Log(uniform) * expected * expected; !found || score < bestScore {
+		if score := rendezvousScore(session, t.ID, 1/(expected*expected)); !found || score < bestScore {
 			best, bestScore, found = t, score, true
 		}
 	}
@@ -142,14 +168,16 @@
 
 // slowdown returns how many times as long as usual work takes at a target.
 func (s *targetState) slowdown(now time.Time) float64 {
-	learned := slowdown.Usual
+	if stated, ok := s.stated.Now(now); ok {
+		return float64(stated)
+	}
 	if s.learned > 0 {
-		learned = s.learned
+		return float64(s.learned)
 	}
-	return float64(learned * s.stated.Now(now))
+	return float64(slowdown.Usual)
 }
 
-// ReportStated records what a target says of how long work takes on its machine.
+// ReportStated records how long work takes at a target now, as it says.
 func (b *Balancer) ReportStated(id target.ID, factor slowdown.Factor) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -157,7 +185,7 @@
 	s.stated, s.uneven = slowdown.Statement{Factor: factor, At: b.clock.Now()}, true
 }
 
-// ReportLearned records how slow a target has been, as all hosts see it.
+// ReportLearned records how long work has taken at a target, as all hosts see it.
 func (b *Balancer) ReportLearned(id target.ID, factor slowdown.Factor) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
 	"hawthornway/model"
+	"hawthornway/overload"
 	"hawthornway/peer"
 	"hawthornway/quarantine"
 	"hawthornway/quota"
@@ -75,8 +77,12 @@
 type Usage struct {
 	Demand  []Demand
 	Running []Running
-	// Gaps are those between the events of streams from targets that state how long work takes.
-	Gaps []slowdown.Gaps
+	// Stated is what targets have stated of how long work takes there.
+	Stated []slowdown.Statements
+	// Unread are the prompts that such targets haven't read, and Readings show how fast quiet ones
+	// read them.
+	Unread   map[target.ID]team.Tokens
+	Readings map[target.Pool]overload.Reading
 }
 
 // Demand counts the requests for a model since the last report.
@@ -87,6 +93,9 @@
 	Count   int
 	// Prompt is the total number of prompt tokens.
 	Prompt team.Tokens
+	// Priority and Team are set for pools whose targets state how long work takes.
+	Priority int
+	Team     team.ID
 }
 
 // Running counts the requests in progress at an engine.
@@ -172,6 +181,8 @@
 	updateLoad    func(id target.ID, work int)
 	// updateSlowdown is called with how long work takes at targets that state it.
 	updateSlowdown func(id target.ID, factor slowdown.Factor)
+	// updateAllocations is called with the requests that hosts admit.
+	updateAllocations func(allocations map[target.Pool]overload.Allocation, early bool)
 	// loads are the loads of targets as of loadsSeen, a version of the term with loadsFence.
 	loads      map[target.ID]wireLoad
 	loadsSeen  uint64
@@ -214,6 +225,12 @@
 	return func(c *Client) { c.updateSlowdown = update }
 }
 
+// WithAllocations sets the function that is called with the requests that hosts admit. Early
+// allocations are from a coordinator that may not have heard from all hosts yet.
+func WithAllocations(update func(allocations map[target.Pool]overload.Allocation, early bool)) ClientOption {
+	return func(c *Client) { c.updateAllocations = update }
+}
+
 // WithLeaving sets the function that returns the targets that have told this host that
 // they leave.
 func WithLeaving(leaving func() []roster.Target) ClientOption {
@@ -225,26 +242,27 @@
 // with the number of requests at each engine.
 func NewClient(mesh Mesh, leaders Leaders, local *Coordinator, receiver ViewReceiver, usage func() Usage, updateLoad func(target.ID, int), clock clockwork.Clock, boot boottime.Clock, log *slog.Logger, opts ...ClientOption) *Client {
 	c := &Client{
-		mesh:           mesh,
-		leaders:        leaders,
-		local:          local,
-		weak:           func() bool { return false },
-		usage:          usage,
-		receiver:       receiver,
-		updateLoad:     updateLoad,
-		clock:          clock,
-		startedAt:      clock.Now(),
-		boot:           boot,
-		log:            log,
-		engines:        map[target.ID]engineView{},
-		forecasts:      map[model.Name]time.Time{},
-		targetVersions: map[target.ID]uint64{},
-		requestedAt:    map[Need]time.Time{},
-		changed:        make(chan struct{}),
-		leaderChanged:  make(chan struct{}, 1),
-		updateSlowdown: func(target.ID, slowdown.Factor) {},
-		leaving:        func() []roster.Target { return nil },
-		reserveShares:  func() map[team.ID]float64 { return nil },
+		mesh:              mesh,
+		leaders:           leaders,
+		local:             local,
+		weak:              func() bool { return false },
+		usage:             usage,
+		receiver:          receiver,
+		updateLoad:        updateLoad,
+		clock:             clock,
+		startedAt:         clock.Now(),
+		boot:              boot,
+		log:               log,
+		engines:           map[target.ID]engineView{},
+		forecasts:         map[model.Name]time.Time{},
+		targetVersions:    map[target.ID]uint64{},
+		requestedAt:       map[Need]time.Time{},
+		changed:           make(chan struct{}),
+		leaderChanged:     make(chan struct{}, 1),
+		updateSlowdown:    func(target.ID, slowdown.Factor) {},
+		updateAllocations: func(map[target.Pool]overload.Allocation, bool) {},
+		leaving:           func() []roster.Target { return nil },
+		reserveShares:     func() map[team.ID]float64 { return nil },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -365,8 +383,14 @@
 	if current := c.local.catalogs(); current != nil {
 		report.Config = current.Version
 	}
-	for _, g := range usage.Gaps {
-		report.Gaps = append(report.Gaps, wireGaps{g.Target, g.Start, g.Sum.Microseconds(), g.Count})
+	for _, s := range usage.Stated {
+		report.Stated = append(report.Stated, wireStated{s.Target, s.Start, int(math.Round(percent * float64(s.Sum))), s.Count})
+	}
+	for id, tokens := range usage.Unread {
+		report.Unread = append(report.Unread, wireUnread{id, tokens})
+	}
+	for pool, r := range usage.Readings {
+		report.Readings = append(report.Readings, wireReading{pool, r.Tokens, r.Time.Microseconds()})
 	}
 	c.addEvidence(&report)
 	c.addLimits(&report)
--- a/coordinator/client_view.go
+++ b/coordinator/client_view.go
@@ -66,6 +66,7 @@
 	c.adoptQuarantined(view)
 	c.adoptLimits(view)
 	c.adoptLoads(view)
+	c.adoptAdmission(view)
 	read := view.ReadRevision
 	switch {
 	case leads:
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -123,6 +123,9 @@
 	slowdowns slowdownsOf
 	// loads are the loads of the targets in these pools.
 	loads *loadTable
+	// admission decides which requests hosts refuse while engines in these pools get more prompts
+	// than they can read.
+	admission *admission
 	// lines gives out the places in the lines of targets with a limit, and sentLimits is the
 	// digest of the limits that hosts were last sent.
 	lines      *pace.Schedule
@@ -178,7 +181,7 @@
 	c.version, c.sentEvacuations = 0, 0
 	c.newestConfig, c.newestHost = 0, ""
 	c.failedLoads = placement.NewFailedLoads()
-	c.slowdowns, c.loads = slowdownsOf{}, newLoadTable()
+	c.slowdowns, c.loads, c.admission = slowdownsOf{}, newLoadTable(), newAdmission()
 	c.lines, c.sentLimits = pace.NewSchedule(c.clock.Now(), nil), 0
 	c.detector, c.quarantineChanged = quarantine.NewDetector(), false
 }
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -63,6 +63,7 @@
 type hostReport struct {
 	receivedAt time.Time
 	running    []wireRunning
+	unread     []wireUnread
 	weak       bool
 }
 
@@ -100,9 +101,10 @@
 	c.ledger.RecordReport(host, report.Hosts, report.ReserveShares.list())
 	c.recordConfig(host, report.Config)
 	now := c.clock.Now()
-	c.hosts[host] = hostReport{receivedAt: now, running: report.Running, weak: report.Weak}
+	c.hosts[host] = hostReport{receivedAt: now, running: report.Running, unread: report.Unread, weak: report.Weak}
 	for _, demand := range report.Demand {
 		c.addDemand(demand, now)
+		c.admission.recordDemand(demand, now)
 	}
 	for _, r := range report.Running {
 		if e, ok := c.engines[r.Target]; ok {
@@ -116,7 +118,8 @@
 		}
 	}
 	c.recordLimits(host, report.Limits)
-	c.recordGaps(report.Gaps, now)
+	c.recordStated(report.Stated, now)
+	c.admission.recordReadings(report.Readings, now)
 	sound := c.recordEvidence(host, report, now)
 	since := report.Since
 	if report.Fence != c.fence {
@@ -127,6 +130,7 @@
 	view.Answer, view.Sound = true, sound
 	c.addLimits(report, &view)
 	c.addLoads(report, &view, now)
+	c.addAdmission(&view, now)
 	view.Neighbours = c.dueNeighbours(host, now)
 	switch {
 	case since > 0 && len(report.Targets) == roster.Buckets:
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -1,10 +1,13 @@
 package coordinator
 
 import (
+	"time"
+
 	"hawthornway/catalog"
 	"hawthornway/fleet"
 	"hawthornway/keyvalue"
 	"hawthornway/model"
+	"hawthornway/overload"
 	"hawthornway/peer"
 	"hawthornway/quarantine"
 	"hawthornway/roster"
@@ -144,20 +147,68 @@
 
 	Demand  []wireDemand  `cbor:"asked"`
 	Running []wireRunning `cbor:"running"`
-	// Gaps are the gaps between the events of streams since the last report, from targets that
-	// state how long work takes.
-	Gaps []wireGaps `cbor:"gaps,omitempty"`
+	// Stated is what targets have stated since the last report of how long work takes there.
+	Stated []wireStated `cbor:"stated,omitempty"`
 	// LoadsSeen is the LoadsVersion of the newest answer of the term.
 	LoadsSeen uint64 `cbor:"loads-seen,omitempty"`
+	// Unread are the prompts that this host has sent to such targets and that they haven't read,
+	// and Readings show how fast quiet ones have read prompts since the last report.
+	Unread   []wireUnread  `cbor:"unread,omitempty"`
+	Readings []wireReading `cbor:"readings,omitempty"`
+}
+
+// wireUnread is the total size of the prompts that a target hasn't read.
+type wireUnread struct {
+	Target target.ID   `cbor:"1,keyasint"`
+	Tokens team.Tokens `cbor:"2,keyasint"`
+}
+
+// wireReading is the reading of prompts by the quiet targets of a pool.
+type wireReading struct {
+	Pool   target.Pool `cbor:"1,keyasint"`
+	Tokens team.Tokens `cbor:"2,keyasint"`
+	// Time is in microseconds.
+	Time int64 `cbor:"3,keyasint"`
+}
+
+func (w wireReading) reading() overload.Reading {
+	return overload.Reading{Tokens: w.Tokens, Time: time.Duration(w.Time) * time.Microsecond}
+}
+
+// wireAdmission lists the flows of which hosts admit only a share of the requests.
+type wireAdmission struct {
+	Shares []wireShare `cbor:"1,keyasint,omitempty"`
+	// Rooms divides the requests that are admitted among engines.
+	Rooms []wireRoom `cbor:"3,keyasint,omitempty"`
+	// Early is set by a coordinator that may not have heard from all hosts yet.
+	Early bool `cbor:"2,keyasint,omitempty"`
+}
+
+// wireRoom is the room of an engine for a model, in prompt tokens per second.
+type wireRoom struct {
+	Pool   target.Pool `cbor:"1,keyasint"`
+	Model  model.Name  `cbor:"2,keyasint"`
+	Target target.ID   `cbor:"3,keyasint"`
+	Speed  int         `cbor:"4,keyasint"`
+}
+
+// wireShare is the share of a flow's requests that hosts admit.
+type wireShare struct {
+	Pool     target.Pool `cbor:"1,keyasint"`
+	Model    model.Name  `cbor:"2,keyasint"`
+	Priority int         `cbor:"3,keyasint,omitempty"`
+	Team     team.ID     `cbor:"4,keyasint"`
+	// Admitted is in thousandths.
+	Admitted int `cbor:"5,keyasint,omitempty"`
 }
 
-// wireGaps are the gaps between the events of streams from one target.
-type wireGaps struct {
+// wireStated is how long work takes at one target, as it has stated.
+type wireStated struct {
 	Target target.ID      `cbor:"1,keyasint"`
 	Start  roster.StartID `cbor:"2,keyasint"`
-	// Sum is the total length of Count gaps, in microseconds.
-	Sum   int64 `cbor:"3,keyasint"`
-	Count int   `cbor:"4,keyasint"`
+	// Sum is the sum of Count statements, in percent of the usual.
+	Sum   int `cbor:"3,keyasint"`
+	Count int `cbor:"4,keyasint"`
 }
 
 // wireLoad is the load of a target that states how long work takes, over all hosts.
@@ -166,6 +217,8 @@
 	Running int       `cbor:"2,keyasint,omitempty"`
 	// Slowdown is how long work has taken, in percent of the usual.
 	Slowdown int `cbor:"3,keyasint,omitempty"`
+	// Gone is set if the target has left. Hosts of older builds take it for one without load.
+	Gone bool `cbor:"4,keyasint,omitempty"`
 }
 
 // wireReserveShares holds the fractions of teams' rates that a host may spend from its reserves.
@@ -214,6 +267,9 @@
 	Count   int         `cbor:"count"`
 	// Prompt is the total number of prompt tokens.
 	Prompt team.Tokens `cbor:"prompt"`
+	// Priority and Team are sent for pools whose targets state how long work takes.
+	Priority int     `cbor:"priority,omitempty"`
+	Team     team.ID `cbor:"team,omitempty"`
 }
 
 type wireRunning struct {
@@ -270,6 +326,9 @@
 	// They are only sent in answers to reports.
 	Loads        []wireLoad `cbor:"loads,omitempty"`
 	LoadsVersion uint64     `cbor:"loads-version,omitempty"`
+	// Admission tells which requests hosts refuse because engines get more prompts than they can
+	// read. It is only sent in answers to reports.
+	Admission *wireAdmission `cbor:"admission,omitempty"`
 }
 
 // wireEvacuations lists the domains that are evacuated as of a store revision.
--- a/coordinator/slowdown.go
+++ b/coordinator/slowdown.go
@@ -11,11 +11,11 @@
 	"hawthornway/target"
 )
 
-// recordGaps records the gaps between events that a host has seen.
-func (c *Coordinator) recordGaps(gaps []wireGaps, now time.Time) {
-	for _, g := range gaps {
-		e, ok := c.engines[g.Target]
-		if !ok || e.start != g.Start {
+// recordStated records how long work takes at targets, as these have told a host.
+func (c *Coordinator) recordStated(stated []wireStated, now time.Time) {
+	for _, s := range stated {
+		e, ok := c.engines[s.Target]
+		if !ok || e.start != s.Start {
 			continue
 		}
 		estimator, ok := c.slowdowns[e.target.Pool]
@@ -23,10 +23,13 @@
 			estimator = slowdown.NewEstimator()
 			c.slowdowns[e.target.Pool] = estimator
 		}
-		estimator.Record(slowdown.Gaps{Target: g.Target, Start: g.Start, Sum: time.Duration(g.Sum) * time.Microsecond, Count: g.Count}, now)
+		estimator.Record(slowdown.Statements{Target: s.Target, Start: s.Start, Sum: slowdown.Factor(s.Sum) / percent, Count: s.Count}, now)
 	}
 }
 
+// percent is the number of units of a factor on the wire.
+const percent = 100
+
 // The loads of engines that hosts are sent.
 const (
 	// loadsInterval is the interval at which the loads are computed. All hosts report within a
@@ -39,6 +42,9 @@
 	// Smaller changes don't matter for the choice of an engine.
 	loadStep     = 4
 	slowdownStep = 10
+	// goneRetention is how long hosts are told that an engine has left. It is many times the
+	// interval of their reports.
+	goneRetention = 30 * time.Second
 )
 
 // loadTable holds the loads of engines in the order of their last changes.
@@ -54,6 +60,8 @@
 type versionedLoad struct {
 	load    wireLoad
 	version uint64
+	// goneAt is when the engine was found to have left.
+	goneAt time.Time
 }
 
 type loadChange struct {
@@ -70,8 +78,27 @@
 	if known, ok := t.current[load.Target]; ok && known.load == load {
 		return
 	}
+	t.change(versionedLoad{load: load})
+}
+
+// remove replaces the load of an engine that has left by the statement that it is gone, which is
+// forgotten once all hosts that report know it.
+func (t *loadTable) remove(id target.ID, now time.Time) {
+	switch known, ok := t.current[id]; {
+	case !ok:
+	case !known.load.Gone:
+		t.change(versionedLoad{load: wireLoad{Target: id, Gone: true}, goneAt: now})
+	case now.Sub(known.goneAt) > goneRetention:
+		delete(t.current, id)
+	}
+}
+
+// change records the changed load of an engine.
+func (t *loadTable) change(changed versionedLoad) {
 	t.version++
-	t.current[load.Target] = versionedLoad{load, t.version}
+	changed.version = t.version
+	load := changed.load
+	t.current[load.Target] = changed
 	t.changes = append(t.changes, loadChange{load.Target, t.version})
 	if len(t.changes) > 2*len(t.current)+maxLoadsPerAnswer {
 		t.changes = slices.DeleteFunc(t.changes, t.replaced)
@@ -97,21 +124,26 @@
 	return loads, upTo
 }
 
-// updateLoads computes the loads of the engines in pools of which gaps are known. Hosts see only a
-// few of the requests at an engine, and learn of it late what others send there.
+// updateLoads computes the loads of the engines in pools whose targets state how long work takes.
+// Hosts see only a few of the requests at an engine, and learn late what others send there.
 func (c *Coordinator) updateLoads(now time.Time) {
 	if len(c.slowdowns) == 0 || now.Sub(c.loads.computedAt) < loadsInterval {
 		return
 	}
 	c.loads.computedAt = now
 	running := c.runningRequests(now)
+	for id := range c.loads.current {
+		if _, ok := c.engines[id]; !ok {
+			c.loads.remove(id, now)
+		}
+	}
 	for id, e := range c.engines {
 		estimator, ok := c.slowdowns[e.target.Pool]
 		if !ok {
 			continue
 		}
 		factor := estimator.Factor(id, e.start, now)
-		c.loads.set(wireLoad{Target: id, Running: running[runningKey{target: id}], Slowdown: int(math.Round(100 * float64(factor)))})
+		c.loads.set(wireLoad{Target: id, Running: running[runningKey{target: id}], Slowdown: int(math.Round(percent * float64(factor)))})
 	}
 }
 
@@ -137,14 +169,18 @@
 	if view.LoadsVersion > c.loadsSeen {
 		c.loadsSeen = view.LoadsVersion
 		for _, l := range view.Loads {
-			c.loads[l.Target] = l
+			if l.Gone {
+				delete(c.loads, l.Target)
+			} else {
+				c.loads[l.Target] = l
+			}
 		}
 	}
 	loads := slices.Collect(maps.Values(c.loads))
 	c.mu.Unlock()
 	for _, l := range loads {
 		c.updateLoad(l.Target, l.Running)
-		c.updateSlowdown(l.Target, slowdown.Factor(l.Slowdown)/100)
+		c.updateSlowdown(l.Target, slowdown.Factor(l.Slowdown)/percent)
 	}
 }
 
--- a/coordinator/view_test.go
+++ b/coordinator/view_test.go
@@ -347,17 +347,27 @@
 	f.report(t)
 	must.MapEmpty(t, loads)
 
-	var gaps []wireGaps
-	for i, sum := range []int64{40, 40, 120} {
-		gaps = append(gaps, wireGaps{target.ID(fmt.Sprint("i-", i)), 1, sum * 1000 * 500, 500})
+	var stated []wireStated
+	for i, percents := range []int{100, 100, 300} {
+		stated = append(stated, wireStated{target.ID(fmt.Sprint("i-", i)), 1, percents * 50, 50})
 	}
-	_, err = f.coordinator.report("other", wireReport{Fence: f.client.fence, Running: running, Gaps: append(gaps, wireGaps{"unknown", 1, 1, 1})})
+	_, err = f.coordinator.report("other", wireReport{Fence: f.client.fence, Running: running, Stated: append(stated, wireStated{"unknown", 1, 1, 1})})
 	must.NoError(t, err)
 	f.report(t)
 	must.Eq(t, 8, loads["i-0"])
 	must.Greater(t, 2, factors["i-2"])
 	must.Less(t, 1.1, factors["i-1"])
 	must.MapNotContainsKey(t, factors, "unknown")
+
+	// Guards against loads of engines that have left, which would be kept until the term ends.
+	delete(f.coordinator.engines, "i-0")
+	now := f.coordinator.clock.Now().Add(time.Second)
+	f.coordinator.updateLoads(now)
+	f.report(t)
+	must.MapNotContainsKey(t, f.client.loads, "i-0")
+	must.MapContainsKey(t, f.client.loads, "i-1")
+	f.coordinator.updateLoads(now.Add(goneRetention + time.Second))
+	must.MapNotContainsKey(t, f.coordinator.loads.current, "i-0")
 }
 
 // Load: thousands of engines whose loads change, and hundreds of hosts. Guards against answers that
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"hawthornway/memory"
 	"hawthornway/metric"
 	"hawthornway/outdated"
+	"hawthornway/overload"
 	"hawthornway/pace"
 	"hawthornway/peer"
 	"hawthornway/platform"
@@ -105,6 +106,7 @@
 	coordinatorClient *coordinator.Client
 	tokens            *quota.TokenCache
 	balancer          *balance.Balancer
+	allocations       *overload.Table
 	screen            *quarantine.Screen
 	placer            *placer
 	store             platform.Metadata
@@ -211,10 +213,12 @@
 	)
 	g.balancer = balance.New(s.Domain, g.clock)
 	g.paths = detour.NewPaths(g.clock)
-	usage := newUsageTracker()
+	usage := newUsageTracker(g.clock)
+	g.allocations = overload.NewTable(g.clock)
 	g.screen = quarantine.NewScreen(g.clock, g.log)
 	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(func() bool { return weak || g.cutFromEngines() }), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving),
 		coordinator.WithSlowdowns(g.balancer.ReportLearned),
+		coordinator.WithAllocations(g.setAllocations),
 		coordinator.WithReserveShares(func() map[team.ID]float64 { return g.tokens.ReserveShares() }))
 	g.tokens = quota.NewTokenCache(g.coordinatorClient, g.clock, election.TakeoverTime, quota.WithRandom(rand.Float64))
 	pacer := pace.NewPacer(g.limits, g.coordinatorClient, g.coordinatorClient.Hosts, g.clock, g.log)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"hawthornway/balance"
 	"hawthornway/coordinator"
 	"hawthornway/model"
@@ -65,6 +67,11 @@
 		}
 		ready := atHome(ofVersion(g.roster.Ready(request.Pool), request.Version), request.Homes, g.settings.Regions)
 		c := p.candidates(ready, request)
+		if len(c.eligible) > 0 {
+			if refusal := g.refuseIfOverloaded(request); refusal != nil {
+				return relay.Placement{}, refusal
+			}
+		}
 		t, ok := line.ask(ctx, g.clock.Now(), c, request)
 		if !ok && g.balancer.Full(c.eligible) {
 			t, ok = line.askCold(ctx, g.clock.Now(), g.coldOf(c.limited), request)
@@ -248,6 +255,11 @@
 	if session == "" {
 		session = string(request.ID)
 	}
+	if rooms := g.allocations.Rooms(request.Pool, request.Model); len(rooms) > 0 {
+		if t, ok := g.balancer.ChooseByRoom(c.eligible, session, rooms); ok {
+			return t, true
+		}
+	}
 	if t, ok := g.balancer.Choose(c.eligible, session); ok {
 		return t, true
 	}
@@ -349,13 +361,23 @@
 	g := p.gateway
 	g.balancer.RequestStarted(t.ID)
 	end := p.usage.startRequest(t.ID, request)
+	read := p.usage.reading.start(t, request)
 	var once sync.Once
 	return relay.Placement{
 		Target: t,
-		Notice: func(notice relay.Notice) { p.recordNotice(t, notice) },
+		Notice: func(notice relay.Notice) {
+			switch n := notice.(type) {
+			case relay.Loaded:
+				read.recordLoad(n.TargetLoad)
+			case relay.FirstEvent:
+				read.firstEvent()
+			}
+			p.recordNotice(t, notice)
+		},
 		Done: func(result relay.Result) {
 			once.Do(func() {
 				end()
+				read.end()
 				refused, turnedAway := result.(relay.Refused)
 				p.pacer.Release(place, turnedAway && !refused.NotLoaded)
 				p.recordResult(t, request, result)
@@ -375,8 +397,10 @@
 		p.gateway.roster.Pause(t.ID, t.Start, n.For)
 		p.gateway.log.Info("gateway: target asks for a pause", "target", t.ID, "for", n.For)
 	case relay.Loaded:
+		p.usage.reading.recordStated(t.Pool)
 		p.gateway.balancer.ReportLoad(t.ID, n.Running+n.Waiting)
 		p.gateway.balancer.ReportStated(t.ID, n.Slowdown)
+		p.usage.stated.Add(t.ID, t.Start, n.Slowdown)
 	case relay.Cold:
 		p.gateway.hearCold(t, n.For)
 	case relay.Limited:
@@ -411,9 +435,7 @@
 	case relay.Served:
 		g.balancer.RequestEnded(t.ID, balance.Succeeded)
 		switch {
-		case r.Load == nil:
-		case r.Load.Slowdown > 0: // its load was recorded as the response began
-			p.usage.gaps.Add(slowdown.Gaps{Target: t.ID, Start: t.Start, Sum: r.GapSum, Count: r.Gaps})
+		case r.Load == nil, r.Load.Slowdown > 0: // its load was recorded as the response began
 		default:
 			g.balancer.ReportLoad(t.ID, r.Load.Running+r.Load.Waiting)
 		}
@@ -442,13 +464,15 @@
 type usageTracker struct {
 	mu      sync.Mutex
 	running map[targetModel]int
-	demand  map[poolModel]demand
+	demand  map[demandKey]demand
 	// waiting holds the due times of the waiting requests.
 	waiting map[coordinator.Need][]time.Time
 	// notLoaded holds when a target last refused a model.
 	notLoaded map[targetModel]time.Time
-	// gaps are those between the events of streams from targets that state how long work takes.
-	gaps *slowdown.Collector
+	// stated is what targets have stated of how long work takes there.
+	stated *slowdown.Collector
+	// reading tracks the reading of prompts by such targets.
+	reading *readingTracker
 }
 
 type targetModel struct {
@@ -462,14 +486,14 @@
 	promptTokens team.Tokens
 }
 
-type poolModel struct {
-	pool    target.Pool
-	model   model.Name
-	adapter model.Name
-}
-
-func poolModelOf(request relay.PlacementRequest) poolModel {
-	return poolModel{request.Pool, request.Model, request.Adapter}
+// demandKey identifies requests that are reported together. Priority and team are those of the
+// requests for pools whose targets state how long work takes.
+type demandKey struct {
+	pool     target.Pool
+	model    model.Name
+	adapter  model.Name
+	priority int
+	team     team.ID
 }
 
 // needOf returns what a waiting request needs.
@@ -477,13 +501,14 @@
 	return coordinator.Need{Pool: request.Pool, Model: request.Model, Adapter: request.Adapter, Version: request.Version, Homes: request.Homes}
 }
 
-func newUsageTracker() *usageTracker {
+func newUsageTracker(clock clockwork.Clock) *usageTracker {
 	return &usageTracker{
 		running:   map[targetModel]int{},
-		demand:    map[poolModel]demand{},
+		demand:    map[demandKey]demand{},
 		waiting:   map[coordinator.Need][]time.Time{},
 		notLoaded: map[targetModel]time.Time{},
-		gaps:      slowdown.NewCollector(),
+		stated:    slowdown.NewCollector(),
+		reading:   newReadingTracker(clock),
 	}
 }
 
@@ -493,7 +518,10 @@
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	key := poolModelOf(request)
+	key := demandKey{pool: request.Pool, model: request.Model, adapter: request.Adapter}
+	if tracker.reading.states(request.Pool) {
+		key.priority, key.team = request.Priority, request.Team
+	}
 	sum := tracker.demand[key]
 	tracker.demand[key] = demand{count: sum.count + 1, promptTokens: sum.promptTokens + request.PromptTokens}
 }
@@ -574,15 +602,16 @@
 	defer tracker.mu.Unlock()
 	var u coordinator.Usage
 	for key, d := range tracker.demand {
-		u.Demand = append(u.Demand, coordinator.Demand{Pool: key.pool, Model: key.model, Adapter: key.adapter, Count: d.count, Prompt: d.promptTokens})
+		u.Demand = append(u.Demand, coordinator.Demand{Pool: key.pool, Model: key.model, Adapter: key.adapter, Count: d.count, Prompt: d.promptTokens, Priority: key.priority, Team: key.team})
 	}
 	clear(tracker.demand)
-	u.Gaps = tracker.gaps.Take()
+	u.Stated = tracker.stated.Take()
+	u.Unread, u.Readings = tracker.reading.take()
 	for key, n := range tracker.running {
 		u.Running = append(u.Running, coordinator.Running{Target: key.target, Model: key.model, Adapter: key.adapter, Count: n})
 	}
 	slices.SortFunc(u.Demand, func(a, b coordinator.Demand) int {
-		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Team, b.Team))
 	})
 	return u
 }
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -63,6 +63,7 @@
 	ReasonVersion            Reason = "version"
 	ReasonStaleConfiguration Reason = "stale-configuration"
 	ReasonHomes              Reason = "homes"
+	ReasonOverloaded         Reason = "overloaded"
 )
 
 // Header returns "served".
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -70,6 +70,9 @@
 	// run at the same time.
 	Work  int
 	Slots int
+	// ReadSpeed is the number of prompt tokens that the engine reads in a second, or zero if it
+	// isn't known.
+	ReadSpeed float64
 	// Limited is set if the engine takes a limited number of requests only. Requests wait
 	// for a model although such an engine holds it, and models are loaded elsewhere.
 	Limited bool
@@ -146,8 +149,8 @@
 	// prefetchStreams limits the concurrent prefetches, which leaves one stream to loads
 	// for waiting requests.
 	prefetchStreams = 3
-	// prefillTokensPerSecond is the prefill throughput of an engine. The engines of the
-	// platform's users reach 19,000 to 26,000 prompt tokens per second.
+	// prefillTokensPerSecond is the assumed prefill throughput of an engine of which it isn't
+	// known. The engines of the platform's users reach 19,000 to 26,000 prompt tokens per second.
 	prefillTokensPerSecond = 20_000
 	// maxPrefillShare is the share of an engine's time that the prefill of one model's
 	// prompts may take. Each prefill delays the output streams of other requests.
@@ -208,7 +211,7 @@
 
 func newPlanner(s State) *planner {
 	p := &planner{
-		State: s, engines: slices.Clone(s.Engines), replicas: map[model.Name]int{}, cached: map[model.Name]bool{},
+		State: s, engines: slices.Clone(s.Engines), replicas: map[model.Name]int{}, readSpeed: map[model.Name]float64{}, cached: map[model.Name]bool{},
 		loading: map[model.Name]bool{}, requested: map[model.Name]bool{}, unlimited: map[model.Name]int{},
 		allLimited: !slices.ContainsFunc(s.Engines, func(e Engine) bool { return !e.Limited }),
 	}
@@ -238,8 +241,10 @@
 	State
 	// engines are copies of State.Engines that include the jobs planned so far.
 	engines []Engine
-	// replicas holds the number of engines that hold or load each model.
-	replicas map[model.Name]int
+	// replicas holds the number of engines that hold or load each model, and readSpeed the speed
+	// at which these read prompts together.
+	replicas  map[model.Name]int
+	readSpeed map[model.Name]float64
 	// cached holds the models whose weights some engine has, loading those that an engine
 	// loads, and requested those that requests wait for.
 	cached, loading, requested map[model.Name]bool
@@ -280,6 +285,7 @@
 
 func (p *planner) countReplica(name model.Name, e *Engine) {
 	p.replicas[name]++
+	p.readSpeed[name] += e.readSpeed()
 	if !e.Limited {
 		p.unlimited[name]++
 	}
@@ -382,7 +388,7 @@
 			continue
 		}
 		slotsFull := !p.loading[name] && slots[name] > 0 && float64(work[name]) >= spreadSlotShare*factor*float64(slots[name]) && p.Rates[name] >= minSpreadRate
-		prefillFull := p.PromptRates[name] > replicas*prefillTokensPerSecond*maxPrefillShare*factor
+		prefillFull := p.PromptRates[name] > p.readSpeed[name]*maxPrefillShare*factor
 		adaptersFull := !p.loading[name] && p.AdapterSlots > 0 && float64(p.RecentAdapters[name]) > replicas*float64(p.AdapterSlots)*factor
 		if slotsFull || prefillFull || adaptersFull {
 			p.place(name, ReasonSpread, 0, func(e *Engine) bool { return !e.holds(name) })
@@ -394,16 +400,30 @@
 // the prompts for it. Loads for it then run side by side: one after another, they would take longer
 // than its callers wait.
 func (p *planner) farBelowDemand(name model.Name) bool {
-	return p.PromptRates[name] > float64(p.replicas[name])*prefillTokensPerSecond*maxPrefillShare*urgentFactor
+	return p.PromptRates[name] > p.readSpeed[name]*maxPrefillShare*urgentFactor
 }
 
 // prefillLoad returns the share of an engine's time that prefill takes.
 func (p *planner) prefillLoad(e *Engine) float64 {
 	sum := 0.0
 	for _, r := range e.Resident {
-		sum += p.PromptRates[r.Model] / float64(max(1, p.replicas[r.Model]))
+		sum += p.PromptRates[r.Model] / max(e.readSpeed(), p.readSpeed[r.Model])
 	}
-	return sum / prefillTokensPerSecond
+	return sum
+}
+
+// addedLoad returns the share of an engine's time that the prefill of its part of a further model's
+// prompts takes. It makes models with many prompts go to fast engines.
+func (p *planner) addedLoad(e *Engine, name model.Name) float64 {
+	return p.PromptRates[name] / float64(p.replicas[name]+1) / e.readSpeed()
+}
+
+// readSpeed returns the speed at which an engine reads prompts, in tokens per second.
+func (e *Engine) readSpeed() float64 {
+	if e.ReadSpeed > 0 {
+		return e.ReadSpeed
+	}
+	return prefillTokensPerSecond
 }
 
 // standby plans a second engine, in another domain, for frequently requested models.
@@ -490,6 +510,7 @@
 	p.cached[name] = true
 	for _, evicted := range bestJob.Evict {
 		p.replicas[evicted]--
+		p.readSpeed[evicted] -= best.readSpeed()
 		if !best.Limited {
 			p.unlimited[evicted]--
 		}
@@ -511,7 +532,7 @@
 func (p *planner) cost(e *Engine, m catalog.Model, reason Reason) (Job, float64, bool) {
 	evict, evictCost, ok := p.victims(e, m)
 	job := Job{Engine: e.ID, Load: m.Name, Evict: evict, Source: p.sourceAfter(e, m.Name, evict), Reason: reason}
-	return job, p.loadCost(m, job.Source) + p.waitCost(e) + evictCost + prefillWeight*p.prefillLoad(e), ok
+	return job, p.loadCost(m, job.Source) + p.waitCost(e) + evictCost + prefillWeight*(p.prefillLoad(e)+p.addedLoad(e, m.Name)), ok
 }
 
 // minCost returns a lower bound of cost that takes little time to compute. A load from
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -490,3 +490,19 @@
 	must.Eq(t, 1, loads(18_000))
 	must.Eq(t, 3, loads(38_000), must.Sprint("until the engines read half of the prompts"))
 }
+
+// Load: a model with more prompts than its engine reads, before engines that differ in speed. Guards
+// against a copy on a slow engine, which soon lacks time again.
+func TestPopularModelGoesToFastEngine(t *testing.T) {
+	s := newState(10, 4)
+	for i := range s.Engines {
+		s.Engines[i].ReadSpeed = []float64{20_000, 12_000, 33_000, 12_000}[i]
+		s.Engines[i].Resident = nil
+		s.Engines[i].OnDisk["m0"] = true
+	}
+	s.Engines[0].Resident = []placement.Resident{{Model: "m0", Size: size}}
+	s.Rates["m0"], s.PromptRates["m0"] = 12, 12_000
+	jobs := jobsWithReason(placement.Plan(s), placement.ReasonSpread)
+	must.SliceLen(t, 1, jobs)
+	must.Eq(t, "e2", jobs[0].Engine)
+}
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -89,6 +89,7 @@
 		Deadline:     r.callerDeadline(f),
 		Repeatable:   f.route.Repeatable(),
 		Refusal:      func() *outcome.NotRun { return r.quarantined(f) },
+		Begun:        len(f.targets) > 0 || f.req.LastEventID > 0,
 		Team:         f.team.ID,
 		ID:           f.req.ID,
 	}
@@ -288,9 +289,6 @@
 	// the answer is a success whose end is marked by a length or by chunks. The end of a
 	// connection may also be that of the target.
 	answered bool
-	// gapSum is the total time between gaps events of a stream.
-	gapSum time.Duration
-	gaps   int
 }
 
 // completedBy returns the result of a response that was passed on in full.
@@ -396,7 +394,7 @@
 }
 
 func (r completed) placerResult() Result {
-	return Served{Load: r.load, GapSum: r.gapSum, Gaps: r.gaps}
+	return Served{Load: r.load}
 }
 
 func (r refused) placerResult() Result {
@@ -495,7 +493,7 @@
 		resp.Skip()
 		return refused{status: resp.Status, replaced: info.Replaced, notLoaded: info.NotLoaded, load: info.Load}
 	case d.isStream && resp.Status < http.StatusMultipleChoices:
-		return d.relayEvents(ctx, t, resp, info, w)
+		return d.relayEvents(ctx, placement, resp, info, w)
 	default:
 		return d.relayBuffered(ctx, resp, info, w)
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -162,8 +162,10 @@
 	// Refusal returns a refusal if it has become known that the request must not be sent.
 	// The placer asks it while the request waits.
 	Refusal func() *outcome.NotRun
-	Team    team.ID
-	ID      RequestID
+	// Begun is set if a target was sent the request before, or the caller has a part of the stream.
+	Begun bool
+	Team  team.ID
+	ID    RequestID
 }
 
 // Placement is a target chosen for one attempt.
@@ -177,7 +179,7 @@
 }
 
 // Notice is what a target says of itself beside a response: Leaving, Paused, Limited,
-// Unlimited, Cold or Loaded.
+// Unlimited, Cold, Loaded or FirstEvent.
 type Notice interface{ notice() }
 
 // Leaving means that the target leaves and wants no further requests.
@@ -202,12 +204,16 @@
 // Loaded is the load of a target that also states how long work takes there.
 type Loaded struct{ TargetLoad }
 
-func (Loaded) notice()    {}
-func (Cold) notice()      {}
-func (Leaving) notice()   {}
-func (Paused) notice()    {}
-func (Limited) notice()   {}
-func (Unlimited) notice() {}
+// FirstEvent means that the first event of a stream has arrived.
+type FirstEvent struct{}
+
+func (Loaded) notice()     {}
+func (Cold) notice()       {}
+func (FirstEvent) notice() {}
+func (Leaving) notice()    {}
+func (Paused) notice()     {}
+func (Limited) notice()    {}
+func (Unlimited) notice()  {}
 
 // Result is the result of an attempt for the placer: Served, Refused, Failed or
 // Abandoned.
@@ -216,9 +222,6 @@
 // Served means that the target responded.
 type Served struct {
 	Load *TargetLoad
-	// GapSum is the total time between Gaps events of a stream, and zero for other responses.
-	GapSum time.Duration
-	Gaps   int
 }
 
 // Refused means that the target did not run the request.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,12 +9,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"hawthornway/exchange"
 	"hawthornway/lineage"
 	"hawthornway/memory"
-	"hawthornway/roster"
 )
 
 // maxEventBytes limits the size of one event.
@@ -123,16 +121,16 @@
 
 // relayEvents passes the events of a stream on as they arrive. It passes on
 // complete events only, so that another target can continue after any of them.
-func (d *dispatcher) relayEvents(ctx context.Context, t roster.Target, resp *exchange.Response, info ResponseInfo, w *watchdog) attemptResult {
+func (d *dispatcher) relayEvents(ctx context.Context, placement Placement, resp *exchange.Response, info ResponseInfo, w *watchdog) attemptResult {
 	r, f := d.relay, d.inflight
 	if !info.Signed {
 		return interrupted{err: fmt.Errorf("answer with status %d is unsigned", resp.Status)}
 	}
 	resumed, before := f.responseStarted, d.lastEventID
 	if !f.responseStarted {
-		f.version = t.Version
+		f.version = placement.Target.Version
 		if f.req.LastEventID == 0 {
-			r.lineage.Began(lineage.StreamID(f.req.ID), lineage.Build{Pool: f.pool, Version: t.Version})
+			r.lineage.Began(lineage.StreamID(f.req.ID), lineage.Build{Pool: f.pool, Version: placement.Target.Version})
 		}
 		r.startResponse(f, resp.Status, resp.Header)
 		f.w.WriteHeader(resp.Status)
@@ -141,27 +139,22 @@
 	}
 	flusher := http.NewResponseController(f.w)
 	reader := newEventReader(resp, f.loan)
-	var firstEvent, lastEvent time.Time
 	for events := 0; ; events++ {
 		e, err := reader.read()
 		if err == io.EOF && resumed && d.lastEventID == before {
 			err = errNothingResumed
 		}
 		if err == io.EOF {
-			done := completedBy(resp, info)
-			if events > 1 {
-				done.gapSum, done.gaps = lastEvent.Sub(firstEvent), events-1
-			}
-			return done
-		}
-		if lastEvent = r.clock.Now(); events == 0 {
-			firstEvent = lastEvent
+			return completedBy(resp, info)
 		}
 		if err != nil {
 			// Delivers the complete events that were written so far.
 			_ = flusher.Flush() // the caller may have left
 			return interrupted{err: err, abandoned: w.abandoned(ctx), silent: w.silent(ctx), began: true, events: events}
 		}
+		if events == 0 && placement.Notice != nil {
+			placement.Notice(FirstEvent{})
+		}
 		if e.id != 0 && e.id <= d.lastEventID {
 			continue // the caller has this event already
 		}
--- a/slowdown/slowdown.go
+++ b/slowdown/slowdown.go
@@ -1,6 +1,5 @@
-// Package slowdown learns how long work takes at targets, compared with others of their pool.
-// Targets that share their machines state how busy these are, many times a second; that some
-// machines are slower than others shows in the time between the events of streams only.
+// Package slowdown learns how long work takes at targets that state it with each response: some run
+// on slower machines than others, and most share theirs, which others make busy for moments.
 package slowdown
 
 import (
@@ -25,16 +24,16 @@
 	// neither gets all requests nor none.
 	minFactor Factor = 0.25
 	maxFactor Factor = 8
-	// maxStatedAge is how long a statement is used, since targets' machines become busy and calm
-	// again within a second.
+	// maxStatedAge is how long a statement counts as the present state, since targets' machines
+	// become busy and calm again within a second.
 	maxStatedAge = 600 * time.Millisecond
-	// decayTime is the time constant with which older gaps count less. It is a few times that of
-	// a stream, so that a target which has become slow shows after a few streams.
-	decayTime = 8 * time.Second
-	// minEvents is the weight of gaps, in events, at which the learned factor counts half. Fewer
-	// events show little, since some of them arrive together.
-	minEvents = 40
-	// forgetTime is the time after which a target without gaps is forgotten.
+	// decayTime is the time constant with which older statements count less. It spans many of the
+	// moments in which a machine is busy.
+	decayTime = 10 * time.Second
+	// usualWeight is the number of statements that Usual counts for. It lets a target that was
+	// avoided because it was busy be tried again.
+	usualWeight = 1
+	// forgetTime is the time after which a target without statements is forgotten.
 	forgetTime = time.Minute
 )
 
@@ -45,33 +44,33 @@
 	return max(minFactor, min(maxFactor, f))
 }
 
-// Statement is what a target has stated of the machine that it shares.
+// Statement is what a target has stated.
 type Statement struct {
 	Factor Factor
 	At     time.Time
 }
 
-// Now returns the factor that a statement shows at a time.
-func (s Statement) Now(now time.Time) Factor {
+// Now returns the factor that a statement shows at a time, and false if it is too old.
+func (s Statement) Now(now time.Time) (Factor, bool) {
 	if s.At.IsZero() || now.Sub(s.At) > maxStatedAge {
-		return Usual
+		return 0, false
 	}
-	return limited(s.Factor)
+	return limited(s.Factor), true
 }
 
-// Gaps are the gaps between the events of streams from one start of a target.
-type Gaps struct {
+// Statements are what one start of a target has stated.
+type Statements struct {
 	Target target.ID
 	Start  roster.StartID
-	// Sum is the total length of Count gaps.
-	Sum   time.Duration
+	// Sum is the sum of Count statements.
+	Sum   Factor
 	Count int
 }
 
-// Collector collects the gaps that one host sees. It is safe for concurrent use.
+// Collector collects the statements that one host receives. It is safe for concurrent use.
 type Collector struct {
-	mu   sync.Mutex
-	gaps map[startKey]Gaps
+	mu         sync.Mutex
+	statements map[startKey]Statements
 }
 
 // startKey identifies one start of a target.
@@ -81,103 +80,71 @@
 }
 
 // NewCollector returns an empty Collector.
-func NewCollector() *Collector { return &Collector{gaps: map[startKey]Gaps{}} }
+func NewCollector() *Collector { return &Collector{statements: map[startKey]Statements{}} }
 
-// Add adds the gaps of a stream.
-func (c *Collector) Add(g Gaps) {
-	if g.Count <= 0 || g.Sum <= 0 {
-		return
-	}
+// Add adds a statement.
+func (c *Collector) Add(id target.ID, start roster.StartID, stated Factor) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := startKey{g.Target, g.Start}
-	sum := c.gaps[key]
-	c.gaps[key] = Gaps{g.Target, g.Start, sum.Sum + g.Sum, sum.Count + g.Count}
+	key := startKey{id, start}
+	sum := c.statements[key]
+	c.statements[key] = Statements{id, start, sum.Sum + limited(stated), sum.Count + 1}
 }
 
-// Take returns the gaps since the last call.
-func (c *Collector) Take() []Gaps {
+// Take returns the statements since the last call.
+func (c *Collector) Take() []Statements {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	taken := slices.Collect(maps.Values(c.gaps))
-	clear(c.gaps)
+	taken := slices.Collect(maps.Values(c.statements))
+	clear(c.statements)
 	return taken
 }
 
-// Estimator learns the factors of the targets of one pool from the gaps that all hosts see. It is
-// not safe for concurrent use.
+// Estimator learns the factors of targets from the statements that all hosts receive. It is not safe
+// for concurrent use.
 type Estimator struct {
 	targets map[target.ID]*evidence
-	// usual caches the usual gap as of usualAt.
-	usual   float64
-	usualAt time.Time
 }
 
-// evidence is the decayed sum of a target's gaps.
+// evidence is the decayed sum of a target's statements.
 type evidence struct {
-	start   roster.StartID
-	seconds float64
-	count   float64
-	at      time.Time
+	start      roster.StartID
+	sum, count float64
+	at         time.Time
 }
 
-// NewEstimator returns an Estimator that takes all targets for equally fast.
+// NewEstimator returns an Estimator that takes all targets for usual ones.
 func NewEstimator() *Estimator { return &Estimator{targets: map[target.ID]*evidence{}} }
 
-// Record records gaps that a host has seen.
-func (e *Estimator) Record(g Gaps, now time.Time) {
-	if g.Count <= 0 || g.Sum <= 0 {
+// Record records statements that a host has received. Those that no target can mean are ignored.
+func (e *Estimator) Record(s Statements, now time.Time) {
+	if s.Count <= 0 || math.IsNaN(float64(s.Sum)) || s.Sum <= 0 {
 		return
 	}
-	known, ok := e.targets[g.Target]
-	if !ok || known.start != g.Start {
+	known, ok := e.targets[s.Target]
+	if !ok || known.start != s.Start {
 		maps.DeleteFunc(e.targets, func(_ target.ID, old *evidence) bool { return now.Sub(old.at) > forgetTime })
-		known = &evidence{start: g.Start, at: now}
-		e.targets[g.Target] = known
+		known = &evidence{start: s.Start, at: now}
+		e.targets[s.Target] = known
 	}
 	known.decay(now)
-	known.seconds += g.Sum.Seconds()
-	known.count += float64(g.Count)
+	known.sum += float64(limited(s.Sum/Factor(s.Count))) * float64(s.Count)
+	known.count += float64(s.Count)
 }
 
 func (v *evidence) decay(now time.Time) {
 	factor := math.Exp(-max(0, now.Sub(v.at).Seconds()) / decayTime.Seconds())
-	v.seconds, v.count, v.at = v.seconds*factor, v.count*factor, now
-}
-
-// usualAge is how long the usual gap is used before it is computed anew.
-const usualAge = time.Second
-
-// usualGap returns the median of the targets' mean gaps in seconds, or zero if none is known.
-func (e *Estimator) usualGap(now time.Time) float64 {
-	if now.Sub(e.usualAt) < usualAge && e.usual > 0 {
-		return e.usual
-	}
-	var means []float64
-	for _, v := range e.targets {
-		if v.count > 0 && now.Sub(v.at) < forgetTime {
-			means = append(means, v.seconds/v.count)
-		}
-	}
-	e.usual, e.usualAt = 0, now
-	if len(means) > 0 {
-		slices.Sort(means)
-		e.usual = means[len(means)/2]
-	}
-	return e.usual
+	v.sum, v.count, v.at = v.sum*factor, v.count*factor, now
 }
 
 // Factor returns the learned factor of a start of a target. The less evidence there is, and the
 // older it is, the closer it is to Usual.
 func (e *Estimator) Factor(id target.ID, start roster.StartID, now time.Time) Factor {
 	v, ok := e.targets[id]
-	usual := e.usualGap(now)
-	if !ok || v.start != start || usual <= 0 || v.count <= 0 {
+	if !ok || v.start != start {
 		return Usual
 	}
 	current := *v
 	current.decay(now)
-	weight := current.count / (current.count + minEvents)
-	learned := float64(limited(Factor(v.seconds / v.count / usual)))
-	return limited(Factor(math.Pow(learned, weight)))
+	return limited(Factor((current.sum + usualWeight*float64(Usual)) / (current.count + usualWeight)))
 }
