coordinator: adapters are loaded on further engines while theirs is behind

Cause: requests with an adapter go to the one engine that has it, also while that engine has seconds of prompts to read and another one with the model has none.

Change: while an engine is more than a second behind with reading, its most requested adapter is loaded on an engine that holds the model and has time and a free slot. Pools whose targets state how long work takes only. The pauses in the tests of domains have their reasons.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -301,6 +301,7 @@
 			c.startJob(p.pool, job)
 		}
 		c.queueAdapterLoads(p.pool)
+		c.spreadAdapters(p.pool)
 		c.logPendingRequests(p.pool)
 	}
 	c.announce(current)
--- a/coordinator/overload.go
+++ b/coordinator/overload.go
@@ -64,6 +64,8 @@
 	computedAt time.Time
 	shares     []wireShare
 	rooms      []wireRoom
+	// adaptersAt is when adapters were last loaded on further engines.
+	adaptersAt time.Time
 	// refused holds the models of which requests are refused.
 	refused map[target.Pool]map[model.Name]bool
 }
@@ -309,3 +311,85 @@
 	}
 	c.updateAllocations(allocations, view.Admission.Early)
 }
+
+// spreadAdapters queues loads of adapters that engines which are behind with reading hold, on engines
+// that also hold the model and have time. Requests for an adapter otherwise stay with the one engine
+// that has it. Each engine that is behind hands over one adapter at a time, that with the most
+// requests.
+func (c *Coordinator) spreadAdapters(pool catalog.Pool) {
+	now := c.clock.Now()
+	_, stated := c.slowdowns[pool.Name]
+	if !stated || pool.Engines.AdapterSlots == 0 || now.Sub(c.admission.adaptersAt) < loadsInterval {
+		return
+	}
+	c.admission.adaptersAt = now
+	engines := c.overloadEngines(pool.Name, now)
+	requests := c.runningByAdapter(now)
+	held := c.heldModels(now)
+	for _, state := range engines {
+		if !state.Behind() {
+			continue
+		}
+		var job adapterJob
+		var to *engine
+		for candidate, n := range requests[state.ID] {
+			best := requests[state.ID][job]
+			if n < best || n == best && cmp.Compare(candidate.fullName(), job.fullName()) > 0 || held[candidate.fullName()] {
+				continue
+			}
+			if other := c.idleEngineFor(pool, candidate, engines); other != nil {
+				job, to = candidate, other
+			}
+		}
+		if to == nil {
+			continue
+		}
+		select {
+		case to.adapterJobs <- job:
+			to.pendingAdapters[job] = true
+			c.log.Info("coordinator: adapter is loaded on a further engine", "model", job.model, "adapter", job.adapter, "from", state.ID, "to", to.target.ID)
+		default: // the worker's queue is full
+		}
+	}
+}
+
+// runningByAdapter counts the hosts' requests with adapters by engine.
+func (c *Coordinator) runningByAdapter(now time.Time) map[target.ID]map[adapterJob]int {
+	sums := map[target.ID]map[adapterJob]int{}
+	for _, h := range c.hosts {
+		if now.Sub(h.receivedAt) > maxHostReportAge {
+			continue
+		}
+		for _, r := range h.running {
+			if r.Adapter == "" {
+				continue
+			}
+			if sums[r.Target] == nil {
+				sums[r.Target] = map[adapterJob]int{}
+			}
+			sums[r.Target][adapterJob{r.Model, r.Adapter}] += r.Count
+		}
+	}
+	return sums
+}
+
+// idleEngineFor returns the engine with the smallest backlog that holds an adapter's model and has time
+// and a free slot for the adapter, or nil if there is none or an engine with time has it already.
+func (c *Coordinator) idleEngineFor(pool catalog.Pool, job adapterJob, engines []overload.Engine) *engine {
+	var best *engine
+	var bestUnread team.Tokens
+	for _, state := range engines {
+		e := c.engines[state.ID]
+		if !state.Idle() || !e.has(job.model, "") {
+			continue
+		}
+		if e.has(job.model, job.adapter) || e.pendingAdapters[job] {
+			return nil
+		}
+		free := e.adapterCount()+len(e.pendingAdapters) < pool.Engines.AdapterSlots
+		if free && (best == nil || state.Unread < bestUnread) {
+			best, bestUnread = e, state.Unread
+		}
+	}
+	return best
+}
--- a/coordinator/overload_test.go
+++ b/coordinator/overload_test.go
@@ -123,3 +123,46 @@
 	must.NoError(t, err)
 	return i
 }
+
+// Load: the engine with an adapter is behind with reading. Guards against requests for the adapter that
+// stay there while another engine with the model has time, and against adapters on engines without a
+// free slot.
+func TestAdaptersSpreadFromBusyEngines(t *testing.T) {
+	cases := []struct {
+		name      string
+		unread    team.Tokens // at the engine with the adapter
+		elsewhere int         // adapters that the other engine holds
+		want      bool
+	}{
+		{"no backlog", 100, 0, false},
+		{"behind", 60_000, 0, true},
+		{"no free slot", 60_000, 2, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f, _ := newOverloaded(t)
+			c := f.coordinator
+			other := &engine{
+				target: roster.Target{ID: "e2", Pool: "p"}, reported: true, start: 1, adapterJobs: make(chan adapterJob, 1), pendingAdapters: map[adapterJob]bool{},
+				resident: map[model.Name]*resident{"hot": {adapterLastUsed: map[model.Name]time.Time{}}},
+			}
+			for i := range tc.elsewhere {
+				other.resident["hot"].adapterLastUsed[model.Name(fmt.Sprint("other", i))] = time.Time{}
+			}
+			c.engines["e2"] = other
+			c.engines["e"].resident["hot"].adapterLastUsed = map[model.Name]time.Time{"a1": {}}
+			_, err := c.report("h", wireReport{
+				Fence: f.client.fence, Running: []wireRunning{{Target: "e", Model: "hot", Adapter: "a1", Count: 9}, {Target: "e", Model: "hot", Count: 30}},
+				Unread: []wireUnread{{Target: "e", Tokens: tc.unread}}, Stated: []wireStated{{Target: "e", Start: 1, Sum: 100, Count: 1}},
+			})
+			must.NoError(t, err)
+			pool := catalog.Pool{Name: "p", Engines: &catalog.Engines{AdapterSlots: 2}}
+			for range 2 { // the second time it is pending
+				c.admission.adaptersAt = time.Time{}
+				c.spreadAdapters(pool)
+			}
+			must.Eq(t, tc.want, other.pendingAdapters[adapterJob{"hot", "a1"}])
+			must.Eq(t, tc.want, len(other.adapterJobs) == 1)
+		})
+	}
+}
--- a/gateway/domain_test.go
+++ b/gateway/domain_test.go
@@ -54,12 +54,12 @@
 		must.True(t, e.Holds(config(1).Models[0]) || e.Holds(config(1).Models[2]))
 	}
 	stop := f.load(30*time.Millisecond, "m0", "m1", "m2")
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond) // requests run at all targets
 	platformtest.Evacuate(f.store, "zone-0")
 	acknowledged := time.Now()
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond) // the hosts know of the evacuation, and the next one starts within it
 	f.start("host-late", false)
-	time.Sleep(evacuationTime)
+	time.Sleep(evacuationTime) // the promise covers what arrives after this bound
 	late := after(acknowledged.Add(evacuationTime), f.engines[0].Arrivals())
 	must.SliceEmpty(t, late)
 	last := f.engines[0].Arrivals()[len(f.engines[0].Arrivals())-1].Sub(acknowledged)
@@ -68,7 +68,7 @@
 	leader := f.coordinator()
 	f.hosts[leader].stop()
 	<-f.hosts[leader].ended
-	time.Sleep(2 * time.Second)
+	time.Sleep(2 * time.Second) // a takeover takes less
 	must.SliceEmpty(t, after(acknowledged.Add(evacuationTime), f.engines[0].Arrivals()))
 	sent, served := stop()
 	t.Logf("%d of %d requests were served", served, sent)
@@ -99,13 +99,13 @@
 	time.Sleep(1200 * time.Millisecond) // reports and views of all hosts
 	from := time.Now()
 	stop := f.load(20*time.Millisecond, "")
-	time.Sleep(2500 * time.Millisecond)
+	time.Sleep(2500 * time.Millisecond) // ten requests at the rate that it bears
 	arrivals := after(from, cold.Arrivals())
 	used := float64(len(arrivals)) / (rate * time.Since(from).Seconds())
 	t.Logf("%.2f of what the target bears was used", used)
 	must.LessEq(t, rate*3/2+5, mostWithin(time.Second, arrivals), must.Sprint("what the users' rule allows"))
 	must.GreaterEq(t, 0.5, used, must.Sprint("the first places come within a second"))
-	time.Sleep(2 * time.Second)
+	time.Sleep(2 * time.Second) // it is warm after 4 s, and gets requests for a second from then
 	warm := len(after(turned.Add(4500*time.Millisecond), cold.Arrivals()))
 	must.Greater(t, rate, warm, must.Sprint("once it is warm, it gets what others get"))
 	stop()
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -29,6 +29,8 @@
 	// usualBacklog is the time in which an engine reads the prompts that wait there. It is a
 	// fraction of the time to a first event that callers of interactive routes expect, a second.
 	usualBacklog = 300 * time.Millisecond
+	// maxBacklog is the backlog from which most requests at an engine begin late.
+	maxBacklog = time.Second
 	// correctionTime is the time in which a backlog returns to the usual one. It is longer than
 	// hosts take to report the backlog and to learn of the shares, so that the backlog settles.
 	correctionTime = 3 * time.Second
@@ -68,6 +70,13 @@
 	return max(minRoomShare*float64(e.Speed), readShare*float64(e.Speed)+missing/correctionTime.Seconds())
 }
 
+// Behind reports whether an engine is so far behind with reading that what others can run should go to
+// them.
+func (e Engine) Behind() bool { return e.Unread > e.Speed.over(maxBacklog) }
+
+// Idle reports whether an engine reads what it is sent at once.
+func (e Engine) Idle() bool { return e.Unread <= e.Speed.over(usualBacklog) }
+
 // FlowID identifies a flow: the requests of a team for a model at a priority.
 type FlowID struct {
 	Model    model.Name
