overload: an allocation takes a small part of the coordinator's time

Change: nothing is divided unless a model may lack room, which one pass shows; engines aren't sorted; the next allocation waits for twenty times as long as the last one took.

--- a/coordinator/overload.go
+++ b/coordinator/overload.go
@@ -25,6 +25,9 @@
 	waitingTime = 2 * time.Second
 	// loadingTime is the rest of a load from which the engine counts as holding the model.
 	loadingTime = time.Second
+	// allocateFactor is the least time between two allocations, as a multiple of the time that one
+	// takes. In a large fleet it would otherwise take a part of a core that the coordinator needs.
+	allocateFactor = 20
 	// maxSharesPerAnswer bounds the answers to reports. The flows with the largest demand come first.
 	maxSharesPerAnswer = 100
 	// maxRoomsPerModel and maxRoomsPerAnswer bound the engines whose room is sent.
@@ -62,8 +65,10 @@
 	flows      map[flowKey]flowRate
 	speeds     map[target.Pool]*overload.Speedometer
 	computedAt time.Time
-	shares     []wireShare
-	rooms      []wireRoom
+	// took is how long the last computation took.
+	took   time.Duration
+	shares []wireShare
+	rooms  []wireRoom
 	// adaptersAt is when adapters were last loaded on further engines.
 	adaptersAt time.Time
 	// refused holds the models of which requests are refused.
@@ -112,8 +117,9 @@
 	if len(c.admission.flows) == 0 {
 		return
 	}
-	if now.Sub(c.admission.computedAt) >= loadsInterval {
+	if a := c.admission; now.Sub(a.computedAt) >= max(loadsInterval, allocateFactor*a.took) {
 		c.allocate(now)
+		a.took = c.clock.Since(now)
 	}
 	view.Admission = &wireAdmission{Shares: c.admission.shares, Rooms: c.admission.rooms, Early: now.Sub(c.termBegan) < ReportTime}
 }
@@ -212,8 +218,8 @@
 	return 1
 }
 
-// overloadEngines returns the engines of a pool that get requests, with the prompts that hosts have
-// sent them and that they haven't read.
+// overloadEngines returns the engines of a pool that get requests, in any order, with the prompts that
+// hosts have sent them and that they haven't read.
 func (c *Coordinator) overloadEngines(pool target.Pool, now time.Time) []overload.Engine {
 	unread := map[target.ID]team.Tokens{}
 	for _, h := range c.hosts {
@@ -239,10 +245,8 @@
 		if e.job != nil && e.freeAt.Sub(now) < loadingTime && !slices.Contains(state.Models, e.job.Load) {
 			state.Models = append(state.Models, e.job.Load)
 		}
-		slices.Sort(state.Models)
 		engines = append(engines, state)
 	}
-	slices.SortFunc(engines, func(x, y overload.Engine) int { return cmp.Compare(x.ID, y.ID) })
 	return engines
 }
 
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -123,8 +123,11 @@
 	for _, f := range flows {
 		demand[f.Model] += float64(f.Demand)
 	}
-	rooms := divideEngines(engines, demand)
 	var a Allocation
+	if !anyExceeds(engines, demand) {
+		return a
+	}
+	rooms := divideEngines(engines, demand)
 	for name, ofModel := range groupBy(flows, func(f Flow) model.Name { return f.Model }) {
 		available := 0.0
 		for _, r := range rooms[name] {
@@ -146,21 +149,53 @@
 	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Team, b.Team))
 }
 
+// anyExceeds reports whether there is more demand for a held model than the part of its engines' room
+// that it gets whatever is asked for the others. It takes a small part of the time of a division,
+// which the coordinator of a large fleet would otherwise spend several times a second.
+func anyExceeds(engines []Engine, demand map[model.Name]float64) bool {
+	certain := make(map[model.Name]float64, len(demand))
+	for _, e := range engines {
+		asked := 0
+		for _, name := range e.Models {
+			if demand[name] > 0 {
+				asked++
+			}
+		}
+		if asked == 0 {
+			continue
+		}
+		part := e.room() / float64(asked)
+		for _, name := range e.Models {
+			if demand[name] > 0 {
+				certain[name] += part
+			}
+		}
+	}
+	for name, room := range certain {
+		if demand[name] > room*(1+minExcess) {
+			return true
+		}
+	}
+	return false
+}
+
 // divideEngines divides the room of each engine among its models. Requests for a model are spread over
 // its engines in proportion to their room.
 func divideEngines(engines []Engine, demand map[model.Name]float64) map[model.Name][]Room {
 	supply, rooms := map[model.Name]float64{}, map[model.Name][]Room{}
 	for _, e := range engines {
+		room := e.room()
 		for _, name := range e.Models {
-			supply[name] += e.room()
+			supply[name] += room
 		}
 	}
 	for _, e := range engines {
+		room := e.room()
 		claims := make([]claim, len(e.Models))
 		for i, name := range e.Models {
-			claims[i] = claim{demand: demand[name] * e.room() / supply[name], weight: 1}
+			claims[i] = claim{demand: demand[name] * room / supply[name], weight: 1}
 		}
-		for i, grant := range maxMin(e.room(), claims) {
+		for i, grant := range maxMin(room, claims) {
 			rooms[e.Models[i]] = append(rooms[e.Models[i]], Room{e.Models[i], e.ID, Speed(grant)})
 		}
 	}
