gateway: hosts with a slow link coordinate only if no other can

Once all hosts of a fleet of 300 before 3,000 targets have restarted, the coordinator tells them of all targets, about 110 MB, which takes 35 s at 25 Mbit/s and 4.4 s at 200; for 100 hosts and 1,000 targets 4 and 0.5 s.

Change: a link of less than 100 Mbit/s makes a host weak, as few cores do: it stands for election later and isn't named as a successor.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,7 +185,7 @@
 		election.WithLogger(g.log),
 		election.WithRandom(rand.Float64),
 	}
-	weak := s.CPUs > 0 && s.CPUs < minCoordinatorCores
+	weak := isWeak(s)
 	if weak {
 		opts = append(opts, election.WithDelay(weakHostElectionDelay))
 	}
@@ -277,15 +277,23 @@
 	return memory.NewBudget(max(least, memory.Bytes(fraction*float64(g.settings.MemoryLimit))), g.clock)
 }
 
-// Hosts with less than minCoordinatorCores, if their share of cores is known,
-// stand for election weakHostElectionDelay later than others, since
-// coordinating a large fleet takes more of a core. In large fleets, the others
+// Weak hosts stand for election weakHostElectionDelay later than others. In large fleets, the others
 // notice the loss of a coordinator only at their next report, a second later.
 const (
-	minCoordinatorCores   = 0.4
+	// minCoordinatorCores is the share of cores that coordinating a large fleet takes.
+	minCoordinatorCores = 0.4
+	// minCoordinatorLink is the bandwidth from which a coordinator can tell all hosts of all targets
+	// within some seconds after they have restarted: those are about 110 MB for 300 hosts and
+	// 3,000 targets, which takes 35 s at 25 Mbit/s.
+	minCoordinatorLink    = 100 * platform.Megabit
 	weakHostElectionDelay = 1200 * time.Millisecond
 )
 
+// isWeak reports whether a host has, as far as is known, too little of what a coordinator needs.
+func isWeak(s platform.Settings) bool {
+	return s.CPUs > 0 && s.CPUs < minCoordinatorCores || s.Link > 0 && s.Link < minCoordinatorLink
+}
+
 // Limits of the listeners.
 const (
 	// maxHeaderBytes is larger than any limit that operators set for callers.
