--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -116,20 +116,21 @@
 	})
 }
 
-// ChooseByRoom returns one of the candidates in proportion to their room, or false if those with room
-// are backing off. Requests of one session go to the same target while the rooms change little.
-func (b *Balancer) ChooseByRoom(candidates []roster.Target, session string, rooms map[target.ID]float64) (best roster.Target, found bool) {
+// ChooseInProportion returns one of the candidates in proportion to their weights, or false if those
+// with a weight are backing off. Requests of one session go to the same target while the weights
+// change little.
+func (b *Balancer) ChooseInProportion(candidates []roster.Target, session string, weights map[target.ID]float64) (best roster.Target, found bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	bestScore := 0.0
 	for _, t := range candidates {
 		s := b.state(t.ID)
-		if now.Before(s.backoffUntil) || rooms[t.ID] <= 0 {
+		if now.Before(s.backoffUntil) || weights[t.ID] <= 0 {
 			continue
 		}
 		failures := 1 + failureCost*s.failureRate
-		if score := rendezvousScore(session, t.ID, rooms[t.ID]/(failures*failures)); !found || score < bestScore {
+		if score := rendezvousScore(session, t.ID, weights[t.ID]/(failures*failures)); !found || score < bestScore {
 			best, bestScore, found = t, score, true
 		}
 	}
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -238,28 +238,28 @@
 }
 
 // Load: more requests for a model than its engines read. Guards against an engine that gets more than
-// its part, or any while others have room and it has none, and against sessions that move.
-func TestRequestsFollowRooms(t *testing.T) {
+// its part, or any while others have a weight and it has none, and against sessions that move.
+func TestRequestsFollowWeights(t *testing.T) {
 	b, candidates := balance.New("z", clockwork.NewFakeClock()), []roster.Target{{ID: "a"}, {ID: "b"}, {ID: "c"}}
-	rooms := map[target.ID]float64{"a": 3000, "b": 1000}
+	weights := map[target.ID]float64{"a": 3000, "b": 1000}
 	counts, chosen := map[target.ID]int{}, map[string]target.ID{}
 	for i := range 4000 {
 		session := fmt.Sprint(i)
-		got, ok := b.ChooseByRoom(candidates, session, rooms)
+		got, ok := b.ChooseInProportion(candidates, session, weights)
 		must.True(t, ok)
 		counts[got.ID]++
 		chosen[session] = got.ID
 	}
 	must.Between(t, 2850, counts["a"], 3150)
 	must.Zero(t, counts["c"])
-	rooms["b"] = 1100
+	weights["b"] = 1100
 	moved := 0
 	for session, id := range chosen {
-		if got, _ := b.ChooseByRoom(candidates, session, rooms); got.ID != id {
+		if got, _ := b.ChooseInProportion(candidates, session, weights); got.ID != id {
 			moved++
 		}
 	}
 	must.Less(t, 160, moved)
-	_, ok := b.ChooseByRoom(candidates, "s", nil)
+	_, ok := b.ChooseInProportion(candidates, "s", nil)
 	must.False(t, ok)
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -236,6 +236,21 @@
 	return Route{}, false
 }
 
+// LeastObjective returns the shortest latency objective of the routes that lead to a pool, or zero if
+// none has any.
+func (c *Catalog) LeastObjective(pool target.Pool) time.Duration {
+	least := time.Duration(0)
+	for _, routes := range c.routes {
+		for _, r := range routes {
+			leads := slices.ContainsFunc(r.Pools, func(p WeightedPool) bool { return p.Pool == pool })
+			if leads && r.Objective > 0 && (least == 0 || r.Objective < least) {
+				least = r.Objective
+			}
+		}
+	}
+	return least
+}
+
 // TeamByKey returns the team that owns a key.
 func (c *Catalog) TeamByKey(key Key) (Team, bool) {
 	id, ok := c.keys[key]
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -178,18 +178,19 @@
 // wireAdmission lists the flows of which hosts admit only a share of the requests.
 type wireAdmission struct {
 	Shares []wireShare `cbor:"1,keyasint,omitempty"`
-	// Rooms divides the requests that are admitted among engines.
-	Rooms []wireRoom `cbor:"3,keyasint,omitempty"`
+	// Allotments divide the requests that are admitted among engines.
+	Allotments []wireAllotment `cbor:"3,keyasint,omitempty"`
 	// Early is set by a coordinator that may not have heard from all hosts yet.
 	Early bool `cbor:"2,keyasint,omitempty"`
 }
 
-// wireRoom is the room of an engine for a model, in prompt tokens per second.
-type wireRoom struct {
+// wireAllotment is the part of an engine that the requests for a model may take.
+type wireAllotment struct {
 	Pool   target.Pool `cbor:"1,keyasint"`
 	Model  model.Name  `cbor:"2,keyasint"`
 	Target target.ID   `cbor:"3,keyasint"`
-	Speed  int         `cbor:"4,keyasint"`
+	// Rate is in prompt tokens per second.
+	Rate int `cbor:"4,keyasint"`
 }
 
 // wireShare is the share of a flow's requests that hosts admit.
--- a/coordinator/overload.go
+++ b/coordinator/overload.go
@@ -25,14 +25,17 @@
 	waitingTime = 2 * time.Second
 	// loadingTime is the rest of a load from which the engine counts as holding the model.
 	loadingTime = time.Second
+	// defaultObjective is the time to a first event that callers expect of routes without an
+	// objective.
+	defaultObjective = time.Second
 	// allocateFactor is the least time between two allocations, as a multiple of the time that one
 	// takes. In a large fleet it would otherwise take a part of a core that the coordinator needs.
 	allocateFactor = 20
 	// maxSharesPerAnswer bounds the answers to reports. The flows with the largest demand come first.
 	maxSharesPerAnswer = 100
-	// maxRoomsPerModel and maxRoomsPerAnswer bound the engines whose room is sent.
-	maxRoomsPerModel  = 20
-	maxRoomsPerAnswer = 100
+	// maxAllotmentsPerModel and maxAllotmentsPerAnswer bound the allotments that are sent.
+	maxAllotmentsPerModel  = 20
+	maxAllotmentsPerAnswer = 100
 )
 
 // flowKey identifies a flow of a pool.
@@ -54,9 +57,9 @@
 
 // demand returns the demand, corrected for the time before the first request, in which there was
 // none. All hosts report within a report interval.
-func (r flowRate) demand(now time.Time) overload.Speed {
+func (r flowRate) demand(now time.Time) team.TokensPerSecond {
 	age := max(reportIntervalLargeFleet, now.Sub(r.firstAt))
-	return overload.Speed(r.decayed(now).tokens / -math.Expm1(-age.Seconds()/flowDecayTime.Seconds()))
+	return team.TokensPerSecond(r.decayed(now).tokens / -math.Expm1(-age.Seconds()/flowDecayTime.Seconds()))
 }
 
 // admission is what the coordinator knows of demand and reading by pool, and the shares that follow
@@ -66,17 +69,17 @@
 	speeds     map[target.Pool]*overload.Speedometer
 	computedAt time.Time
 	// took is how long the last computation took.
-	took   time.Duration
-	shares []wireShare
-	rooms  []wireRoom
-	// adaptersAt is when adapters were last loaded on further engines.
-	adaptersAt time.Time
+	took       time.Duration
+	shares     []wireShare
+	allotments []wireAllotment
+	// adaptersAt is when adapters of each pool were last loaded on further engines.
+	adaptersAt map[target.Pool]time.Time
 	// refused holds the models of which requests are refused.
 	refused map[target.Pool]map[model.Name]bool
 }
 
 func newAdmission() *admission {
-	return &admission{flows: map[flowKey]flowRate{}, speeds: map[target.Pool]*overload.Speedometer{}, refused: map[target.Pool]map[model.Name]bool{}}
+	return &admission{flows: map[flowKey]flowRate{}, speeds: map[target.Pool]*overload.Speedometer{}, adaptersAt: map[target.Pool]time.Time{}, refused: map[target.Pool]map[model.Name]bool{}}
 }
 
 // recordDemand records reported requests. Hosts name the team only for pools whose targets state how
@@ -121,18 +124,18 @@
 		c.allocate(now)
 		a.took = c.clock.Since(now)
 	}
-	view.Admission = &wireAdmission{Shares: c.admission.shares, Rooms: c.admission.rooms, Early: now.Sub(c.termBegan) < ReportTime}
+	view.Admission = &wireAdmission{Shares: c.admission.shares, Allotments: c.admission.allotments, Early: now.Sub(c.termBegan) < ReportTime}
 }
 
 // allocate computes the allocations of all pools.
 func (c *Coordinator) allocate(now time.Time) {
 	a := c.admission
-	a.computedAt, a.shares, a.rooms = now, nil, nil
+	a.computedAt, a.shares, a.allotments = now, nil, nil
 	current := c.catalogs()
 	if current == nil {
 		return
 	}
-	demand := map[flowKey]overload.Speed{}
+	demand := map[flowKey]team.TokensPerSecond{}
 	for key, r := range a.flows {
 		if demand[key] = r.demand(now); demand[key] < minFlowRate {
 			delete(a.flows, key)
@@ -150,7 +153,7 @@
 		for _, s := range allocation.Shares {
 			a.shares = append(a.shares, wireShare{pool, s.Model, s.Priority, s.Team, int(math.Round(shareUnit * s.Admitted))})
 		}
-		a.addRooms(pool, allocation.Rooms)
+		a.addAllotments(pool, allocation.Allotments)
 	}
 	for pool := range a.refused {
 		if _, ok := flows[pool]; !ok {
@@ -159,32 +162,32 @@
 	}
 	if len(a.shares) > maxSharesPerAnswer {
 		slices.SortStableFunc(a.shares, func(x, y wireShare) int {
-			return int(demand[y.key()]) - int(demand[x.key()])
+			return cmp.Compare(demand[y.key()], demand[x.key()])
 		})
 		a.shares = a.shares[:maxSharesPerAnswer]
 	}
 }
 
-// addRooms adds the rooms for models with few engines. Requests for others are spread by the load of
-// the engines alone: one of many engines gets few of them before hosts learn of it.
-func (a *admission) addRooms(pool target.Pool, rooms []overload.Room) {
-	for len(rooms) > 0 {
-		n := slices.IndexFunc(rooms, func(r overload.Room) bool { return r.Model != rooms[0].Model })
+// addAllotments adds the allotments for models with few engines. Requests for others are spread by the
+// load of the engines alone: one of many engines gets few of them before hosts learn of it.
+func (a *admission) addAllotments(pool target.Pool, allotments []overload.Allotment) {
+	for len(allotments) > 0 {
+		n := slices.IndexFunc(allotments, func(other overload.Allotment) bool { return other.Model != allotments[0].Model })
 		if n < 0 {
-			n = len(rooms)
+			n = len(allotments)
 		}
-		if n <= maxRoomsPerModel && len(a.rooms)+n <= maxRoomsPerAnswer {
-			for _, r := range rooms[:n] {
-				a.rooms = append(a.rooms, wireRoom{pool, r.Model, r.Target, int(math.Round(float64(r.Speed)))})
+		if n <= maxAllotmentsPerModel && len(a.allotments)+n <= maxAllotmentsPerAnswer {
+			for _, part := range allotments[:n] {
+				a.allotments = append(a.allotments, wireAllotment{pool, part.Model, part.Target, int(math.Round(float64(part.Rate)))})
 			}
 		}
-		rooms = rooms[n:]
+		allotments = allotments[n:]
 	}
 }
 
 // addWaiting adds the requests that wait for a load to the demand for their model: they are sent as
 // soon as an engine holds it.
-func (c *Coordinator) addWaiting(demand map[flowKey]overload.Speed, now time.Time) {
+func (c *Coordinator) addWaiting(demand map[flowKey]team.TokensPerSecond, now time.Time) {
 	type poolModel struct {
 		pool  target.Pool
 		model model.Name
@@ -205,7 +208,7 @@
 		}
 	}
 	for key, d := range demand {
-		demand[key] = d * overload.Speed(1+factors[poolModel{key.pool, key.Model}])
+		demand[key] = d * team.TokensPerSecond(1+factors[poolModel{key.pool, key.Model}])
 	}
 }
 
@@ -230,13 +233,17 @@
 			unread[u.Target] += u.Tokens
 		}
 	}
+	objective := defaultObjective
+	if current := c.catalogs(); current != nil {
+		objective = cmp.Or(current.LeastObjective(pool), defaultObjective)
+	}
 	var engines []overload.Engine
 	for id, e := range c.engines {
 		if e.target.Pool != pool || !c.mayLoad(e) || c.limited(e) {
 			continue
 		}
 		speed, learned := c.readSpeed(e, now)
-		state := overload.Engine{ID: id, Speed: speed, Assumed: !learned, Unread: unread[id]}
+		state := overload.Engine{ID: id, Speed: speed, Assumed: !learned, Objective: objective, Unread: unread[id]}
 		for name, r := range e.resident {
 			if !r.unloading {
 				state.Models = append(state.Models, name)
@@ -251,13 +258,13 @@
 }
 
 // readSpeed returns the speed at which an engine reads prompts, and false if it is assumed.
-func (c *Coordinator) readSpeed(e *engine, now time.Time) (speed overload.Speed, learned bool) {
+func (c *Coordinator) readSpeed(e *engine, now time.Time) (speed team.TokensPerSecond, learned bool) {
 	factor := slowdown.Usual
 	if estimator, ok := c.slowdowns[e.target.Pool]; ok {
 		factor = estimator.Factor(e.target.ID, e.start, now)
 	}
 	usual, learned := c.admission.speedometer(e.target.Pool).Speed()
-	return usual / overload.Speed(factor), learned
+	return usual / team.TokensPerSecond(factor), learned
 }
 
 // logOverload logs which models of a pool have begun or ceased to get more requests than their
@@ -308,9 +315,9 @@
 		a.Shares = append(a.Shares, overload.Share{FlowID: w.key().FlowID, Admitted: float64(w.Admitted) / shareUnit})
 		allocations[w.Pool] = a
 	}
-	for _, w := range view.Admission.Rooms {
+	for _, w := range view.Admission.Allotments {
 		a := allocations[w.Pool]
-		a.Rooms = append(a.Rooms, overload.Room{Model: w.Model, Target: w.Target, Speed: overload.Speed(w.Speed)})
+		a.Allotments = append(a.Allotments, overload.Allotment{Model: w.Model, Target: w.Target, Rate: team.TokensPerSecond(w.Rate)})
 		allocations[w.Pool] = a
 	}
 	c.updateAllocations(allocations, view.Admission.Early)
@@ -323,10 +330,10 @@
 func (c *Coordinator) spreadAdapters(pool catalog.Pool) {
 	now := c.clock.Now()
 	_, stated := c.slowdowns[pool.Name]
-	if !stated || pool.Engines.AdapterSlots == 0 || now.Sub(c.admission.adaptersAt) < loadsInterval {
+	if !stated || pool.Engines.AdapterSlots == 0 || now.Sub(c.admission.adaptersAt[pool.Name]) < loadsInterval {
 		return
 	}
-	c.admission.adaptersAt = now
+	c.admission.adaptersAt[pool.Name] = now
 	engines := c.overloadEngines(pool.Name, now)
 	requests := c.runningByAdapter(now)
 	held := c.heldModels(now)
--- a/coordinator/overload_test.go
+++ b/coordinator/overload_test.go
@@ -16,8 +16,8 @@
 	"hawthornway/team"
 )
 
-// newOverloaded returns a coordinator of two hosts and an engine that holds models hot and rare, and
-// the allocations that its answers show. Its clock stands still.
+// newOverloaded returns a coordinator with an engine that holds models hot and rare, and a function
+// that returns the allocations that its answers show.
 func newOverloaded(t *testing.T) (f *lapsingFleet, allocations func() (overload.Allocation, bool)) {
 	f = newLapsingFleet(t)
 	f.coordinator.catalogs = func() *catalog.Catalog { return &catalog.Catalog{} }
@@ -62,7 +62,7 @@
 	must.SliceLen(t, 1, a.Shares)
 	must.Eq(t, overload.FlowID{Model: "hot", Priority: 1, Team: "large"}, a.Shares[0].FlowID)
 	must.Between(t, 0.001, a.Shares[0].Admitted, 0.3)
-	must.SliceLen(t, 1, a.Rooms)
+	must.SliceLen(t, 1, a.Allotments)
 	f.coordinator.termBegan = f.coordinator.termBegan.Add(-ReportTime)
 	_, early = allocations()
 	must.False(t, early)
@@ -106,13 +106,13 @@
 	must.NoError(t, err)
 	a, _ := allocations()
 	must.SliceLen(t, maxSharesPerAnswer, a.Shares)
-	must.LessEq(t, maxRoomsPerAnswer, len(a.Rooms))
+	must.LessEq(t, maxAllotmentsPerAnswer, len(a.Allotments))
 	byModel := map[model.Name]int{}
-	for _, r := range a.Rooms {
+	for _, r := range a.Allotments {
 		byModel[r.Model]++
 	}
 	for name, n := range byModel {
-		must.LessEq(t, maxRoomsPerModel, n, must.Sprint(name))
+		must.LessEq(t, maxAllotmentsPerModel, n, must.Sprint(name))
 		must.Eq(t, n, 1+atoi(t, name)%30, must.Sprint("all engines of a model or none"))
 	}
 }
@@ -158,11 +158,13 @@
 			must.NoError(t, err)
 			pool := catalog.Pool{Name: "p", Engines: &catalog.Engines{AdapterSlots: 2}}
 			for range 2 { // the second time it is pending
-				c.admission.adaptersAt = time.Time{}
+				clear(c.admission.adaptersAt)
 				c.spreadAdapters(pool)
 			}
 			must.Eq(t, tc.want, other.pendingAdapters[adapterJob{"hot", "a1"}])
 			must.Eq(t, tc.want, len(other.adapterJobs) == 1)
+			_, done := c.admission.adaptersAt["another pool"]
+			must.False(t, done, must.Sprint("pools are independent"))
 		})
 	}
 }
--- a/coordinator/plan_state.go
+++ b/coordinator/plan_state.go
@@ -74,8 +74,7 @@
 		engine := e.plannerEngine(pool, running, now)
 		engine.Limited = c.limited(e)
 		if _, stated := c.slowdowns[pool.Name]; stated {
-			speed, _ := c.readSpeed(e, now)
-			engine.ReadSpeed = float64(speed)
+			engine.ReadSpeed, _ = c.readSpeed(e, now)
 		}
 		if c.mayLoad(e) {
 			s.Engines = append(s.Engines, engine)
--- a/gateway/domain.go
+++ b/gateway/domain.go
@@ -45,7 +45,7 @@
 // Evacuations implements platform.Listener.
 func (g *gateway) Evacuations() roster.Evacuations { return g.roster.Evacuations() }
 
-// UpdateEvacuations implements coordinator.Host.
+// UpdateEvacuations implements coordinator.ViewReceiver.
 func (g *gateway) UpdateEvacuations(e roster.Evacuations) {
 	grace := evacuationGrace(g.settings.Bounds.MaxEvacuationDelay, g.freshness.age())
 	begun, ended := g.roster.SetEvacuations(e, grace)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -214,7 +214,7 @@
 	g.balancer = balance.New(s.Domain, g.clock)
 	g.paths = detour.NewPaths(g.clock)
 	usage := newUsageTracker(g.clock)
-	g.allocations = overload.NewTable(g.clock)
+	g.allocations = overload.NewTable(g.clock, election.TakeoverTime+coordinator.ReportTime)
 	g.screen = quarantine.NewScreen(g.clock, g.log)
 	g.coordinatorClient = coordinator.NewClient(g.links, g.election, g.coordinator, g, usage.takeUsage, g.balancer.ReportLoad, g.clock, g.bootClock, g.log, coordinator.WithWeakHost(func() bool { return weak || g.cutFromEngines() }), coordinator.WithScreen(g.screen), coordinator.WithLeaving(g.roster.Leaving),
 		coordinator.WithSlowdowns(g.balancer.ReportLearned),
@@ -289,7 +289,8 @@
 	weakHostElectionDelay = 1200 * time.Millisecond
 )
 
-// isWeak reports whether a host has, as far as is known, too little of what a coordinator needs.
+// isWeak reports whether a host has, as far as is known, too little of what the coordinator of a large
+// fleet needs. Where all hosts are weak, all stand for election late.
 func isWeak(s platform.Settings) bool {
 	return s.CPUs > 0 && s.CPUs < minCoordinatorCores || s.Link > 0 && s.Link < minCoordinatorLink
 }
@@ -627,21 +628,21 @@
 	return max(0, g.freshness.maxAge()-storeReadTime-g.freshness.age())
 }
 
-// UpdateTargets implements coordinator.Host. It applies the coordinator's
+// UpdateTargets implements coordinator.ViewReceiver. It applies the coordinator's
 // changes to the registrations.
 func (g *gateway) UpdateTargets(changes roster.Changes) { g.roster.Update(changes) }
 
-// Digests implements coordinator.Host. It returns the digests of the known
+// Digests implements coordinator.ViewReceiver. It returns the digests of the known
 // registrations.
 func (g *gateway) Digests() roster.Digests { return g.roster.Digests() }
 
-// Lapses implements coordinator.Host.
+// Lapses implements coordinator.ViewReceiver.
 func (g *gateway) Lapses() int { return g.roster.Lapses() }
 
-// StoreChanges implements coordinator.Host.
+// StoreChanges implements coordinator.ViewReceiver.
 func (g *gateway) StoreChanges() (n int, newest keyvalue.Revision) { return g.roster.StoreChanges() }
 
-// SetModels implements coordinator.Host. It records the models that an engine
+// SetModels implements coordinator.ViewReceiver. It records the models that an engine
 // holds.
 func (g *gateway) SetModels(id target.ID, start roster.StartID, models []roster.Resident) {
 	g.roster.SetModels(id, start, models)
@@ -651,7 +652,7 @@
 // engines, so that unchanged registrations need not be read again.
 func (g *gateway) Resuming() { g.coordinatorClient.SaveModels() }
 
-// ConfirmCurrent implements coordinator.Host. It receives the newest
+// ConfirmCurrent implements coordinator.ViewReceiver. It receives the newest
 // configuration version and store revision that the coordinator knows.
 func (g *gateway) ConfirmCurrent(version catalog.Version, read keyvalue.Revision, at boottime.Instant) {
 	g.follower.SetRelayedRevision(read)
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -17,7 +17,7 @@
 // Load: the engines with a model get more prompts than they read. Guards against requests that wait for
 // nothing instead of being refused at once, and against a refusal of what a target has begun.
 func TestOverloadedModelIsRefusedAtOnce(t *testing.T) {
-	g := &gateway{allocations: overload.NewTable(clockwork.NewFakeClock())}
+	g := &gateway{allocations: overload.NewTable(clockwork.NewFakeClock(), time.Minute)}
 	request := relay.PlacementRequest{Pool: "p", Model: "m", Priority: 1, Team: "a", ID: "1"}
 	must.Nil(t, g.refuseIfOverloaded(request))
 	g.allocations.Set(map[target.Pool]overload.Allocation{"p": {Shares: []overload.Share{{FlowID: overload.FlowID{Model: "m", Priority: 1, Team: "a"}}}}}, false)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -255,8 +255,8 @@
 	if session == "" {
 		session = string(request.ID)
 	}
-	if rooms := g.allocations.Rooms(request.Pool, request.Model); len(rooms) > 0 {
-		if t, ok := g.balancer.ChooseByRoom(c.eligible, session, rooms); ok {
+	if weights := g.allocations.Weights(request.Pool, request.Model); len(weights) > 0 {
+		if t, ok := g.balancer.ChooseInProportion(c.eligible, session, weights); ok {
 			return t, true
 		}
 	}
@@ -400,7 +400,7 @@
 		p.usage.reading.recordStated(t.Pool)
 		p.gateway.balancer.ReportLoad(t.ID, n.Running+n.Waiting)
 		p.gateway.balancer.ReportStated(t.ID, n.Slowdown)
-		p.usage.stated.Add(t.ID, t.Start, n.Slowdown)
+		p.usage.statements.Add(t.ID, t.Start, n.Slowdown)
 	case relay.Cold:
 		p.gateway.hearCold(t, n.For)
 	case relay.Limited:
@@ -469,8 +469,8 @@
 	waiting map[coordinator.Need][]time.Time
 	// notLoaded holds when a target last refused a model.
 	notLoaded map[targetModel]time.Time
-	// stated is what targets have stated of how long work takes there.
-	stated *slowdown.Collector
+	// statements are what targets have stated of how long work takes there.
+	statements *slowdown.Collector
 	// reading tracks the reading of prompts by such targets.
 	reading *readingTracker
 }
@@ -503,12 +503,12 @@
 
 func newUsageTracker(clock clockwork.Clock) *usageTracker {
 	return &usageTracker{
-		running:   map[targetModel]int{},
-		demand:    map[demandKey]demand{},
-		waiting:   map[coordinator.Need][]time.Time{},
-		notLoaded: map[targetModel]time.Time{},
-		stated:    slowdown.NewCollector(),
-		reading:   newReadingTracker(clock),
+		running:    map[targetModel]int{},
+		demand:     map[demandKey]demand{},
+		waiting:    map[coordinator.Need][]time.Time{},
+		notLoaded:  map[targetModel]time.Time{},
+		statements: slowdown.NewCollector(),
+		reading:    newReadingTracker(clock),
 	}
 }
 
@@ -605,7 +605,7 @@
 		u.Demand = append(u.Demand, coordinator.Demand{Pool: key.pool, Model: key.model, Adapter: key.adapter, Count: d.count, Prompt: d.promptTokens, Priority: key.priority, Team: key.team})
 	}
 	clear(tracker.demand)
-	u.Stated = tracker.stated.Take()
+	u.Stated = tracker.statements.Take()
 	u.Unread, u.Readings = tracker.reading.take()
 	for key, n := range tracker.running {
 		u.Running = append(u.Running, coordinator.Running{Target: key.target, Model: key.model, Adapter: key.adapter, Count: n})
--- a/gateway/reading.go
+++ b/gateway/reading.go
@@ -19,28 +19,29 @@
 type readingTracker struct {
 	clock clockwork.Clock
 
-	mu       sync.Mutex
-	stated   map[target.Pool]bool
-	unread   map[target.ID]team.Tokens
-	readings map[target.Pool]overload.Reading
+	mu sync.Mutex
+	// statedPools holds the pools whose targets state how long work takes.
+	statedPools map[target.Pool]bool
+	unread      map[target.ID]team.Tokens
+	readings    map[target.Pool]overload.Reading
 }
 
 func newReadingTracker(clock clockwork.Clock) *readingTracker {
-	return &readingTracker{clock: clock, stated: map[target.Pool]bool{}, unread: map[target.ID]team.Tokens{}, readings: map[target.Pool]overload.Reading{}}
+	return &readingTracker{clock: clock, statedPools: map[target.Pool]bool{}, unread: map[target.ID]team.Tokens{}, readings: map[target.Pool]overload.Reading{}}
 }
 
 // recordStated records that the targets of a pool state how long work takes.
 func (tracker *readingTracker) recordStated(pool target.Pool) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	tracker.stated[pool] = true
+	tracker.statedPools[pool] = true
 }
 
 // states reports whether the targets of a pool state how long work takes.
 func (tracker *readingTracker) states(pool target.Pool) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	return tracker.stated[pool]
+	return tracker.statedPools[pool]
 }
 
 // take returns the unread prompts, and the readings since the last call.
@@ -68,7 +69,7 @@
 func (tracker *readingTracker) start(t roster.Target, request relay.PlacementRequest) *reading {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	if !tracker.stated[t.Pool] || request.Model == "" || request.PromptTokens <= 0 {
+	if !tracker.statedPools[t.Pool] || request.Model == "" || request.PromptTokens <= 0 {
 		return nil
 	}
 	tracker.unread[t.ID] += request.PromptTokens
--- a/overload/bench_test.go
+++ b/overload/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -15,12 +16,12 @@
 // The cost of dividing a fleet of 3,000 engines with three models each among 2,000 flows, which the
 // coordinator does four times a second at most, while some models are overloaded and while none is.
 func BenchmarkAllocate(b *testing.B) {
-	for name, demand := range map[string]overload.Speed{"overloaded": 1000, "usual": 10} {
+	for name, demand := range map[string]team.TokensPerSecond{"overloaded": 1000, "usual": 10} {
 		b.Run(name, func(b *testing.B) { benchmarkAllocate(b, demand) })
 	}
 }
 
-func benchmarkAllocate(b *testing.B, demand overload.Speed) {
+func benchmarkAllocate(b *testing.B, demand team.TokensPerSecond) {
 	b.Helper()
 	var engines []overload.Engine
 	for i := range 3000 {
@@ -32,7 +33,7 @@
 	}
 	var flows []overload.Flow
 	for i := range 2000 {
-		flows = append(flows, flow(model.Name(fmt.Sprint("m", i%800)), i%3, team.ID(fmt.Sprint("t", i%16)), demand*overload.Speed(i%200)))
+		flows = append(flows, flow(model.Name(fmt.Sprint("m", i%800)), i%3, team.ID(fmt.Sprint("t", i%16)), demand*team.TokensPerSecond(i%200)))
 	}
 	for b.Loop() {
 		overload.Allocate(engines, flows)
@@ -41,7 +42,7 @@
 
 // The cost of one admission with a hundred shares.
 func BenchmarkAdmit(b *testing.B) {
-	table := overload.NewTable(clockwork.NewRealClock())
+	table := overload.NewTable(clockwork.NewRealClock(), time.Hour)
 	var a overload.Allocation
 	for i := range 100 {
 		a.Shares = append(a.Shares, overload.Share{FlowID: overload.FlowID{Model: model.Name(fmt.Sprint("m", i)), Team: "t"}, Admitted: 0.5})
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -9,16 +9,16 @@
 	"slices"
 	"time"
 
+	"hawthornway/fair"
 	"hawthornway/model"
 	"hawthornway/target"
 	"hawthornway/team"
 )
 
-// Speed is a number of prompt tokens per second.
-type Speed float64
-
-// over returns the tokens read in a period.
-func (s Speed) over(d time.Duration) team.Tokens { return team.Tokens(float64(s) * d.Seconds()) }
+// over returns the tokens of a period at a rate.
+func over(rate team.TokensPerSecond, d time.Duration) team.Tokens {
+	return team.Tokens(float64(rate) * d.Seconds())
+}
 
 // Parameters of the decision.
 const (
@@ -26,20 +26,18 @@
 	// streams that it continues meanwhile. With less, they last so long that the engine's slots
 	// run out.
 	readShare = 0.6
-	// usualBacklog is the time in which an engine reads the prompts that wait there. It is a
-	// fraction of the time to a first event that callers of interactive routes expect, a second.
-	usualBacklog = 300 * time.Millisecond
-	// maxBacklog is the backlog from which most requests at an engine begin late.
-	maxBacklog = time.Second
+	// usualBacklogShare is the share of the objective in which an engine reads the prompts that
+	// wait there.
+	usualBacklogShare = 0.3
 	// correctionTime is the time in which a backlog returns to the usual one. It is longer than
 	// hosts take to report the backlog and to learn of the shares, so that the backlog settles.
 	correctionTime = 3 * time.Second
-	// assumedRoomShare is the share of its speed that an engine is sent while its speed is assumed
-	// and its backlog is no larger than usual. It may be faster than assumed.
-	assumedRoomShare = 1
-	// minRoomShare is the least share of an engine's speed that is admitted, so that a wrong
+	// assumedIntakeShare is the share of its speed that an engine is sent while its speed is
+	// assumed and its backlog is no larger than usual. It may be faster than assumed.
+	assumedIntakeShare = 1
+	// minIntakeShare is the least share of an engine's speed that is admitted, so that a wrong
 	// backlog doesn't shut an engine off.
-	minRoomShare = 0.1
+	minIntakeShare = 0.1
 	// lessUrgentShare is the share of a model's engines that less urgent requests get at least if
 	// they ask for it, so that more urgent ones don't starve them.
 	lessUrgentShare = 0.1
@@ -55,27 +53,46 @@
 	Models []model.Name
 	// Speed is the speed at which it reads prompts if it does nothing else. It is assumed if it
 	// hasn't been learned.
-	Speed   Speed
+	Speed   team.TokensPerSecond
 	Assumed bool
+	// Objective is the time within which its callers expect a first event.
+	Objective time.Duration
 	// Unread is the size of the prompts that it was sent and has yet to read.
 	Unread team.Tokens
 }
 
-// room returns the prompt tokens per second that an engine may be sent now.
-func (e Engine) room() float64 {
-	missing := float64(e.Speed.over(usualBacklog) - e.Unread)
+// usualBacklog returns the size of the prompts that usually wait at an engine.
+func (e Engine) usualBacklog() team.Tokens {
+	return over(e.Speed, time.Duration(usualBacklogShare*float64(e.Objective)))
+}
+
+// intake returns the prompt tokens per second that an engine may be sent now.
+func (e Engine) intake() float64 {
+	missing := float64(e.usualBacklog() - e.Unread)
 	if e.Assumed && missing >= 0 {
-		return assumedRoomShare * float64(e.Speed)
+		return assumedIntakeShare * float64(e.Speed)
+	}
+	return max(minIntakeShare*float64(e.Speed), readShare*float64(e.Speed)+missing/correctionTime.Seconds())
+}
+
+// equalPart returns the part of an engine's intake that each of its models gets which is asked for,
+// whatever is asked for the others.
+func (e Engine) equalPart(demand map[model.Name]float64) float64 {
+	asked := 0
+	for _, name := range e.Models {
+		if demand[name] > 0 {
+			asked++
+		}
 	}
-	return max(minRoomShare*float64(e.Speed), readShare*float64(e.Speed)+missing/correctionTime.Seconds())
+	return e.intake() / float64(max(1, asked))
 }
 
-// Behind reports whether an engine is so far behind with reading that what others can run should go to
-// them.
-func (e Engine) Behind() bool { return e.Unread > e.Speed.over(maxBacklog) }
+// Behind reports whether an engine is so far behind with reading that what it is sent begins late.
+// What others can run should go to them.
+func (e Engine) Behind() bool { return e.Unread > over(e.Speed, e.Objective) }
 
 // Idle reports whether an engine reads what it is sent at once.
-func (e Engine) Idle() bool { return e.Unread <= e.Speed.over(usualBacklog) }
+func (e Engine) Idle() bool { return e.Unread <= e.usualBacklog() }
 
 // FlowID identifies a flow: the requests of a team for a model at a priority.
 type FlowID struct {
@@ -87,7 +104,7 @@
 // Flow is the demand of a flow.
 type Flow struct {
 	FlowID
-	Demand Speed
+	Demand team.TokensPerSecond
 	// Weight is the weight of the team among the teams of the same priority.
 	Weight float64
 }
@@ -98,18 +115,18 @@
 	Admitted float64
 }
 
-// Room is the part of an engine's room that the requests for a model may take.
-type Room struct {
+// Allotment is the part of an engine's intake that the requests for a model may take.
+type Allotment struct {
 	Model  model.Name
 	Target target.ID
-	Speed  Speed
+	Rate   team.TokensPerSecond
 }
 
 // Allocation tells which requests are admitted for the models that get more prompts than their
 // engines can read, ordered by flow, and to which engines they go, ordered by model and engine.
 type Allocation struct {
-	Shares []Share
-	Rooms  []Room
+	Shares     []Share
+	Allotments []Allotment
 }
 
 // Allocate returns the shares of the flows that are not admitted in full. Each engine is divided
@@ -124,22 +141,23 @@
 		demand[f.Model] += float64(f.Demand)
 	}
 	var a Allocation
-	if !anyExceeds(engines, demand) {
-		return a
+	certain := certainIntake(engines, demand)
+	if !anyExceeds(demand, certain) {
+		return a // without the division, which takes long in a large fleet
 	}
-	rooms := divideEngines(engines, demand)
+	allotments := divideEngines(engines, demand, certain)
 	for name, ofModel := range groupBy(flows, func(f Flow) model.Name { return f.Model }) {
 		available := 0.0
-		for _, r := range rooms[name] {
-			available += float64(r.Speed)
+		for _, part := range allotments[name] {
+			available += float64(part.Rate)
 		}
-		if len(rooms[name]) > 0 && demand[name] > available*(1+minExcess) {
+		if len(allotments[name]) > 0 && demand[name] > available*(1+minExcess) {
 			a.Shares = append(a.Shares, divideModel(available, ofModel)...)
-			a.Rooms = append(a.Rooms, rooms[name]...)
+			a.Allotments = append(a.Allotments, allotments[name]...)
 		}
 	}
 	slices.SortFunc(a.Shares, func(x, y Share) int { return compareFlows(x.FlowID, y.FlowID) })
-	slices.SortFunc(a.Rooms, func(x, y Room) int {
+	slices.SortFunc(a.Allotments, func(x, y Allotment) int {
 		return cmp.Or(cmp.Compare(x.Model, y.Model), cmp.Compare(x.Target, y.Target))
 	})
 	return a
@@ -149,61 +167,55 @@
 	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Team, b.Team))
 }
 
-// anyExceeds reports whether there is more demand for a held model than the part of its engines' room
-// that it gets whatever is asked for the others. It takes a small part of the time of a division,
-// which the coordinator of a large fleet would otherwise spend several times a second.
-func anyExceeds(engines []Engine, demand map[model.Name]float64) bool {
+// certainIntake returns, for each held model that is asked for, what it gets of its engines whatever
+// is asked for the others.
+func certainIntake(engines []Engine, demand map[model.Name]float64) map[model.Name]float64 {
 	certain := make(map[model.Name]float64, len(demand))
 	for _, e := range engines {
-		asked := 0
-		for _, name := range e.Models {
-			if demand[name] > 0 {
-				asked++
-			}
-		}
-		if asked == 0 {
-			continue
-		}
-		part := e.room() / float64(asked)
+		part := e.equalPart(demand)
 		for _, name := range e.Models {
 			if demand[name] > 0 {
 				certain[name] += part
 			}
 		}
 	}
-	for name, room := range certain {
-		if demand[name] > room*(1+minExcess) {
+	return certain
+}
+
+// anyExceeds reports whether there is more demand for a model than it certainly gets.
+func anyExceeds(demand, certain map[model.Name]float64) bool {
+	for name, intake := range certain {
+		if demand[name] > intake*(1+minExcess) {
 			return true
 		}
 	}
 	return false
 }
 
-// divideEngines divides the room of each engine among its models. Requests for a model are spread over
-// its engines in proportion to their room.
-func divideEngines(engines []Engine, demand map[model.Name]float64) map[model.Name][]Room {
-	supply, rooms := map[model.Name]float64{}, map[model.Name][]Room{}
+// divideEngines divides the intake of each engine among its models. Requests for a model are spread
+// over its engines in proportion to what it certainly gets there.
+func divideEngines(engines []Engine, demand, certain map[model.Name]float64) map[model.Name][]Allotment {
+	allotments := map[model.Name][]Allotment{}
 	for _, e := range engines {
-		room := e.room()
-		for _, name := range e.Models {
-			supply[name] += room
-		}
-	}
-	for _, e := range engines {
-		room := e.room()
-		claims := make([]claim, len(e.Models))
+		part := e.equalPart(demand)
+		demands := make([]float64, len(e.Models))
 		for i, name := range e.Models {
-			claims[i] = claim{demand: demand[name] * room / supply[name], weight: 1}
+			if demand[name] > 0 {
+				demands[i] = demand[name] * part / certain[name]
+			}
 		}
-		for i, grant := range maxMin(room, claims) {
-			rooms[e.Models[i]] = append(rooms[e.Models[i]], Room{e.Models[i], e.ID, Speed(grant)})
+		for i, grant := range fair.MaxMin(demands, slices.Repeat([]float64{1}, len(demands)), e.intake()) {
+			if demands[i] > 0 {
+				name := e.Models[i]
+				allotments[name] = append(allotments[name], Allotment{name, e.ID, team.TokensPerSecond(grant)})
+			}
 		}
 	}
-	return rooms
+	return allotments
 }
 
-// divideModel divides the room for a model among its flows.
-func divideModel(room float64, flows []Flow) []Share {
+// divideModel divides the intake for a model among its flows.
+func divideModel(intake float64, flows []Flow) []Share {
 	byPriority := groupBy(flows, func(f Flow) int { return f.Priority })
 	priorities := make([]int, 0, len(byPriority))
 	lower := 0.0
@@ -213,28 +225,28 @@
 	}
 	slices.Sort(priorities)
 	var shares []Share
-	left, reserve := room, lessUrgentShare*room
+	left, reserve := intake, lessUrgentShare*intake
 	for _, priority := range priorities {
 		ofPriority := byPriority[priority]
 		lower -= total(ofPriority)
-		granted := min(total(ofPriority), left-min(lower, reserve))
+		granted := max(0, min(total(ofPriority), left-min(lower, reserve)))
 		left -= granted
 		shares = append(shares, divideTeams(granted, ofPriority)...)
 	}
 	return shares
 }
 
-// divideTeams divides the room for a model and a priority among the teams, and returns the shares
+// divideTeams divides the intake for a model and a priority among the teams, and returns the shares
 // of those that aren't admitted in full.
-func divideTeams(room float64, flows []Flow) []Share {
-	claims := make([]claim, len(flows))
+func divideTeams(intake float64, flows []Flow) []Share {
+	demands, weights := make([]float64, len(flows)), make([]float64, len(flows))
 	for i, f := range flows {
-		claims[i] = claim{demand: float64(f.Demand), weight: f.Weight}
+		demands[i], weights[i] = float64(f.Demand), f.Weight
 	}
 	var shares []Share
-	for i, grant := range maxMin(room, claims) {
-		if f := flows[i]; float64(f.Demand) > grant*(1+minExcess) {
-			shares = append(shares, Share{f.FlowID, max(0, grant) / float64(f.Demand)})
+	for i, grant := range fair.MaxMin(demands, weights, intake) {
+		if f := flows[i]; demands[i] > grant*(1+minExcess) {
+			shares = append(shares, Share{f.FlowID, grant / demands[i]})
 		}
 	}
 	return shares
@@ -255,27 +267,3 @@
 	}
 	return groups
 }
-
-// claim is what one of those asks for that divide a room.
-type claim struct{ demand, weight float64 }
-
-// maxMin divides a room by weighted max-min fairness and returns what each claim gets.
-func maxMin(room float64, claims []claim) []float64 {
-	order := make([]int, len(claims))
-	weights := 0.0
-	for i, c := range claims {
-		order[i] = i
-		weights += c.weight
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(claims[a].demand*claims[b].weight, claims[b].demand*claims[a].weight)
-	})
-	granted := make([]float64, len(claims))
-	for _, i := range order {
-		c := claims[i]
-		granted[i] = max(0, min(c.demand, room*c.weight/weights))
-		room -= granted[i]
-		weights -= c.weight
-	}
-	return granted
-}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -17,13 +17,13 @@
 	"hawthornway/team"
 )
 
-const speed overload.Speed = 20_000
+const speed team.TokensPerSecond = 20_000
 
 func engine(id target.ID, unread team.Tokens, models ...model.Name) overload.Engine {
-	return overload.Engine{ID: id, Models: models, Speed: speed, Unread: unread}
+	return overload.Engine{ID: id, Models: models, Speed: speed, Objective: time.Second, Unread: unread}
 }
 
-func flow(name model.Name, priority int, id team.ID, demand overload.Speed) overload.Flow {
+func flow(name model.Name, priority int, id team.ID, demand team.TokensPerSecond) overload.Flow {
 	return overload.Flow{FlowID: overload.FlowID{Model: name, Priority: priority, Team: id}, Demand: demand, Weight: 1}
 }
 
@@ -37,7 +37,7 @@
 }
 
 // Load: one model gets five times what its engine reads, and shares it with a rarely used one. Guards
-// against a burst that takes the room of other models, of small teams, or of more urgent requests,
+// against a burst that takes the part of other models, of small teams, or of more urgent requests,
 // and against less urgent requests that get nothing.
 func TestBurstOfOneModel(t *testing.T) {
 	engines := []overload.Engine{engine("e", 0, "hot", "rare")}
@@ -56,7 +56,7 @@
 
 // Load: the engines of a model differ in their backlogs. Guards against requests that are refused
 // although the engines can read them, and against further ones for an engine that lags behind.
-func TestRoomFollowsBacklog(t *testing.T) {
+func TestIntakeFollowsBacklog(t *testing.T) {
 	two := func(unread team.Tokens) []overload.Engine {
 		return []overload.Engine{engine("busy", unread, "m"), engine("idle", 0, "m")}
 	}
@@ -65,10 +65,10 @@
 	for _, unread := range []team.Tokens{0, 20_000, 60_000, 1_000_000} {
 		a := overload.Allocate(two(unread), []overload.Flow{flow("m", 1, "a", 60_000)})
 		must.SliceLen(t, 1, a.Shares)
-		must.SliceLen(t, 2, a.Rooms)
+		must.SliceLen(t, 2, a.Allotments)
 		admitted = append(admitted, a.Shares[0].Admitted*60_000)
-		test.LessEq(t, a.Rooms[1].Speed, a.Rooms[0].Speed)
-		test.Positive(t, a.Rooms[0].Speed, test.Sprint("a wrong backlog must not shut an engine off"))
+		test.LessEq(t, a.Allotments[1].Rate, a.Allotments[0].Rate)
+		test.Positive(t, a.Allotments[0].Rate, test.Sprint("a wrong backlog must not shut an engine off"))
 	}
 	test.Between(t, 24_000, admitted[0], 32_000)
 	for i := range admitted[1:] {
@@ -76,6 +76,17 @@
 	}
 }
 
+// Load: one of a model's engines holds others that get more than it reads. Guards against refusals of
+// requests that the model's other engine has time for.
+func TestModelWithAnIdleEngineIsAdmitted(t *testing.T) {
+	engines := []overload.Engine{engine("idle", 0, "m"), engine("shared", 0, "m", "hot-1", "hot-2", "hot-3")}
+	shares := sharesOf(overload.Allocate(engines, []overload.Flow{
+		flow("m", 1, "a", 14_000), flow("hot-1", 1, "a", 50_000), flow("hot-2", 1, "a", 50_000), flow("hot-3", 1, "a", 50_000),
+	}))
+	test.MapLen(t, 3, shares)
+	test.MapNotContainsKey(t, shares, overload.FlowID{Model: "m", Priority: 1, Team: "a"})
+}
+
 // Guards against refusals that follow from an assumed speed alone.
 func TestAssumedSpeedNeedsBacklog(t *testing.T) {
 	e := engine("e", 0, "m")
@@ -86,8 +97,8 @@
 }
 
 // Load: any demand of teams before any engines. Guards against a team that gets less than 95% of its
-// weighted max-min share of its model, against more than the engines' room, and against refusals
-// while there is room.
+// weighted max-min share of its model, against more than the engines' intake, and against
+// refusals while some of it is left.
 func TestSharesAreMaxMin(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var engines []overload.Engine
@@ -96,14 +107,14 @@
 		}
 		var flows []overload.Flow
 		for i := range rapid.IntRange(1, 8).Draw(t, "teams") {
-			f := flow("m", 0, team.ID(fmt.Sprint("t", i)), overload.Speed(rapid.IntRange(1, 60_000).Draw(t, "demand")))
+			f := flow("m", 0, team.ID(fmt.Sprint("t", i)), team.TokensPerSecond(rapid.IntRange(1, 60_000).Draw(t, "demand")))
 			f.Weight = float64(rapid.IntRange(1, 9).Draw(t, "weight"))
 			flows = append(flows, f)
 		}
 		a := overload.Allocate(engines, flows)
-		room, shares := 0.0, sharesOf(a)
-		for _, r := range a.Rooms {
-			room += float64(r.Speed)
+		intake, shares := 0.0, sharesOf(a)
+		for _, part := range a.Allotments {
+			intake += float64(part.Rate)
 		}
 		admitted, refused := 0.0, false
 		level := math.Inf(1) // the least that a refused team gets for its weight
@@ -120,8 +131,8 @@
 		if !refused {
 			return
 		}
-		if admitted > 1.05*room+1 || admitted < 0.95*room {
-			t.Fatalf("admitted %v of a room of %v", admitted, room)
+		if admitted > 1.05*intake+1 || admitted < 0.95*intake {
+			t.Fatalf("admitted %v of an intake of %v", admitted, intake)
 		}
 		for i, f := range flows {
 			if got[i]/f.Weight > 1.06*level+1 {
@@ -162,7 +173,7 @@
 // from all hosts, in place of settled ones.
 func TestTable(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	table := overload.NewTable(clock)
+	table := overload.NewTable(clock, 8*time.Second)
 	id := overload.FlowID{Model: "m", Priority: 1, Team: "a"}
 	admitted := func() (n int) {
 		for i := range 1000 {
@@ -179,7 +190,7 @@
 	}
 	allocation := func(share float64) map[target.Pool]overload.Allocation {
 		return map[target.Pool]overload.Allocation{"p": {
-			Shares: []overload.Share{{FlowID: id, Admitted: share}}, Rooms: []overload.Room{{Model: "m", Target: "e", Speed: 5}},
+			Shares: []overload.Share{{FlowID: id, Admitted: share}}, Allotments: []overload.Allotment{{Model: "m", Target: "e", Rate: 5}},
 		}}
 	}
 	must.Eq(t, 1000, admitted())
@@ -189,12 +200,12 @@
 	must.Between(t, 160, admitted(), 240)
 	table.Set(allocation(0.9), true)
 	must.Between(t, 160, admitted(), 240)
-	must.MapLen(t, 1, table.Rooms("p", "m"))
+	must.MapLen(t, 1, table.Weights("p", "m"))
 	table.Set(allocation(0), false)
 	must.Zero(t, admitted())
 	clock.Advance(9 * time.Second)
 	must.Eq(t, 1000, admitted())
-	must.MapEmpty(t, table.Rooms("p", "m"))
+	must.MapEmpty(t, table.Weights("p", "m"))
 	table.Set(nil, false)
 	must.Eq(t, 1000, admitted())
 }
--- a/overload/speed.go
+++ b/overload/speed.go
@@ -34,10 +34,12 @@
 	// minSpeedTokens is the number of tokens from which a speed counts as learned, about ten
 	// prompts.
 	minSpeedTokens = 15_000
-	// assumedSpeed is the speed of the engines of most users of the platform, in tokens per second.
-	assumedSpeed Speed = 20_000
 )
 
+// AssumedSpeed is the speed of an engine of which it isn't known. The engines of the platform's users
+// reach 19,000 to 38,000 prompt tokens per second.
+const AssumedSpeed team.TokensPerSecond = 20_000
+
 // NewReading returns what the reading of a prompt shows, given the load that the engine stated with
 // the response, and false if it shows nothing.
 func NewReading(prompt team.Tokens, took time.Duration, running, waiting int, stated slowdown.Factor) (Reading, bool) {
@@ -67,9 +69,9 @@
 }
 
 // Speed returns the learned speed, and false with an assumed one if there is too little evidence.
-func (s *Speedometer) Speed() (speed Speed, learned bool) {
+func (s *Speedometer) Speed() (speed team.TokensPerSecond, learned bool) {
 	if s.tokens < minSpeedTokens || s.seconds <= 0 {
-		return assumedSpeed, false
+		return AssumedSpeed, false
 	}
-	return Speed(s.tokens / s.seconds), true
+	return team.TokensPerSecond(s.tokens / s.seconds), true
 }
--- a/overload/table.go
+++ b/overload/table.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// maxTableAge is how long shares are used. It covers the takeover of the coordinator and the
-	// time until the new one has heard from all hosts.
-	maxTableAge = 8 * time.Second
 	// retryInterval is the wait after which a refused request is admitted with its flow's share
 	// as the probability. The shares follow the demand within about as long.
 	retryInterval = time.Second
@@ -25,33 +22,38 @@
 // Table holds the allocations of pools that a host was told last. It is safe for concurrent use.
 type Table struct {
 	clock clockwork.Clock
+	// maxAge is how long allocations are used.
+	maxAge time.Duration
 
 	mu     sync.Mutex
 	shares map[target.Pool]map[FlowID]float64
-	// rooms holds the engines' room by model.
-	rooms map[target.Pool]map[model.Name]map[target.ID]float64
-	at    time.Time
+	// weights holds the engines' allotments by model.
+	weights map[target.Pool]map[model.Name]map[target.ID]float64
+	at      time.Time
 	// settled is set unless the shares are early ones.
 	settled bool
 }
 
-// NewTable returns a Table that admits all requests.
-func NewTable(clock clockwork.Clock) *Table { return &Table{clock: clock} }
+// NewTable returns a Table that admits all requests. It uses allocations for maxAge, which should
+// cover the time until a new coordinator has heard from all hosts.
+func NewTable(clock clockwork.Clock, maxAge time.Duration) *Table {
+	return &Table{clock: clock, maxAge: maxAge}
+}
 
 // Set replaces the allocations of all pools. Early ones, which admit too much, don't replace those that
 // are still used.
 func (t *Table) Set(allocations map[target.Pool]Allocation, early bool) {
-	shares, rooms := map[target.Pool]map[FlowID]float64{}, map[target.Pool]map[model.Name]map[target.ID]float64{}
+	shares, weights := map[target.Pool]map[FlowID]float64{}, map[target.Pool]map[model.Name]map[target.ID]float64{}
 	for pool, a := range allocations {
-		shares[pool], rooms[pool] = map[FlowID]float64{}, map[model.Name]map[target.ID]float64{}
+		shares[pool], weights[pool] = map[FlowID]float64{}, map[model.Name]map[target.ID]float64{}
 		for _, s := range a.Shares {
 			shares[pool][s.FlowID] = s.Admitted
 		}
-		for _, r := range a.Rooms {
-			if rooms[pool][r.Model] == nil {
-				rooms[pool][r.Model] = map[target.ID]float64{}
+		for _, part := range a.Allotments {
+			if weights[pool][part.Model] == nil {
+				weights[pool][part.Model] = map[target.ID]float64{}
 			}
-			rooms[pool][r.Model][r.Target] = float64(r.Speed)
+			weights[pool][part.Model][part.Target] = float64(part.Rate)
 		}
 	}
 	t.mu.Lock()
@@ -59,20 +61,20 @@
 	if early && t.settled && t.current() {
 		return
 	}
-	t.shares, t.rooms, t.at, t.settled = shares, rooms, t.clock.Now(), !early
+	t.shares, t.weights, t.at, t.settled = shares, weights, t.clock.Now(), !early
 }
 
 // current reports whether the allocations are still used.
-func (t *Table) current() bool { return t.clock.Since(t.at) <= maxTableAge }
+func (t *Table) current() bool { return t.clock.Since(t.at) <= t.maxAge }
 
-// Rooms returns the room for a model by engine, or nil if all of its requests are admitted.
-func (t *Table) Rooms(pool target.Pool, name model.Name) map[target.ID]float64 {
+// Weights returns the allotments for a model by engine, or nil if all of its requests are admitted.
+func (t *Table) Weights(pool target.Pool, name model.Name) map[target.ID]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.current() {
 		return nil
 	}
-	return t.rooms[pool][name]
+	return t.weights[pool][name]
 }
 
 // Len returns the number of flows that aren't admitted in full.
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -10,7 +10,9 @@
 	"hawthornway/catalog"
 	"hawthornway/fleet"
 	"hawthornway/model"
+	"hawthornway/overload"
 	"hawthornway/target"
+	"hawthornway/team"
 )
 
 // State is the input of a plan.
@@ -70,9 +72,8 @@
 	// run at the same time.
 	Work  int
 	Slots int
-	// ReadSpeed is the number of prompt tokens that the engine reads in a second, or zero if it
-	// isn't known.
-	ReadSpeed float64
+	// ReadSpeed is the speed at which the engine reads prompts, or zero if it isn't known.
+	ReadSpeed team.TokensPerSecond
 	// Limited is set if the engine takes a limited number of requests only. Requests wait
 	// for a model although such an engine holds it, and models are loaded elsewhere.
 	Limited bool
@@ -149,9 +150,6 @@
 	// prefetchStreams limits the concurrent prefetches, which leaves one stream to loads
 	// for waiting requests.
 	prefetchStreams = 3
-	// prefillTokensPerSecond is the assumed prefill throughput of an engine of which it isn't
-	// known. The engines of the platform's users reach 19,000 to 26,000 prompt tokens per second.
-	prefillTokensPerSecond = 20_000
 	// maxPrefillShare is the share of an engine's time that the prefill of one model's
 	// prompts may take. Each prefill delays the output streams of other requests.
 	maxPrefillShare = 0.25
@@ -421,9 +419,9 @@
 // readSpeed returns the speed at which an engine reads prompts, in tokens per second.
 func (e *Engine) readSpeed() float64 {
 	if e.ReadSpeed > 0 {
-		return e.ReadSpeed
+		return float64(e.ReadSpeed)
 	}
-	return prefillTokensPerSecond
+	return float64(overload.AssumedSpeed)
 }
 
 // standby plans a second engine, in another domain, for frequently requested models.
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -13,6 +13,7 @@
 	"hawthornway/model"
 	"hawthornway/placement"
 	"hawthornway/target"
+	"hawthornway/team"
 )
 
 var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -496,7 +497,7 @@
 func TestPopularModelGoesToFastEngine(t *testing.T) {
 	s := newState(10, 4)
 	for i := range s.Engines {
-		s.Engines[i].ReadSpeed = []float64{20_000, 12_000, 33_000, 12_000}[i]
+		s.Engines[i].ReadSpeed = []team.TokensPerSecond{20_000, 12_000, 33_000, 12_000}[i]
 		s.Engines[i].Resident = nil
 		s.Engines[i].OnDisk["m0"] = true
 	}
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -393,10 +393,7 @@
 	}
 }
 
-func (r completed) placerResult() Result {
-	return Served{Load: r.load}
-}
-
+func (r completed) placerResult() Result { return Served{Load: r.load} }
 func (r refused) placerResult() Result {
 	if r.replaced {
 		return Failed{Unreachable: true}
--- a/relay/request.go
+++ b/relay/request.go
@@ -220,9 +220,7 @@
 type Result interface{ sealed() }
 
 // Served means that the target responded.
-type Served struct {
-	Load *TargetLoad
-}
+type Served struct{ Load *TargetLoad }
 
 // Refused means that the target did not run the request.
 type Refused struct {
--- a/relay/steps.go
+++ b/relay/steps.go
@@ -112,7 +112,8 @@
 const maxUnread = time.Second
 
 // limitWriting lets writes to the caller fail some time after its deadline. One that doesn't read
-// would otherwise hold the request's memory, and its target, for as long as it likes.
+// would otherwise hold the request's memory, and its target, for as long as it likes. The deadlines
+// of connections are in real time.
 func (r *Relay) limitWriting(f *inflight) {
 	left := f.deadline.Add(maxUnread).Sub(r.clock.Now())
 	if err := http.NewResponseController(f.w).SetWriteDeadline(time.Now().Add(left)); err != nil {
--- a/soak/check.go
+++ b/soak/check.go
@@ -138,9 +138,9 @@
 				ran = append(ran, a.At)
 			}
 		}
-		for i, at := range ran {
+		for _, at := range ran {
 			if n := countBetween(ran, at.Add(-time.Second), at); float64(n) > coldRate*coldOvershoot+coldSlack {
-				report("engine %s ran %d requests in a second, %v after it had turned cold", cold.engine.ID, n, ran[i].Sub(cold.from).Round(time.Millisecond))
+				report("engine %s ran %d requests in a second, %v after it had turned cold", cold.engine.ID, n, at.Sub(cold.from).Round(time.Millisecond))
 				break
 			}
 		}
