review: a ready machine takes no connections while idle ones stay, case 7

A host takes 2,000 connections of callers at a time and keeps idle ones for two minutes, since idle_timeout_ms of the configuration isn't read. Once these are used up, no new connection is taken, while readiness says 200.

--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -20,7 +20,8 @@
 type play func(c *stage) (broken bool, err error)
 
 var plays = map[string]play{
-	"revoked-upload": playRevokedUpload,
+	"revoked-upload":   playRevokedUpload,
+	"kept-connections": playKeptConnections,
 }
 
 func main() {
--- a/review/drive/revoked_upload.go
+++ b/review/drive/revoked_upload.go
@@ -29,7 +29,7 @@
 	service := platformtest.NewEngine(c.store, "app-1", platformtest.EngineSpec{Service: platformtest.PlainService, Zone: "z-a", Work: 60 * time.Millisecond})
 	defer service.Close()
 	config := platformtest.Config{Version: 3, Keys: []string{taken, kept}}
-	if err := c.configure(config); err != nil {
+	if err := c.configure(config, unchanged); err != nil {
 		return false, err
 	}
 	for i, zone := range []string{"z-a", "z-b", "z-c"} {
@@ -64,7 +64,7 @@
 	freeze := time.Now()
 	time.Sleep(200 * time.Millisecond)
 	config.Version, config.Keys = 8, []string{kept}
-	if err := c.configure(config); err != nil {
+	if err := c.configure(config, unchanged); err != nil {
 		return false, err
 	}
 	acknowledged := time.Now()
--- a/review/drive/stage.go
+++ b/review/drive/stage.go
@@ -63,8 +63,11 @@
 // stay idle.
 var limits = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 
-// configure writes a configuration as the operator does, with the limits.
-func (c *stage) configure(config platformtest.Config) error {
+// unchanged leaves a route as it is.
+func unchanged(map[string]any) {}
+
+// configure writes a configuration as the operator does, with the limits and with a change of its routes.
+func (c *stage) configure(config platformtest.Config, change func(route map[string]any)) error {
 	scratch := platformtest.NewStore()
 	defer scratch.Close()
 	config.Apply(scratch)
@@ -72,6 +75,12 @@
 	if err := json.Unmarshal(scratch.Value(configKey), &fields); err != nil {
 		return err
 	}
+	routes, _ := fields["routes"].([]any)
+	for _, r := range routes {
+		if route, ok := r.(map[string]any); ok {
+			change(route)
+		}
+	}
 	fields["limits"] = limits
 	c.store.Put(configKey, fields)
 	return nil
