review: requests of callers that have left are passed on, case 8

Connections that are taken late are served although their callers have closed them seconds before: nothing asks for that before a request is sent.

--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -22,6 +22,7 @@
 var plays = map[string]play{
 	"revoked-upload":   playRevokedUpload,
 	"kept-connections": playKeptConnections,
+	"left-callers":     playLeftCallers,
 }
 
 func main() {
